--- /dev/null
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
--- /dev/null
+++ b/crates/passroad-choice/src/door.rs
@@ -0,0 +1,53 @@
+//! The door: outside ids become small indices here, and indices ids again on the way out.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+/// Gives each id the lowest free index. Iteration order never shows.
+#[derive(Debug, Default)]
+pub struct Door<K> {
+    inside: HashMap<K, usize>,
+    outside: Vec<Option<K>>,
+    free: Vec<usize>,
+}
+
+impl<K: Eq + Hash + Clone> Door<K> {
+    pub fn new() -> Self {
+        Door { inside: HashMap::new(), outside: Vec::new(), free: Vec::new() }
+    }
+
+    /// The index of an id, new if it is a stranger.
+    pub fn admit(&mut self, id: &K) -> usize {
+        if let Some(&ix) = self.inside.get(id) {
+            return ix;
+        }
+        let ix = self.free.pop().unwrap_or(self.outside.len());
+        if ix == self.outside.len() {
+            self.outside.push(Some(id.clone()));
+        } else {
+            self.outside[ix] = Some(id.clone());
+        }
+        self.inside.insert(id.clone(), ix);
+        ix
+    }
+
+    pub fn find<Q>(&self, id: &Q) -> Option<usize>
+    where
+        K: std::borrow::Borrow<Q>,
+        Q: Eq + Hash + ?Sized,
+    {
+        self.inside.get(id).copied()
+    }
+
+    pub fn name(&self, ix: usize) -> Option<&K> {
+        self.outside.get(ix).and_then(Option::as_ref)
+    }
+
+    /// Frees an index for the next stranger.
+    pub fn release(&mut self, ix: usize) {
+        if let Some(id) = self.outside.get_mut(ix).and_then(Option::take) {
+            self.inside.remove(&id);
+            self.free.push(ix);
+        }
+    }
+}
--- /dev/null
+++ b/crates/passroad-choice/src/lib.rs
@@ -0,0 +1,239 @@
+//! The decisions of passroad and the types they speak in.
+//!
+//! [`choice::Balancer`] is handed events and returns actions. Ids are small indices given out by a
+//! [`door::Door`]; times are spans since the start of the clock that drives it.
+
+pub mod choice;
+pub mod door;
+
+use std::time::Duration;
+
+/// Index of an endpoint, for the life of the instance.
+pub type EndpointIx = usize;
+/// Slot of a command; may be given out anew after [`Action::Forget`].
+pub type CmdIx = usize;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    Pure,
+    Receipted,
+    Effectful,
+}
+
+/// The endpoints that drop a repeat of a receipted command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Debug, Clone)]
+pub struct VerbOrder {
+    pub name: String,
+    pub effect: Effect,
+    pub group: Group,
+    pub window: Duration,
+    pub goal: Duration,
+    pub limit: Duration,
+    pub goal_stretch: f64,
+    pub utility: f64,
+    pub late_utility: f64,
+    pub stream: bool,
+}
+
+#[derive(Debug, Clone)]
+pub struct CompanyOrder {
+    pub name: String,
+    pub quota_per_s: f64,
+    pub portion: f64,
+}
+
+/// What an instance is handed at its start.
+#[derive(Debug, Clone)]
+pub struct StandingOrders {
+    pub seed: u64,
+    pub own_number: usize,
+    pub instances: usize,
+    pub zone: usize,
+    pub zones: Vec<String>,
+    pub verbs: Vec<VerbOrder>,
+    pub companies: Vec<CompanyOrder>,
+    pub surplus_utility: f64,
+    pub tick: Duration,
+    pub max_relays: usize,
+    pub max_retry_after: Option<Duration>,
+    pub probes: bool,
+    pub may_cancel: bool,
+    pub second_copies: bool,
+    pub streams_per_conn: u32,
+    pub list_on_request: bool,
+    pub reports: ReportsHow,
+    pub weights_given: bool,
+    pub weights_live: bool,
+    pub probe_price: f64,
+    pub waste_price: f64,
+    pub cross_zone_price: f64,
+    pub late_price: f64,
+    pub drain_grace: Duration,
+    pub ask_every: Duration,
+    pub cold_from: f64,
+    pub warm_within: Duration,
+    pub tip_multiple: f64,
+    pub tip_after: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportsHow {
+    Piggyback,
+    Pull,
+    Silent,
+}
+
+/// What an endpoint says of its load; absent values were not named.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Report {
+    pub outstanding: Option<f64>,
+    pub backlog: Option<f64>,
+    pub utilization: Option<f64>,
+    pub recent_ms: Option<f64>,
+    pub throughput: Option<f64>,
+    pub errors_per_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Answered,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Recalled,
+    Moot,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the relay had no effect.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    Running,
+    Stopping,
+    Deleted,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    All,
+    Remembered,
+    Refused,
+}
+
+#[derive(Debug, Clone)]
+pub struct Listing {
+    pub endpoint: EndpointIx,
+    pub zone: usize,
+    pub cell: usize,
+    pub kind: usize,
+    pub rating: f64,
+    pub started: Duration,
+    pub mode: Mode,
+}
+
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub cmd: CmdIx,
+    pub verb: usize,
+    pub company: Option<usize>,
+    pub key: Option<u64>,
+    pub budget: Duration,
+    pub work: Option<Duration>,
+    pub again: bool,
+    pub write: bool,
+}
+
+#[derive(Debug, Clone)]
+pub enum Event {
+    Listed {
+        kind: ListKind,
+        entries: Vec<Listing>,
+    },
+    Arrived(Arrival),
+    StreamStarted {
+        cmd: CmdIx,
+        relay: usize,
+    },
+    Finished {
+        cmd: CmdIx,
+        relay: usize,
+        outcome: Outcome,
+        spent: Duration,
+        concluded: bool,
+        report: Option<Report>,
+    },
+    Lapsed {
+        cmd: CmdIx,
+    },
+    Checked {
+        endpoint: EndpointIx,
+        outcome: Outcome,
+        spent: Duration,
+        report: Option<Report>,
+    },
+    PeerSaid {
+        from: usize,
+        bytes: Vec<u8>,
+    },
+    Due {
+        token: u64,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    Relay {
+        cmd: CmdIx,
+        endpoint: EndpointIx,
+        within: Duration,
+    },
+    Recall {
+        cmd: CmdIx,
+        relay: usize,
+    },
+    Decline {
+        cmd: CmdIx,
+        not_before: Option<Duration>,
+    },
+    Terminate {
+        cmd: CmdIx,
+    },
+    /// The module holds nothing more on this command; its slot may be given out anew.
+    Forget {
+        cmd: CmdIx,
+    },
+    Probe {
+        endpoint: EndpointIx,
+    },
+    Disconnect {
+        endpoint: EndpointIx,
+    },
+    Listen {
+        active: bool,
+    },
+    AskList,
+    Tell {
+        to: Option<usize>,
+        bytes: Vec<u8>,
+    },
+    Alarm {
+        after: Duration,
+        token: u64,
+    },
+    Log(String),
+}
--- /dev/null
+++ b/crates/passroad-wirehost/src/orders.rs
@@ -0,0 +1,150 @@
+//! Reads the settings of a `HELLO` into standing orders. Unknown keys are passed over.
+
+use passroad_choice::{CompanyOrder, Effect, Group, ReportsHow, StandingOrders, VerbOrder};
+use serde_json::Value;
+use std::time::Duration;
+
+struct At<'a>(&'a Value);
+
+impl At<'_> {
+    fn number(&self, path: &str, absent: f64) -> Result<f64, String> {
+        match self.0.pointer(path) {
+            None | Some(Value::Null) => Ok(absent),
+            Some(v) => v.as_f64().ok_or_else(|| format!("settings: {path} is not a number")),
+        }
+    }
+
+    fn span(&self, path: &str, absent: Duration) -> Result<Duration, String> {
+        match self.0.pointer(path) {
+            None | Some(Value::Null) => Ok(absent),
+            Some(v) if v.is_u64() => Ok(Duration::from_nanos(v.as_u64().unwrap_or_default())),
+            Some(v) => match v.as_f64() {
+                Some(n) if n >= 0.0 => Ok(Duration::from_nanos(n as u64)),
+                _ => Err(format!("settings: {path} is not a span of time")),
+            },
+        }
+    }
+
+    fn flag(&self, path: &str, absent: bool) -> Result<bool, String> {
+        match self.0.pointer(path) {
+            None | Some(Value::Null) => Ok(absent),
+            Some(Value::Bool(b)) => Ok(*b),
+            Some(Value::Number(n)) => Ok(n.as_f64() != Some(0.0)),
+            Some(_) => Err(format!("settings: {path} is not true or false")),
+        }
+    }
+
+    fn word(&self, path: &str, absent: &str) -> Result<String, String> {
+        match self.0.pointer(path) {
+            None | Some(Value::Null) => Ok(absent.to_string()),
+            Some(v) => {
+                v.as_str().map(str::to_string).ok_or_else(|| format!("settings: {path} is not a word"))
+            }
+        }
+    }
+
+    fn items(&self, path: &str) -> Result<&[Value], String> {
+        match self.0.pointer(path) {
+            None | Some(Value::Null) => Ok(&[]),
+            Some(v) => {
+                v.as_array().map(Vec::as_slice).ok_or_else(|| format!("settings: {path} is not a list"))
+            }
+        }
+    }
+
+    fn words(&self, path: &str) -> Result<Vec<String>, String> {
+        self.items(path)?.iter().map(|v| At(v).word("", "")).collect()
+    }
+}
+
+fn verb(v: &Value) -> Result<VerbOrder, String> {
+    let at = At(v);
+    let name = at.word("/name", "")?;
+    let effect = match at.word("/effect", "")?.as_str() {
+        "read_like" => Effect::Pure,
+        "idempotency_key" => Effect::Receipted,
+        "non_idempotent" => Effect::Effectful,
+        other => return Err(format!("settings: verb {name} has the unknown effect '{other}'")),
+    };
+    let group = match at.word("/key_scope", "all")?.as_str() {
+        "all" => Group::All,
+        "zone" => Group::Zone,
+        "cell" => Group::Cell,
+        other => return Err(format!("settings: verb {name} has the unknown scope '{other}'")),
+    };
+    let limit = at.span("/time_limit", Duration::from_secs(1))?;
+    Ok(VerbOrder {
+        effect,
+        group,
+        window: at.span("/window", Duration::ZERO)?,
+        goal: at.span("/response_goal", limit)?,
+        limit,
+        goal_stretch: at.number("/aim_stretch", 0.0)?,
+        utility: at.number("/utility", 1.0)?,
+        late_utility: at.number("/late_utility", 0.0)?,
+        stream: at.flag("/stream", false)?,
+        name,
+    })
+}
+
+/// The orders in a settings text, and the names of zones and kinds in their order.
+pub fn read(seed: u64, text: &str) -> Result<StandingOrders, String> {
+    let value: Value = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    if !value.is_object() {
+        return Err("settings: not an object".into());
+    }
+    let at = At(&value);
+    let verbs = at.items("/verbs")?.iter().map(verb).collect::<Result<Vec<_>, _>>()?;
+    if verbs.is_empty() {
+        return Err("settings: no verbs".into());
+    }
+    let companies = at.items("/tenants")?.iter().map(|t| {
+        let at = At(t);
+        Ok(CompanyOrder {
+            name: at.word("/name", "")?,
+            quota_per_s: at.number("/quota_per_s", 0.0)?,
+            portion: at.number("/portion", 0.0)?,
+        })
+    });
+    let zones = at.words("/dcs")?;
+    let own = at.word("/az", "")?;
+    let weights = at.word("/weights", "silent")?;
+    Ok(StandingOrders {
+        seed,
+        own_number: at.number("/my_number", 0.0)? as usize,
+        instances: at.number("/n_instances", 1.0)? as usize,
+        zone: zones.iter().position(|z| *z == own).unwrap_or(usize::MAX),
+        zones,
+        verbs,
+        companies: companies.collect::<Result<Vec<_>, String>>()?,
+        surplus_utility: at.number("/surplus_utility", 1.0)?,
+        tick: at.span("/tick", Duration::from_millis(1))?,
+        max_relays: at.number("/allowed/max_relays", 1.0)? as usize,
+        max_retry_after: match at.flag("/allowed/retry_after", false)? {
+            true => Some(at.span("/allowed/max_retry_after", Duration::ZERO)?),
+            false => None,
+        },
+        probes: at.flag("/allowed/probes", false)?,
+        may_cancel: at.flag("/allowed/may_cancel", false)?,
+        second_copies: at.flag("/allowed/second_copies", false)?,
+        streams_per_conn: at.number("/allowed/streams_per_conn", 1.0)? as u32,
+        list_on_request: at.word("/discovery", "pushed")? == "on_request",
+        reports: match at.word("/report/how", "silent")?.as_str() {
+            "piggyback" => ReportsHow::Piggyback,
+            "pull" => ReportsHow::Pull,
+            _ => ReportsHow::Silent,
+        },
+        weights_given: weights != "silent",
+        weights_live: weights == "live",
+        probe_price: at.number("/prices/probe", 0.0)?,
+        waste_price: at.number("/prices/waste", 0.0)?,
+        cross_zone_price: at.number("/prices/cross_zone", 0.0)?,
+        late_price: at.number("/prices/late_fail", 0.0)?,
+        drain_grace: at.span("/rules/drain_grace", Duration::ZERO)?,
+        ask_every: at.span("/rules/ask_every", Duration::from_secs(10))?,
+        cold_from: at.number("/rules/cold_from", 1.0)?,
+        warm_within: at.span("/rules/warm_within", Duration::ZERO)?,
+        tip_multiple: at.number("/rules/tip_multiple", 1.0)?,
+        tip_after: at.span("/rules/tip_after", Duration::from_secs(1))?,
+    })
+}
