Ask endpoints that seem full again while commands wait; bound the queue

Cause: once stale reports drifted over the limit no endpoint was open, and only open ones were asked, so service stayed down after an overload. Heartbeats now ignore the limit, a waiting queue asks again, the queue holds no more than a quarter of the goal can send, and late answers cut the limit.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -43,6 +43,7 @@
     fresh: f64,        // seconds for which a report needs no heartbeat
     trust: f64,        // seconds in which trust in a report falls to a third
     hold: f64,         // the longest wait for heartbeats, in seconds
+    patience: f64,     // the wait that a queue may come to, in seconds
     tick: f64,
     live_weights: bool,
     zone_malus: f64,
@@ -157,6 +158,7 @@
     list_fails: u32,
     shedding: bool,
     shed_at: f64,
+    ask_at: f64,
     now: f64,
     out: Vec<Action>,
 }
@@ -201,6 +203,7 @@
             fresh: goal / 30.0,
             trust: goal / 4.0,
             hold: (goal / 40.0).max(2.0 * tick),
+            patience: goal / 4.0,
             tick,
             live_weights: orders.weights_live,
             zone_malus: orders.cross_zone_price,
@@ -224,6 +227,7 @@
             list_fails: 0,
             shedding: false,
             shed_at: 0.0,
+            ask_at: 0.0,
             now: 0.0,
             out: Vec::new(),
         }
@@ -423,7 +427,7 @@
     }
 
     /// Weights of all endpoints for one command; zero where none may go.
-    fn weigh(&self, value: f64, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
+    fn weigh(&self, value: f64, capped: bool, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
         let usual = self.usual_load();
         let open = self.endpoints.iter().map(|slot| match slot {
             Some(e) if e.listed && may(e) && self.now >= e.try_at => {
@@ -438,7 +442,7 @@
         let mut weights = vec![0.0; open.len()];
         for (at, slot) in self.endpoints.iter().enumerate() {
             let Some(e) = slot else { continue };
-            if !open[at].is_finite() || open[at] * self.ramp(e) >= e.limit * (0.6 + 0.4 * value) {
+            if !open[at].is_finite() || capped && open[at] * self.ramp(e) >= e.limit * (0.6 + 0.4 * value) {
                 continue;
             }
             let (own_mean, own_tail) = e.pace.read(self.now, 2.0 * CALM, all);
@@ -473,10 +477,13 @@
 
     /// Own sends a second to warm endpoints, a unit of size: what a cold one's allowance is measured by.
     fn warm_rate(&self) -> f64 {
-        let faded = self.sends * (-(self.now - self.sends_at) / CALM).exp();
         let size: f64 =
             self.endpoints.iter().flatten().filter(|e| e.listed).map(|e| e.size * self.ramp(e)).sum();
-        faded / CALM / size.max(1e-9)
+        self.send_rate() / size.max(1e-9)
+    }
+
+    fn send_rate(&self) -> f64 {
+        self.sends * (-(self.now - self.sends_at) / CALM).exp() / CALM
     }
 
     fn fill_cold_bags(&mut self) {
@@ -566,7 +573,7 @@
     /// that are older than a service time: each sidecar sees too little traffic to hear of all by answers.
     fn heartbeat(&mut self) -> f64 {
         let fresh = self.now - self.duty.fresh;
-        let mut weights = self.weigh(1.0, &|_| true);
+        let mut weights = self.weigh(1.0, false, &|_| true);
         for (at, w) in weights.iter_mut().enumerate() {
             if self.endpoints[at].as_ref().is_some_and(|e| e.probing.is_some() || e.heard >= fresh) {
                 *w = 0.0;
@@ -616,34 +623,44 @@
             }
         }
         order.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
-        let pending = self
-            .endpoints
-            .iter()
-            .flatten()
-            .any(|e| e.probing.is_some_and(|at| self.now - at < self.duty.hold));
+        let hold = self.duty.hold;
+        let asked = |e: &Endpoint| e.probing.is_some_and(|at| self.now - at < hold);
+        let pending = self.endpoints.iter().flatten().any(asked);
         let best = self.duty.verbs.iter().map(|v| v.utility).fold(1e-9, f64::max);
+        let room = 1.0 + self.send_rate() * self.duty.patience;
+        let mut shut = false; // nothing took a command that is worth more
         for (_, _, cmd) in order {
             let Some(c) = &self.commands[cmd] else { continue };
             if c.hold_until > self.now + 1e-9 && pending {
                 self.queue.push(cmd);
                 continue;
             }
-            let value = (c.value / best).clamp(0.0, 1.0);
-            let choice = self.pick(cmd, value, false);
+            let (value, free) = ((c.value / best).clamp(0.0, 1.0), c.relays.is_empty());
+            let choice = if shut && free { None } else { self.pick(cmd, value, false) };
             if let Some(at) = choice {
                 self.send(cmd, at);
-            } else if self.now + 1e-6 >= self.last_call(cmd) {
+                continue;
+            }
+            shut |= free;
+            // Guards against sitting on what will be declined anyway: past the room there is, the answer is now.
+            if self.now + 1e-6 >= self.last_call(cmd) || self.queue.len() as f64 >= room {
                 self.give_up(cmd);
             } else {
                 self.queue.push(cmd);
             }
         }
         let line = self.queue.len();
-        if line > 4 && !self.shedding {
+        // Guards against a lock-up: where all seem full, old reports are asked for anew while commands wait.
+        if shut && line > 0 && !pending && self.now >= self.ask_at {
+            self.ask_at = self.now + self.duty.trust / 4.0;
+            self.heartbeat();
+            self.alarm(self.duty.trust / 4.0, ALARM_QUEUE);
+        }
+        if line as f64 + 1.0 > room && line > 1 {
+            if !self.shedding {
+                self.log(format!("too much to carry: {line} commands wait, room for {room:.0}"));
+            }
             self.shedding = true;
-            self.log(format!("too much to carry: {line} commands wait, the least worth go last"));
-        }
-        if line > 4 {
             self.shed_at = self.now;
         } else if self.shedding && self.now - self.shed_at > 2.0 * CALM {
             self.shedding = false;
@@ -677,7 +694,7 @@
             (e.up_since.is_none() || e.cold_bag >= 1.0)
                 && bound.is_none_or(|(zone, cell)| e.zone == zone && cell.is_none_or(|cell| e.cell == cell))
         };
-        let mut weights = self.weigh(value, &may);
+        let mut weights = self.weigh(value, true, &may);
         for at in used {
             // Another endpoint than before, where there is one.
             weights[at] *= if copy { 0.0 } else { 0.01 };
@@ -769,15 +786,18 @@
                 // Like with like: by its verb's usual time, and for the place in line that it had.
                 let pace = spent / usual.max(1e-6) / (1.0 + 0.5 * ahead);
                 self.usual.note(now, pace, 10.0 * CALM);
-                let in_time = spent < v.goal;
+                let (early, late) = (spent < 0.6 * v.goal, spent > 0.85 * v.goal);
                 self.reached(at);
                 self.judge(at, true);
                 if let Some(e) = self.endpoints[at].as_mut() {
                     e.pace.note(now, pace, 2.0 * CALM);
-                    if in_time && ahead + 1.0 >= 0.5 * e.limit {
+                    if early && ahead + 1.0 >= 0.5 * e.limit {
                         e.limit = (e.limit + 1.0 / e.limit).min(64.0);
                     }
                 }
+                if late {
+                    self.cut(at);
+                }
             }
             Outcome::Moot | Outcome::Recalled => {}
             Outcome::Full => self.cut(at),
