--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -627,7 +627,8 @@
         let asked = |e: &Endpoint| e.probing.is_some_and(|at| self.now - at < hold);
         let pending = self.endpoints.iter().flatten().any(asked);
         let best = self.duty.verbs.iter().map(|v| v.utility).fold(1e-9, f64::max);
-        let room = 1.0 + self.send_rate() * self.duty.patience;
+        let room = (1.0 + self.send_rate() * self.duty.patience).max(2.0);
+        let mut line = 0; // those that nothing took, the rest only await heartbeats
         let mut shut = false; // nothing took a command that is worth more
         for (_, _, cmd) in order {
             let Some(c) = &self.commands[cmd] else { continue };
@@ -643,20 +644,20 @@
             }
             shut |= free;
             // Guards against sitting on what will be declined anyway: past the room there is, the answer is now.
-            if self.now + 1e-6 >= self.last_call(cmd) || self.queue.len() as f64 >= room {
+            if self.now + 1e-6 >= self.last_call(cmd) || f64::from(line) >= room {
                 self.give_up(cmd);
             } else {
+                line += 1;
                 self.queue.push(cmd);
             }
         }
-        let line = self.queue.len();
         // Guards against a lock-up: where all seem full, old reports are asked for anew while commands wait.
         if shut && line > 0 && !pending && self.now >= self.ask_at {
             self.ask_at = self.now + self.duty.trust / 4.0;
             self.heartbeat();
             self.alarm(self.duty.trust / 4.0, ALARM_QUEUE);
         }
-        if line as f64 + 1.0 > room && line > 1 {
+        if f64::from(line) + 1.0 > room {
             if !self.shedding {
                 self.log(format!("too much to carry: {line} commands wait, room for {room:.0}"));
             }
