Start limits at two a usual size; grow only on answers in half the goal

Cause: limits started at four whatever the size and grew on every answer in time, so endpoints were driven until they slowed. Ratings now count against their mean.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -21,6 +21,7 @@
 const LOAD_SHARE: f64 = 0.5; // of the score; own mean and tail latency share the rest
 const SCORE_FLOOR: f64 = 0.02; // near-zero scores must recover, so none is zero
 const OUTCOMES: u32 = 16; // the last few outcomes that judge an endpoint
+const FIRST_LIMIT: f64 = 2.0; // one in work and one waiting, at the usual size
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
 const CALM: f64 = 2.0; // seconds over which own figures are smoothed
 const ALARM_LIST: u64 = 0;
@@ -121,7 +122,8 @@
 struct Endpoint {
     zone: usize,
     cell: usize,
-    size: f64,
+    rating: f64,
+    size: f64, // rating against the mean of the listed ones
     listed: bool,
     up_since: Option<f64>, // cold from here, if it ended lately
     heard: f64,
@@ -307,7 +309,8 @@
             let e = self.endpoints[entry.endpoint].get_or_insert_with(|| Endpoint {
                 zone: entry.zone,
                 cell: entry.cell,
-                size,
+                rating: size,
+                size: 1.0,
                 listed: false,
                 up_since: None,
                 heard: f64::NEG_INFINITY,
@@ -317,7 +320,7 @@
                 pace: Pace::default(),
                 good: !0,
                 seen: 0,
-                limit: 4.0,
+                limit: FIRST_LIMIT,
                 last_cut: 0.0,
                 probing: None,
                 misses: 0,
@@ -325,7 +328,7 @@
                 cold_bag: bag,
                 cold_at: self.now,
             });
-            e.size = size;
+            e.rating = size;
             e.listed = entry.mode == Mode::Running;
             if young && e.up_since.is_none_or(|at| started > at + 1e-6) {
                 // Another process now: nothing that is known of the old one holds.
@@ -333,9 +336,15 @@
                 e.cold_bag = bag;
                 e.cold_at = self.now;
                 e.pace = Pace::default();
-                (e.good, e.seen, e.misses, e.try_at, e.limit) = (!0, 0, 0, 0.0, 4.0);
+                (e.good, e.seen, e.misses, e.try_at, e.limit) = (!0, 0, 0, 0.0, FIRST_LIMIT);
             }
         }
+        let ratings = self.endpoints.iter().flatten().filter(|e| e.listed).map(|e| e.rating);
+        let (sum, count) = ratings.fold((0.0, 0.0_f64), |(s, n), r| (s + r, n + 1.0));
+        self.endpoints
+            .iter_mut()
+            .flatten()
+            .for_each(|e| e.size = e.rating * count.max(1.0) / f64::max(sum, 1e-9));
     }
 
     // ---- what endpoints show ----
@@ -787,12 +796,12 @@
                 // Like with like: by its verb's usual time, and for the place in line that it had.
                 let pace = spent / usual.max(1e-6) / (1.0 + 0.5 * ahead);
                 self.usual.note(now, pace, 10.0 * CALM);
-                let (early, late) = (spent < 0.6 * v.goal, spent > 0.85 * v.goal);
+                let (early, late) = (spent < 0.5 * v.goal, spent > 0.85 * v.goal);
                 self.reached(at);
                 self.judge(at, true);
                 if let Some(e) = self.endpoints[at].as_mut() {
                     e.pace.note(now, pace, 2.0 * CALM);
-                    if early && ahead + 1.0 >= 0.5 * e.limit {
+                    if early && ahead + 1.0 >= e.limit {
                         e.limit = (e.limit + 1.0 / e.limit).min(64.0);
                     }
                 }
