--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -27,6 +27,7 @@
 const ALARM_LIST: u64 = 0;
 const ALARM_QUEUE: u64 = 1;
 const ALARM_COPY: u64 = 2; // in the low bits; the command stands above them
+const ALARM_GOAL: u64 = 3;
 
 /// What the standing orders come to: the figures that decisions use.
 struct DutySheet {
@@ -719,10 +720,8 @@
         let ahead = self.load(e, usual) / e.size;
         let cold = e.up_since.is_some();
         let Some(c) = self.commands[cmd].as_mut() else { return };
-        let v = &self.duty.verbs[c.verb];
-        // Past its goal an answer is worth nothing: the relay ends there and frees its endpoint.
-        let end = if v.late_utility > 0.0 { c.leave } else { c.due.min(c.leave) };
-        let within = (end - now).max(self.duty.tick);
+        let within = (c.leave - now).max(self.duty.tick);
+        let until_due = c.due - now;
         let first = c.relays.is_empty();
         c.waits = false;
         c.relays.push(Relay { endpoint: at, sent: now, ahead, outcome: None });
@@ -739,6 +738,9 @@
             self.sends_at = now;
         }
         let v = &self.duty.verbs[self.commands[cmd].as_ref().map_or(0, |c| c.verb)];
+        if v.late_utility <= 0.0 && first {
+            self.out.push(Action::Alarm { after: span(until_due), token: ALARM_GOAL | (cmd as u64) << 2 });
+        }
         if first && self.duty.second_copies && v.effect != Effect::Effectful {
             let after = v.own.mean + 3.0 * v.own.spread;
             if after < 0.8 * v.goal {
@@ -768,6 +770,27 @@
         }
     }
 
+    /// Past its goal an answer is worth nothing. Guards against work that keeps others waiting: it is called off
+    /// where something waits, here or at its endpoint; else it may end by itself and is not wasted.
+    fn past_goal(&mut self, cmd: CmdIx) {
+        let Some(c) = self.commands.get(cmd).and_then(Option::as_ref) else { return };
+        if c.over || c.streams || c.waits || self.now < c.due - 1e-6 {
+            return;
+        }
+        let (usual, verb) = (self.usual_load(), c.verb);
+        let out = c.relays.iter().filter(|r| r.outcome.is_none()).map(|r| (r.endpoint, r.sent, r.ahead));
+        let out: Vec<_> = out.collect();
+        let held = |at: EndpointIx| self.endpoints[at].as_ref().map_or(0.0, |e| self.load(e, usual) / e.size);
+        if self.queue.is_empty() && !self.shedding && out.iter().all(|o| held(o.0) <= 1.5) {
+            return;
+        }
+        for (at, sent, ahead) in out {
+            self.slow_answer(at, verb, self.now - sent, ahead);
+            self.cut(at);
+        }
+        self.give_up(cmd);
+    }
+
     fn finish(
         &mut self,
         cmd: CmdIx,
@@ -928,6 +951,7 @@
                 self.out.push(Action::Listen { active: true });
             }
             ALARM_COPY => self.copy((token >> 2) as usize),
+            ALARM_GOAL => self.past_goal((token >> 2) as usize),
             _ => {}
         }
     }
