--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -190,7 +190,7 @@
         });
         // Heartbeats are worth about a hundredth of the service; no probes, no heartbeats.
         let beats =
-            if orders.probes { (0.01 / orders.probe_price.max(1e-4)).clamp(1.0, 5.0) as usize } else { 0 };
+            if orders.probes { (0.007 / orders.probe_price.max(1e-4)).clamp(1.0, 4.0) as usize } else { 0 };
         let duty = DutySheet {
             verbs: verbs.collect(),
             portions: orders.companies.iter().map(|c| c.portion).collect(),
@@ -781,7 +781,7 @@
         let out = c.relays.iter().filter(|r| r.outcome.is_none()).map(|r| (r.endpoint, r.sent, r.ahead));
         let out: Vec<_> = out.collect();
         let held = |at: EndpointIx| self.endpoints[at].as_ref().map_or(0.0, |e| self.load(e, usual) / e.size);
-        if self.queue.is_empty() && !self.shedding && out.iter().all(|o| held(o.0) <= 1.5) {
+        if self.queue.is_empty() && !self.shedding && out.iter().all(|o| held(o.0) <= 1.2) {
             return;
         }
         for (at, sent, ahead) in out {
