Lose trust in reports that contradict own relays, refusals and times

Symptom: commands refused as full or late at endpoints that report nothing in work, all zones and kinds alike, probes quick. Told from overload by the same report values beside any service time; from a cut by probes that answer. Cause: reports are old or false, and the draw follows them to the busiest. Change: a report that shows less than own relays known to be there, a refusal as full or a time far over the usual takes credit from the endpoint and from reports as a whole; own relays in flight stand in.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -128,9 +128,10 @@
     listed: bool,
     up_since: Option<f64>, // cold from here, if it ended lately
     heard: f64,
-    holds: f64, // last reported, and own sends and answers since
-    errs: f64,  // share of errors that it reports
-    own_out: f64,
+    holds: f64,    // last reported, and own sends and answers since
+    errs: f64,     // share of errors that it reports
+    out: Vec<f64>, // when own relays that are still out were sent
+    credit: f64,   // how far its reports fit what it does
     pace: Pace,
     good: u32, // the last outcomes, one bit each
     seen: u32,
@@ -156,6 +157,7 @@
     rtt: f64,
     sends: f64, // sends to warm endpoints lately
     sends_at: f64,
+    faith: f64, // credit of reports as a whole
     spare: f64, // further relays allowed now
     listening: bool,
     list_fails: u32,
@@ -225,6 +227,7 @@
             rtt: tick,
             sends: 0.0,
             sends_at: 0.0,
+            faith: 1.0,
             spare: 2.0,
             listening: false,
             list_fails: 0,
@@ -317,7 +320,8 @@
                 heard: f64::NEG_INFINITY,
                 holds: 0.0,
                 errs: 0.0,
-                own_out: 0.0,
+                out: Vec::new(),
+                credit: 1.0,
                 pace: Pace::default(),
                 good: !0,
                 seen: 0,
@@ -353,6 +357,14 @@
     fn hear(&mut self, at: EndpointIx, report: Option<Report>) {
         let Some(e) = self.endpoints.get_mut(at).and_then(Option::as_mut) else { return };
         let Some(report) = report else { return };
+        let margin = 2.0 * (self.duty.fresh + self.rtt + self.duty.tick);
+        let mut step = 0.0;
+        if let Some(holds) = report.outstanding {
+            let sure = e.out.iter().filter(|sent| self.now - **sent > margin).count() as f64;
+            if sure > 0.0 {
+                step = if holds < 0.5 * sure { -0.25 } else { 0.02 };
+            }
+        }
         if let Some(holds) = report.outstanding.or(report.backlog) {
             e.holds = holds.max(0.0);
             e.heard = self.now;
@@ -363,6 +375,23 @@
         if let (Some(errors), Some(rate)) = (report.errors_per_s, report.throughput) {
             e.errs = if errors > 0.0 { (errors / (errors + rate).max(1e-9)).clamp(0.0, 1.0) } else { 0.0 };
         }
+        self.credit(at, step);
+    }
+
+    /// Guards against stuck or lying reports, which draw all to the endpoint that seems empty: what it says is
+    /// held against own relays known to be there, against refusals as full, and against the times it takes.
+    fn credit(&mut self, at: EndpointIx, step: f64) {
+        let Some(e) = self.endpoints.get_mut(at).and_then(Option::as_mut) else { return };
+        let before = e.credit;
+        e.credit = (e.credit + step).clamp(0.0, 1.0);
+        self.faith = (self.faith + 0.2 * step).clamp(0.0, 1.0);
+        let (after, holds) = (e.credit, e.holds);
+        if (before < 0.5) != (after < 0.5) {
+            let word = if after < 0.5 { "do not fit" } else { "fit again" };
+            self.log(format!(
+                "endpoint {at}: its reports {word} what it does (says {holds:.1}, credit {after:.2})"
+            ));
+        }
     }
 
     fn checked(&mut self, at: EndpointIx, outcome: Outcome, spent: f64, report: Option<Report>) {
@@ -413,10 +442,12 @@
 
     // ---- ordinary path: score, weight, draw ----
 
-    /// Load in commands held at the endpoint's size; old reports lose trust and drift to the mean.
+    /// Load in commands held; old and discredited reports lose trust and drift to the mean of the trusted, and
+    /// what is out from here counts in any case.
     fn load(&self, e: &Endpoint, usual: f64) -> f64 {
-        let trust = if e.heard.is_finite() { (-(self.now - e.heard) / self.duty.trust).exp() } else { 0.0 };
-        (trust * e.holds.max(0.0) + (1.0 - trust) * usual * e.size).max(e.own_out)
+        let age = if e.heard.is_finite() { self.now - e.heard } else { f64::INFINITY };
+        let trust = e.credit * self.faith * (-age / self.duty.trust).exp();
+        (trust * e.holds.max(0.0) + (1.0 - trust) * usual * e.size).max(e.out.len() as f64)
     }
 
     fn ramp(&self, e: &Endpoint) -> f64 {
@@ -425,13 +456,13 @@
         self.duty.cold_from + (1.0 - self.duty.cold_from) * age
     }
 
-    /// Mean of the trusted loads, in commands a unit of size.
+    /// Mean of the trusted loads, in commands a usual size; nothing where no report can be trusted.
     fn usual_load(&self) -> f64 {
         let (mut sum, mut of) = (0.0, 0.0);
         for e in self.endpoints.iter().flatten().filter(|e| e.listed && e.heard.is_finite()) {
-            let trust = (-(self.now - e.heard) / (4.0 * self.duty.trust)).exp();
-            sum += trust * e.holds.max(e.own_out);
-            of += trust * e.size;
+            let fresh = (-(self.now - e.heard) / (4.0 * self.duty.trust)).exp();
+            sum += fresh * e.credit * self.faith * e.holds.max(e.out.len() as f64);
+            of += fresh * e.size;
         }
         if of > 0.0 { sum / of } else { 1.0 }
     }
@@ -663,9 +694,9 @@
         }
         // Guards against a lock-up: where all seem full, old reports are asked for anew while commands wait.
         if shut && line > 0 && !pending && self.now >= self.ask_at {
-            self.ask_at = self.now + self.duty.trust / 4.0;
+            self.ask_at = self.now + self.duty.trust / 2.0;
             self.heartbeat();
-            self.alarm(self.duty.trust / 4.0, ALARM_QUEUE);
+            self.alarm(self.duty.trust / 2.0, ALARM_QUEUE);
         }
         if f64::from(line) + 1.0 > room {
             if !self.shedding {
@@ -727,7 +758,7 @@
         c.relays.push(Relay { endpoint: at, sent: now, ahead, outcome: None });
         self.out.push(Action::Relay { cmd, endpoint: at, within: span(within) });
         if let Some(e) = self.endpoints[at].as_mut() {
-            e.own_out += 1.0;
+            e.out.push(now);
             e.holds = e.holds.max(0.0) + 1.0;
             if cold {
                 e.cold_bag -= 1.0;
@@ -805,9 +836,11 @@
         let verb = c.verb;
         let Some(r) = c.relays.get_mut(n).filter(|r| r.outcome.is_none()) else { return };
         r.outcome = Some(outcome);
-        let (at, ahead) = (r.endpoint, r.ahead);
+        let (at, ahead, sent) = (r.endpoint, r.ahead, r.sent);
         if let Some(e) = self.endpoints[at].as_mut() {
-            e.own_out = (e.own_out - 1.0).max(0.0);
+            if let Some(gone) = e.out.iter().position(|t| *t == sent) {
+                e.out.swap_remove(gone);
+            }
             e.holds -= 1.0;
         }
         self.hear(at, report);
@@ -820,6 +853,7 @@
                 let pace = spent / usual.max(1e-6) / (1.0 + 0.5 * ahead);
                 self.usual.note(now, pace, 10.0 * CALM);
                 let (early, late) = (spent < 0.5 * v.goal, spent > 0.85 * v.goal);
+                self.credit(at, if pace > 3.0 * self.usual.mean { -0.1 } else { 0.0 });
                 self.reached(at);
                 self.judge(at, true);
                 if let Some(e) = self.endpoints[at].as_mut() {
@@ -833,7 +867,10 @@
                 }
             }
             Outcome::Moot | Outcome::Recalled => {}
-            Outcome::Full => self.cut(at),
+            Outcome::Full => {
+                self.cut(at);
+                self.credit(at, if ahead < FIRST_LIMIT { -0.25 } else { 0.0 });
+            }
             Outcome::TimedOut => {
                 self.slow_answer(at, verb, spent, ahead);
                 self.cut(at);
@@ -862,6 +899,7 @@
         if let Some(e) = self.endpoints[at].as_mut() {
             e.pace.note(now, pace, 2.0 * CALM);
         }
+        self.credit(at, if pace > 2.0 * self.usual.mean { -0.1 } else { 0.0 });
     }
 
     fn cut(&mut self, at: EndpointIx) {
