--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -12,6 +12,7 @@
 //!   warm-up  a cold endpoint gets no more than its ramp's share of what warm ones get
 //!   list     subscribe or ask with jitter and back-off; what drains or is gone gets nothing new
 
+use crate::state::{Command, Endpoint, Faded, Pace, Relay, fade};
 use crate::*;
 use std::time::Duration;
 
@@ -68,93 +69,6 @@
     late: f64,   // own endings past the goal: what a repeat may still be worth
 }
 
-/// A mean and a spread over the last few seconds.
-#[derive(Clone, Copy, Default)]
-struct Pace {
-    mean: f64,
-    spread: f64,
-    count: f64,
-    at: Duration,
-}
-
-fn fade(now: Duration, since: Duration, over: Duration) -> f64 {
-    (-now.saturating_sub(since).as_secs_f64() / over.as_secs_f64()).exp()
-}
-
-impl Pace {
-    fn note(&mut self, now: Duration, value: f64, calm: Duration) {
-        self.count = self.count * fade(now, self.at, calm) + 1.0;
-        self.at = now;
-        let gain = (1.0 / self.count).max(0.02);
-        let off = value - self.mean;
-        self.mean += gain * off;
-        self.spread += gain * (off.abs() - self.spread);
-    }
-
-    /// Mean, and a tail of two spreads above it. Few samples say little of a mean and less of a tail: both are
-    /// drawn toward the usual.
-    fn read(&self, now: Duration, calm: Duration, usual: &Pace) -> (f64, f64) {
-        let n = self.count * fade(now, self.at, calm);
-        let mean = (self.mean * n + usual.mean * 2.0) / (n + 2.0);
-        (mean, mean + 2.0 * (self.spread * n + usual.spread * 8.0) / (n + 8.0))
-    }
-}
-
-/// For one relay.
-#[derive(Clone, Copy)]
-struct Relay {
-    endpoint: EndpointIx,
-    sent: Duration,
-    ahead: f64, // what the endpoint was thought to hold
-    outcome: Option<Outcome>,
-}
-
-impl Relay {
-    fn may_have_run(&self) -> bool {
-        !self.outcome.is_some_and(Outcome::never_ran)
-    }
-}
-
-/// For one command.
-struct Command {
-    verb: usize,
-    came: Duration,
-    due: Duration,   // its response goal passes
-    leave: Duration, // the client gives up
-    value: f64,
-    hold_until: Duration,
-    waits: bool,
-    over: bool,
-    streams: bool,
-    again: bool,
-    relays: Vec<Relay>,
-}
-
-/// For one endpoint.
-struct Endpoint {
-    zone: usize,
-    cell: usize,
-    rating: f64,
-    size: f64, // rating against the mean of the listed
-    listed: bool,
-    up_since: Option<Duration>, // cold from here, if it started lately
-    cold_bag: f64,              // sends that a cold one may get now
-    cold_at: Duration,
-    heard: Option<Duration>,
-    holds: f64,         // last reported, and own sends and answers since
-    errs: f64,          // share of errors that it reports
-    credit: f64,        // how far its reports fit what it does
-    out: Vec<Duration>, // when own relays that are still out were sent
-    pace: Pace,
-    good: u32, // the last outcomes, one bit each
-    seen: u32,
-    limit: f64,
-    last_cut: Duration,
-    probing: Option<Duration>,
-    misses: u32,      // times in a row that it could not be reached
-    try_at: Duration, // no trial before
-}
-
 impl Endpoint {
     /// Share of successes among the last few outcomes; few outcomes count as mostly good.
     fn health(&self) -> f64 {
@@ -181,10 +95,8 @@
     mix_at: Duration,
     usual: Pace, // pace of all endpoints, against each verb's usual
     rtt: Duration,
-    sends: f64, // lately
-    sends_at: Duration,
-    arrivals: f64,
-    arrivals_at: Duration,
+    sends: Faded,
+    arrivals: Faded,
     faith: f64, // credit of reports as a whole
     spare: f64, // further relays allowed now
     listening: bool,
@@ -249,10 +161,8 @@
             queue: Vec::new(),
             mix_at: Duration::ZERO,
             usual: Pace { mean: 1.0, ..Pace::default() },
-            sends: 0.0,
-            sends_at: Duration::ZERO,
-            arrivals: 0.0,
-            arrivals_at: Duration::ZERO,
+            sends: Faded::default(),
+            arrivals: Faded::default(),
             faith: 1.0,
             spare: 2.0,
             listening: false,
@@ -353,29 +263,7 @@
         for entry in &entries {
             let (bag, now) = (self.chance(), self.now);
             while self.endpoints.len() <= entry.endpoint {
-                self.endpoints.push(Endpoint {
-                    zone: 0,
-                    cell: 0,
-                    rating: 1.0,
-                    size: 1.0,
-                    listed: false,
-                    up_since: None,
-                    cold_bag: 0.0,
-                    cold_at: now,
-                    heard: None,
-                    holds: 0.0,
-                    errs: 0.0,
-                    credit: 1.0,
-                    out: Vec::new(),
-                    pace: Pace::default(),
-                    good: !0,
-                    seen: 0,
-                    limit: FIRST_LIMIT,
-                    last_cut: Duration::ZERO,
-                    probing: None,
-                    misses: 0,
-                    try_at: Duration::ZERO,
-                });
+                self.endpoints.push(Endpoint::unknown(now, FIRST_LIMIT));
             }
             let e = &mut self.endpoints[entry.endpoint];
             (e.zone, e.cell) = (entry.zone, entry.cell);
@@ -580,10 +468,6 @@
 
     // ---- warm-up ----
 
-    fn send_rate(&self) -> f64 {
-        self.sends * fade(self.now, self.sends_at, CALM) / CALM.as_secs_f64()
-    }
-
     /// Guards against pushing over a cold endpoint. Sidecars can't agree, so each gives it no more than its ramp
     /// of what a warm one of its size gets from here, and never two at once.
     fn fill_cold_bags(&mut self) {
@@ -593,9 +477,8 @@
             sizes += e.size;
         }
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
-        let arrivals =
-            self.arrivals * fade(self.now, self.arrivals_at, 4 * CALM) / (4.0 * CALM.as_secs_f64());
-        let rate = (self.send_rate() / warmth).max(0.3 * arrivals / sizes);
+        let arrivals = self.arrivals.rate(self.now, 4 * CALM);
+        let rate = (self.sends.rate(self.now, CALM) / warmth).max(0.3 * arrivals / sizes);
         for at in 0..self.endpoints.len() {
             let (e, now) = (&self.endpoints[at], self.now);
             let Some(up) = e.up_since else { continue };
@@ -635,8 +518,7 @@
             self.commands.resize_with(a.cmd + 1, || None);
         }
         self.spare = (self.spare + 0.1).min(5.0);
-        self.arrivals = self.arrivals * fade(self.now, self.arrivals_at, 4 * CALM) + 1.0;
-        self.arrivals_at = self.now;
+        self.arrivals.add(self.now, 4 * CALM);
         let hold = self.heartbeat();
         self.commands[a.cmd] = Some(Command {
             verb: a.verb,
@@ -687,7 +569,7 @@
         let (now, hold) = (self.now, self.duty.hold);
         let asked = |e: &Endpoint| e.probing.is_some_and(|at| now.saturating_sub(at) < hold);
         let pending = self.endpoints.iter().any(asked);
-        let room = (1.0 + self.send_rate() * self.duty.patience.as_secs_f64()).max(2.0);
+        let room = (1.0 + self.sends.rate(self.now, CALM) * self.duty.patience.as_secs_f64()).max(2.0);
         let mut line = 0; // those that nothing took; the rest only await heartbeats
         let mut shut = false; // nothing took a command that is worth more
         for cmd in waiting {
@@ -775,8 +657,7 @@
         e.out.push(now);
         e.holds = e.holds.max(0.0) + 1.0;
         e.cold_bag -= 1.0;
-        self.sends = self.sends * fade(now, self.sends_at, CALM) + 1.0;
-        self.sends_at = now;
+        self.sends.add(now, CALM);
         let v = &self.duty.verbs[c.verb];
         let (until_due, slow) = (c.due.saturating_sub(now), v.slow());
         let copies = self.duty.second_copies && v.effect != Effect::Effectful && slow < v.goal.mul_f64(0.8);
@@ -796,11 +677,10 @@
         let [only] = c.relays[..] else { return };
         let slow = only.outcome.is_none() && self.now.saturating_sub(only.sent) >= v.slow().mul_f64(0.8);
         let time = c.due.saturating_sub(self.now).as_secs_f64() > v.usual.mean;
-        if slow && time && self.spare >= 1.0 && !self.shedding {
-            if let Some(at) = self.pick(cmd, true) {
-                self.spare -= 1.0;
-                self.send(cmd, at);
-            }
+        let may = slow && time && self.spare >= 1.0 && !self.shedding;
+        if let Some(at) = may.then(|| self.pick(cmd, true)).flatten() {
+            self.spare -= 1.0;
+            self.send(cmd, at);
         }
     }
 
@@ -814,10 +694,8 @@
         let (usual, verb) = (self.usual_load(), c.verb);
         let out: Vec<Relay> = c.relays.iter().filter(|r| r.outcome.is_none()).copied().collect();
         let crowded = |e: &Endpoint| self.load(e, usual) / e.size > 1.2;
-        if self.queue.is_empty()
-            && !self.shedding
-            && !out.iter().any(|r| crowded(&self.endpoints[r.endpoint]))
-        {
+        let wanted = out.iter().any(|r| crowded(&self.endpoints[r.endpoint]));
+        if self.queue.is_empty() && !self.shedding && !wanted {
             return;
         }
         for r in out {
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -1,1 +1,369 @@
+//! Each test builds the state that it needs and calls the module once; helpers stand at the end.
+
 use super::*;
+use rstest::rstest;
+
+const NOW: Duration = Duration::from_secs(100);
+
+#[rstest]
+fn an_idle_endpoint_is_drawn_before_a_busy_one() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.endpoints[0].holds = 1.0;
+    let out = b.decide(NOW, arrival(0));
+    assert_eq!(relays(&out), [1]);
+}
+
+#[rstest]
+fn the_same_seed_gives_the_same_actions() {
+    let run = || sidecar(Effect::Pure, 5).decide(NOW, arrival(0));
+    assert_eq!(run(), run());
+}
+
+#[rstest]
+fn weight_is_base_weight_times_score() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.endpoints[1].size = 2.0;
+    let w = b.weigh(None, &|_| true);
+    assert!((w[1] / w[0] - 2.0).abs() < 1e-9, "{w:?}");
+}
+
+#[rstest]
+fn old_reports_drift_to_the_mean() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.endpoints[0].holds = 9.0;
+    b.endpoints[0].heard = Some(NOW - Duration::from_secs(60));
+    assert!((b.load(&b.endpoints[0], 1.0) - 1.0).abs() < 1e-3);
+}
+
+#[rstest]
+fn own_relays_count_whatever_the_report_says() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].out = vec![NOW; 3];
+    assert_eq!(b.load(&b.endpoints[0], 0.0), 3.0);
+}
+
+// Incidents i69898d and ie1a8dc: reports of nothing in work from endpoints that were full.
+#[rstest]
+fn a_report_that_hides_own_relays_loses_credit() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].out = vec![NOW - Duration::from_secs(1); 2];
+    b.hear(0, Some(Report { outstanding: Some(0.0), ..Report::default() }));
+    assert!(b.endpoints[0].credit < 1.0 && b.faith < 1.0);
+}
+
+#[rstest]
+fn a_report_that_shows_own_relays_keeps_credit() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].out = vec![NOW - Duration::from_secs(1); 2];
+    b.hear(0, Some(Report { outstanding: Some(2.0), ..Report::default() }));
+    assert_eq!((b.endpoints[0].credit, b.faith), (1.0, 1.0));
+}
+
+// A first form counted discredited endpoints as fuller than the mean and shut the whole fleet.
+#[rstest]
+fn a_fleet_without_credit_still_serves() {
+    let mut b = sidecar(Effect::Pure, 3);
+    b.faith = 0.0;
+    b.endpoints.iter_mut().for_each(|e| e.holds = 9.0);
+    let out = b.decide(NOW, arrival(0));
+    assert_eq!(relays(&out).len(), 1);
+}
+
+#[rstest]
+fn a_slow_endpoint_is_told_by_its_pace() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.endpoints[0].pace = Pace { mean: 4.0, spread: 1.0, count: 8.0, at: NOW };
+    let w = b.weigh(None, &|_| true);
+    assert!(w[0] < 0.1 * w[1], "{w:?}");
+}
+
+#[rstest]
+fn a_fast_failure_is_no_fast_answer() {
+    let mut b = with_relay(Effect::Pure, 2);
+    b.finish(0, 0, Outcome::Error, Duration::from_millis(1));
+    assert_eq!((b.endpoints[0].pace.count, b.endpoints[0].seen), (0.0, 1));
+}
+
+#[rstest]
+fn failures_scale_the_weight_down_but_not_to_nothing() {
+    let mut b = sidecar(Effect::Pure, 2);
+    (b.endpoints[0].good, b.endpoints[0].seen) = (0, OUTCOMES);
+    let w = b.weigh(None, &|_| true);
+    assert!(w[0] > 0.0 && w[0] < 0.01 * w[1], "{w:?}");
+}
+
+#[rstest]
+#[case(Outcome::Full, true)]
+#[case(Outcome::NoConnection, true)]
+#[case(Outcome::Error, false)]
+#[case(Outcome::Broken, false)]
+#[case(Outcome::Recalled, false)]
+fn an_effectful_command_goes_on_only_when_it_never_ran(#[case] outcome: Outcome, #[case] on: bool) {
+    let mut b = with_relay(Effect::Effectful, 3);
+    let out = b.decide(NOW, finished(0, outcome));
+    assert_eq!(relays(&out).len(), usize::from(on));
+    assert_eq!(out.contains(&Action::Terminate { cmd: 0 }), !on);
+}
+
+#[rstest]
+#[case(Group::Zone, Duration::ZERO, Some(1))]
+#[case(Group::Cell, Duration::ZERO, None)]
+#[case(Group::Zone, Duration::from_secs(5), None)]
+fn a_receipted_command_stays_in_group_and_window(
+    #[case] group: Group,
+    #[case] ago: Duration,
+    #[case] to: Option<EndpointIx>,
+) {
+    let mut b = with_relay(Effect::Receipted, 3);
+    b.duty.verbs[0].group = group;
+    b.endpoints[1].cell = 7;
+    (b.endpoints[2].zone, b.endpoints[2].cell) = (9, 7);
+    let c = b.commands[0].as_mut().unwrap();
+    (c.relays[0].sent, c.relays[0].outcome) = (NOW - ago, Some(Outcome::Broken));
+    b.endpoints[0].listed = false;
+    assert_eq!(b.pick(0, false), to);
+}
+
+#[rstest]
+fn what_may_have_run_is_not_declined_outside_its_group() {
+    let mut b = with_relay(Effect::Receipted, 1);
+    b.duty.verbs[0].group = Group::Zone;
+    b.give_up(0);
+    assert!(b.out.contains(&Action::Terminate { cmd: 0 }));
+}
+
+#[rstest]
+fn without_an_endpoint_the_answer_is_given_in_time() {
+    let mut b = sidecar(Effect::Effectful, 1);
+    b.endpoints[0].listed = false;
+    b.commands[0] = Some(command());
+    b.queue = vec![0];
+    let out = b.decide(NOW + Duration::from_millis(300), Event::Due { token: ALARM_QUEUE });
+    assert!(matches!(out[0], Action::Decline { cmd: 0, .. }), "{out:?}");
+}
+
+#[rstest]
+fn no_return_time_where_none_may_be_given() {
+    let mut b = with_relay(Effect::Pure, 1);
+    b.duty.return_after = None;
+    b.give_up(0);
+    assert!(b.out.contains(&Action::Decline { cmd: 0, not_before: None }));
+}
+
+#[rstest]
+#[case(Mode::Stopping)]
+#[case(Mode::Deleted)]
+fn a_draining_endpoint_gets_nothing_new(#[case] mode: Mode) {
+    let mut b = sidecar(Effect::Pure, 1);
+    let entry = Listing { mode, ..listing(0, Duration::ZERO) };
+    b.read_list(ListKind::Changes, vec![entry]);
+    assert_eq!(b.weigh(None, &|_| true), [0.0]);
+}
+
+#[rstest]
+fn a_cold_endpoint_gets_one_at_a_time() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].start_cold(NOW, NOW, 1.0);
+    b.commands.extend([Some(command()), Some(command())]);
+    b.queue = vec![1, 2];
+    let out = b.decide(NOW, Event::Due { token: ALARM_QUEUE });
+    assert_eq!(relays(&out).len(), 1);
+}
+
+#[rstest]
+fn a_cold_fleet_is_filled_by_a_share_of_arrivals() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].start_cold(NOW, NOW - CALM, 0.0);
+    b.arrivals.add(NOW, CALM);
+    b.fill_cold_bags();
+    assert!(b.endpoints[0].cold_bag > 0.0);
+}
+
+#[rstest]
+fn an_endpoint_back_from_silence_counts_as_cold() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].misses = 3;
+    b.reached(0);
+    assert_eq!(b.endpoints[0].up_since, Some(NOW));
+}
+
+// Incidents i6e3b06, ia79e8d and id7bedd: all seemed full, none was asked again, service stayed down.
+#[rstest]
+fn while_commands_wait_full_endpoints_are_asked_again() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.endpoints.iter_mut().for_each(|e| (e.holds, e.heard) = (9.0, Some(NOW - b.duty.fresh * 2)));
+    b.commands[0] = Some(command());
+    b.queue = vec![0];
+    let out = b.decide(NOW, Event::Due { token: ALARM_QUEUE });
+    assert!(out.iter().any(|a| matches!(a, Action::Probe { .. })), "{out:?}");
+}
+
+#[rstest]
+fn past_the_room_the_least_worth_is_declined_at_once() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].holds = 9.0;
+    b.commands = (0..4).map(|n| Some(Command { value: f64::from(n), ..command() })).collect();
+    b.queue = vec![0, 1, 2, 3];
+    let out = b.decide(NOW, Event::Due { token: ALARM_QUEUE });
+    let declined = |cmd| out.iter().any(|a| matches!(a, Action::Decline { cmd: c, .. } if *c == cmd));
+    assert_eq!([0, 1, 2, 3].map(declined), [true, true, false, false]);
+}
+
+#[rstest]
+fn a_time_out_cuts_the_limit_once_in_a_while() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].limit = 10.0;
+    b.cut(0);
+    assert_eq!(b.endpoints[0].limit, 7.0);
+}
+
+#[rstest]
+#[case(1.0, 1)]
+#[case(0.0, 0)]
+fn a_second_copy_needs_budget(#[case] spare: f64, #[case] sent: usize) {
+    let mut b = with_relay(Effect::Pure, 2);
+    b.spare = spare;
+    b.commands[0].as_mut().unwrap().relays[0].sent = NOW - Duration::from_millis(250);
+    let out = b.decide(NOW, Event::Due { token: ALARM_COPY });
+    assert_eq!(relays(&out).len(), sent);
+}
+
+#[rstest]
+#[case(0.0, false)]
+#[case(3.0, true)]
+fn past_its_goal_work_is_called_off_where_others_wait(#[case] holds: f64, #[case] off: bool) {
+    let mut b = with_relay(Effect::Pure, 1);
+    b.endpoints[0].holds = holds;
+    b.commands[0].as_mut().unwrap().due = NOW;
+    b.past_goal(0);
+    assert_eq!(b.out.contains(&Action::Recall { cmd: 0, relay: 0 }), off);
+}
+
+#[rstest]
+fn a_refused_list_is_asked_again_later() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.listening = true;
+    let out = b.decide(NOW, Event::Listed { kind: ListKind::Refused, entries: vec![] });
+    assert!(out.iter().any(|a| matches!(a, Action::Alarm { token: ALARM_LIST, .. })));
+    assert!(b.endpoints[0].listed);
+}
+
+#[rstest]
+fn a_concluded_command_is_forgotten_when_nothing_is_out() {
+    let mut b = with_relay(Effect::Pure, 1);
+    let event = Event::Finished {
+        cmd: 0,
+        relay: 0,
+        outcome: Outcome::Answered,
+        spent: Duration::from_millis(9),
+        concluded: true,
+        report: None,
+    };
+    assert!(b.decide(NOW, event).contains(&Action::Forget { cmd: 0 }));
+}
+
+// ---- helpers ----
+
+fn sidecar(effect: Effect, endpoints: usize) -> Balancer {
+    let ms = Duration::from_millis;
+    let verb = VerbOrder {
+        name: "v".into(),
+        effect,
+        group: Group::All,
+        window: Duration::from_secs(5),
+        goal: ms(400),
+        limit: ms(1000),
+        goal_stretch: 0.0,
+        utility: 1.0,
+        late_utility: 0.0,
+        stream: false,
+    };
+    let mut b = Balancer::new(StandingOrders {
+        seed: 7,
+        own_number: 0,
+        instances: 2,
+        zone: 0,
+        zones: vec!["z".into()],
+        verbs: vec![verb],
+        companies: vec![],
+        surplus_utility: 1.0,
+        tick: ms(1),
+        max_relays: 3,
+        max_retry_after: Some(ms(500)),
+        probes: true,
+        may_cancel: true,
+        second_copies: true,
+        streams_per_conn: 1,
+        list_on_request: true,
+        reports: ReportsHow::Piggyback,
+        weights_given: true,
+        weights_live: false,
+        probe_price: 0.002,
+        waste_price: 0.0,
+        cross_zone_price: 0.0,
+        late_price: 0.0,
+        drain_grace: ms(500),
+        ask_every: Duration::from_secs(10),
+        cold_from: 0.2,
+        warm_within: Duration::from_secs(20),
+        tip_multiple: 3.0,
+        tip_after: Duration::from_secs(1),
+    });
+    b.now = NOW;
+    b.endpoints = (0..endpoints).map(|_| Endpoint::unknown(NOW, FIRST_LIMIT)).collect();
+    b.endpoints.iter_mut().for_each(|e| (e.listed, e.heard) = (true, Some(NOW)));
+    b.commands = vec![None];
+    b
+}
+
+fn command() -> Command {
+    Command {
+        verb: 0,
+        came: NOW,
+        due: NOW + Duration::from_millis(400),
+        leave: NOW + Duration::from_millis(500),
+        value: 1.0,
+        hold_until: NOW,
+        waits: true,
+        over: false,
+        streams: false,
+        again: false,
+        relays: vec![],
+    }
+}
+
+/// One command with one relay out, at endpoint 0.
+fn with_relay(effect: Effect, endpoints: usize) -> Balancer {
+    let mut b = sidecar(effect, endpoints);
+    let relay = Relay { endpoint: 0, sent: NOW, ahead: 0.0, outcome: None };
+    b.commands[0] = Some(Command { waits: false, relays: vec![relay], ..command() });
+    b
+}
+
+fn arrival(cmd: CmdIx) -> Event {
+    let budget = Duration::from_millis(500);
+    Event::Arrived(Arrival {
+        cmd,
+        verb: 0,
+        company: None,
+        key: None,
+        budget,
+        work: None,
+        again: false,
+        write: false,
+    })
+}
+
+fn finished(relay: usize, outcome: Outcome) -> Event {
+    let spent = Duration::from_millis(5);
+    Event::Finished { cmd: 0, relay, outcome, spent, concluded: false, report: None }
+}
+
+fn listing(endpoint: EndpointIx, started: Duration) -> Listing {
+    Listing { endpoint, zone: 0, cell: 0, kind: 0, rating: 1.0, started, mode: Mode::Running }
+}
+
+fn relays(out: &[Action]) -> Vec<EndpointIx> {
+    let to = |a: &Action| if let Action::Relay { endpoint, .. } = a { Some(*endpoint) } else { None };
+    out.iter().filter_map(to).collect()
+}
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod choice;
 pub mod door;
+mod state;
 
 use std::time::Duration;
 
--- a/crates/passroad-wirehost/src/tests.rs
+++ b/crates/passroad-wirehost/src/tests.rs
@@ -1,1 +1,60 @@
-use super::*;
+use super::serve;
+use rstest::rstest;
+
+const HELLO: &str = concat!(
+    r#"HELLO i=0 prng=5 config={"verbs":[{"name":"v","effect":"read_like","response_goal":400000000,"#,
+    r#""time_limit":1000000000,"utility":1,"brand_new":true}],"dcs":["a"],"az":"a","novel":[1],"#,
+    r#""allowed":{"max_relays":3}}"#,
+    "\nCENSUS list=0 lines=1\nM endpoint=10.0.0.1:9 hall=a mode=Running rating=1 fresh_key=7\n",
+    "PEERS_KNOWN i=0 kind=remembered revision=1 list=0\n"
+);
+
+fn run(input: &str) -> (String, Result<(), String>) {
+    let mut output = Vec::new();
+    let end = serve(input.as_bytes(), &mut output);
+    (String::from_utf8(output).unwrap(), end)
+}
+
+#[rstest]
+fn a_command_is_relayed_under_its_own_id() {
+    let (out, end) = run(&format!(
+        "TICK time=5 seq=1\n{HELLO}INGRESS i=0 op_id=ab profile=v budget=500000000 other=1\nEOF_BATCH\n"
+    ));
+    assert_eq!(end, Ok(()));
+    assert!(out.contains("PLACE i=0 op_id=ab endpoint=10.0.0.1:9 try_for="), "{out}");
+    assert!(out.ends_with("ACK seq=1\n"), "{out}");
+}
+
+#[rstest]
+fn an_outcome_of_a_strange_command_is_passed_over() {
+    let (out, end) = run(&format!(
+        "TICK time=5 seq=1\n{HELLO}FINISHED i=0 op_id=ff trial=0 endpoint=x disposition=0 spent=1 no_more=1\nEOF_BATCH\n"
+    ));
+    assert_eq!((out.lines().last(), end), (Some("ACK seq=1"), Ok(())));
+}
+
+#[rstest]
+#[case("TICK time=5 seq=1\nNONSENSE i=0\n", "line 2: NONSENSE for instance 0, which has not started")]
+#[case("TICK time=x seq=1\n", "line 1: TICK: time=x is not a span")]
+#[case("DUE i=0 cookie=1\n", "line 1: DUE outside a batch")]
+#[case("TICK time=5 seq=1\nDUE what\n", "line 2: 'what' is no name=value pair")]
+#[case("TICK time=5 seq=1\nHELLO i=0 prng=1 config={\n", "line 2: settings: EOF while parsing")]
+#[case("TICK time=5 seq=1\nCENSUS list=0 lines=2\nEOF_BATCH\n", "line 3: EOF_BATCH where 2 more entries")]
+#[case("TICK time=5 seq=1\n", "line 2: the input ends inside a batch")]
+#[case("TICK time=5 seq=1\nEOF_BATCH", "line 2: the input ends inside a batch")]
+fn bad_input_ends_with_its_line_and_no_reply(#[case] input: &str, #[case] fault: &str) {
+    let (out, end) = run(input);
+    assert!(end.as_ref().is_err_and(|e| e.starts_with(fault)), "{end:?}");
+    assert_eq!(out, "");
+}
+
+#[rstest]
+fn an_unknown_message_to_a_running_instance_is_a_fault() {
+    let (_, end) = run(&format!("TICK time=5 seq=1\n{HELLO}WAGGLE i=0\nEOF_BATCH\n"));
+    assert_eq!(end, Err("line 6: unknown message WAGGLE".into()));
+}
+
+#[rstest]
+fn an_empty_batch_is_acknowledged() {
+    assert_eq!(run("TICK time=5 seq=9\nEOF_BATCH\n"), ("ACK seq=9\n".into(), Ok(())));
+}
