--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -287,6 +287,9 @@
         verbs: vec![verb],
         companies: vec![],
         surplus_utility: 1.0,
+        goal_whole: 0.6,
+        goal_worst_verb: 0.4,
+        goal_worst_company: 0.0,
         tick: ms(1),
         max_relays: 3,
         max_retry_after: Some(ms(500)),
@@ -319,6 +322,7 @@
 fn command() -> Command {
     Command {
         verb: 0,
+        company: None,
         came: NOW,
         due: NOW + Duration::from_millis(400),
         leave: NOW + Duration::from_millis(500),
