Tell by its budget how much of its limit a last try has spent

Cause: repeats look like first tries where clients don't mark them, and were answered after their goal. First tries of a verb get the same time, a last try what is left of the limit; a vote over budgets finds the common one.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -12,7 +12,7 @@
 //!   warm-up  a cold endpoint gets no more than its ramp's share of what warm ones get
 //!   list     subscribe or ask with jitter and back-off; what drains or is gone gets nothing new
 
-use crate::state::{Command, Endpoint, Faded, Pace, Relay, Share, fade};
+use crate::state::{Command, Endpoint, Faded, Pace, Relay, fade};
 use crate::*;
 use std::time::Duration;
 
@@ -25,7 +25,6 @@
 const FIRST_LIMIT: f64 = 2.0; // one in work and one waiting, at the usual size
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
-const LONG: Duration = Duration::from_secs(30); // and who is served how well over this
 const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
 const ALARM_QUEUE: u64 = 1;
 const ALARM_COPY: u64 = 2;
@@ -34,9 +33,7 @@
 /// What the standing orders come to: the figures that decisions use.
 struct DutySheet {
     verbs: Vec<VerbDuty>,
-    goal_whole: f64, // what the result is made of
-    goal_verb: f64,
-    goal_company: f64,
+    best_utility: f64,
     portions: Vec<f64>,
     surplus_utility: f64,
     own_zone: usize,
@@ -67,7 +64,8 @@
     stretch: f64,
     utility: f64,
     late_utility: f64,
-    share: Share,
+    budget: Duration, // what most clients give, and how sure that is
+    budget_votes: u32,
     usual: Pace, // seconds that an answer takes
     early: f64,  // own prompt declines lately, and
     late: f64,   // own endings past the goal: what a repeat may still be worth
@@ -95,9 +93,9 @@
     endpoints: Vec<Endpoint>,
     commands: Vec<Option<Command>>,
     queue: Vec<CmdIx>,
-    companies: Vec<Share>,
-    best_value: f64, // of commands lately
-    usual: Pace,     // pace of all endpoints, against each verb's usual
+    mix: Vec<f64>, // arrivals by company lately
+    mix_at: Duration,
+    usual: Pace, // pace of all endpoints, against each verb's usual
     rtt: Duration,
     sends: Faded,
     arrivals: Faded,
@@ -125,7 +123,8 @@
             stretch: v.goal_stretch,
             utility: v.utility,
             late_utility: v.late_utility,
-            share: Share::default(),
+            budget: Duration::ZERO,
+            budget_votes: 0,
             usual: Pace { mean: v.goal.as_secs_f64() / 4.0, ..Pace::default() },
             early: 1.0,
             late: 0.0,
@@ -135,9 +134,7 @@
         let heartbeats = (0.007 / orders.probe_price.max(1e-4)).clamp(1.0, 4.0) as usize;
         let duty = DutySheet {
             verbs: verbs.collect(),
-            goal_whole: orders.goal_whole,
-            goal_verb: orders.goal_worst_verb,
-            goal_company: orders.goal_worst_company,
+            best_utility: orders.verbs.iter().map(|v| v.utility).fold(1e-9, f64::max),
             portions: orders.companies.iter().map(|c| c.portion).collect(),
             surplus_utility: orders.surplus_utility,
             own_zone: orders.zone,
@@ -159,14 +156,14 @@
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
         };
         Balancer {
-            companies: vec![Share::default(); duty.portions.len()],
-            best_value: 1e-9,
+            mix: vec![0.0; duty.portions.len()],
             rtt: duty.tick,
             duty,
             dice: orders.seed | 1,
             endpoints: Vec::new(),
             commands: Vec::new(),
             queue: Vec::new(),
+            mix_at: Duration::ZERO,
             usual: Pace { mean: 1.0, ..Pace::default() },
             sends: Faded::default(),
             arrivals: Faded::default(),
@@ -506,17 +503,30 @@
             return self.out.push(Action::Forget { cmd: a.cmd });
         };
         let goal = (v.goal + a.work.unwrap_or_default().mul_f64(v.stretch)).min(v.limit);
-        // A repeat whose time is cut short has spent the rest of its limit already.
-        let short = a.again && a.budget < v.limit / 3;
-        let gone = if short { v.limit.saturating_sub(a.budget) } else { Duration::ZERO };
-        let repeat = if a.again { v.early / (v.early + v.late) } else { 1.0 };
-        let company = a.company.filter(|c| *c < self.companies.len());
-        if !a.again {
-            self.duty.verbs[a.verb].share.asked.add(self.now, LONG);
-            company.inspect(|c| self.companies[*c].asked.add(self.now, LONG));
-        }
-        let value = repeat * self.value(a.verb, company);
-        self.best_value = value.max(0.99 * self.best_value);
+        // Guards against answering repeats that are past their goal: first tries of a verb get the same time, a
+        // last try gets what is left of the limit, which tells how much of it is spent.
+        let odd = a.budget.abs_diff(v.budget) > v.budget / 50;
+        let known = odd && v.budget_votes >= 4;
+        let gone = if known { v.limit.saturating_sub(a.budget) } else { Duration::ZERO };
+        let again = a.again || known;
+        let mut value = v.utility * if again && !known { v.early / (v.early + v.late) } else { 1.0 };
+        if let Some(company) = a.company.filter(|c| *c < self.mix.len()) {
+            let faded = fade(self.now, self.mix_at, 8 * CALM);
+            self.mix.iter_mut().for_each(|m| *m *= faded);
+            self.mix_at = self.now;
+            self.mix[company] += 1.0;
+            let share = self.mix[company] / self.mix.iter().sum::<f64>();
+            // Past its share a company's commands are worth little: they go last when there is too much.
+            if self.shedding && share > 1.3 * self.duty.portions[company] {
+                value *= self.duty.surplus_utility.max(0.3);
+            }
+        }
+        let v = &mut self.duty.verbs[a.verb];
+        match (odd, v.budget_votes) {
+            (true, 0) => (v.budget, v.budget_votes) = (a.budget, 1),
+            (true, _) => v.budget_votes -= 1,
+            (false, n) => v.budget_votes = (n + 1).min(20),
+        }
         if a.cmd >= self.commands.len() {
             self.commands.resize_with(a.cmd + 1, || None);
         }
@@ -525,7 +535,6 @@
         let hold = self.heartbeat();
         self.commands[a.cmd] = Some(Command {
             verb: a.verb,
-            company,
             came: self.now,
             due: (self.now + goal).saturating_sub(gone),
             leave: self.now + a.budget,
@@ -534,7 +543,7 @@
             waits: true,
             over: false,
             streams: false,
-            again: a.again,
+            again,
             relays: Vec::new(),
         });
         self.enqueue(a.cmd);
@@ -543,31 +552,6 @@
         }
     }
 
-    /// What an answer in time adds to the result, for each second of work. Guards against starving the verb or
-    /// the company that is worth least for as long as the result counts the worst served.
-    fn value(&self, verb: usize, company: Option<usize>) -> f64 {
-        let (v, now) = (&self.duty.verbs[verb], self.now);
-        let shares = self.duty.verbs.iter().map(|v| v.share.asked.rate(now, LONG) + 1e-9);
-        let all: f64 = shares.clone().sum();
-        let worth: f64 = shares.zip(&self.duty.verbs).map(|(rate, v)| rate * v.utility).sum();
-        let worst = |of: &mut dyn Iterator<Item = &Share>, own: &Share| {
-            let least = of.map(|s| s.service(now, LONG)).fold(1.0, f64::min);
-            let share = (own.asked.rate(now, LONG) / all).max(0.02);
-            (1.0 - 10.0 * (own.service(now, LONG) - least)).max(0.0) / share
-        };
-        let mut value = self.duty.goal_whole * v.utility * all / worth;
-        value += self.duty.goal_verb * worst(&mut self.duty.verbs.iter().map(|v| &v.share), &v.share);
-        if let Some(company) = company {
-            let own = &self.companies[company];
-            value += self.duty.goal_company * worst(&mut self.companies.iter(), own);
-            // Past its share a company's commands are worth little: they go last when there is too much.
-            if self.shedding && own.asked.rate(now, LONG) > 1.3 * self.duty.portions[company] * all {
-                value *= self.duty.surplus_utility.max(0.3);
-            }
-        }
-        value / v.usual.mean.max(1e-6)
-    }
-
     fn enqueue(&mut self, cmd: CmdIx) {
         let last = self.last_call(cmd).saturating_sub(self.now);
         if let Some(c) = self.commands[cmd].as_mut() {
@@ -665,7 +649,7 @@
         };
         let may = |e: &Endpoint| (e.up_since.is_none() || e.cold_bag >= 1.0) && drops_repeats(e);
         // A second copy is a luxury: it goes only where there is room for the least worth.
-        let value = if copy { 0.0 } else { (c.value / self.best_value).clamp(0.0, 1.0) };
+        let value = if copy { 0.0 } else { (c.value / self.duty.best_utility).clamp(0.0, 1.0) };
         let mut weights = self.weigh(Some(value), &may);
         for r in &c.relays {
             weights[r.endpoint] *= if copy { 0.0 } else { 0.01 };
@@ -737,8 +721,7 @@
     fn finish(&mut self, cmd: CmdIx, n: usize, outcome: Outcome, spent: Duration) -> Option<EndpointIx> {
         let now = self.now;
         let c = self.commands.get_mut(cmd)?.as_mut()?;
-        let (verb, company, in_time) = (c.verb, c.company, now <= c.due);
-        let r = c.relays.get_mut(n).filter(|r| r.outcome.is_none())?;
+        let (verb, r) = (c.verb, c.relays.get_mut(n).filter(|r| r.outcome.is_none())?);
         r.outcome = Some(outcome);
         let (r, at) = (*r, r.endpoint);
         let e = &mut self.endpoints[at];
@@ -749,10 +732,6 @@
         match outcome {
             Outcome::Answered => {
                 let v = &mut self.duty.verbs[verb];
-                if in_time {
-                    v.share.served.add(now, LONG);
-                    company.inspect(|c| self.companies[*c].served.add(now, LONG));
-                }
                 let pace = v.pace(&r, spent);
                 v.usual.note(now, spent.as_secs_f64(), 10 * CALM);
                 self.usual.note(now, pace, 10 * CALM);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -262,6 +262,18 @@
     assert!(b.decide(NOW, event).contains(&Action::Forget { cmd: 0 }));
 }
 
+// Incident ic477d7: answers to repeats whose goal had passed took the place of others.
+#[rstest]
+#[case(500, 400)]
+#[case(900, 300)]
+fn a_last_try_tells_by_its_budget_what_is_spent(#[case] budget: u64, #[case] left: u64) {
+    let mut b = sidecar(Effect::Pure, 1);
+    (b.duty.verbs[0].budget, b.duty.verbs[0].budget_votes) = (Duration::from_millis(500), 9);
+    let Event::Arrived(a) = arrival(0) else { unreachable!() };
+    b.take(Arrival { budget: Duration::from_millis(budget), ..a });
+    assert_eq!(b.held(0).unwrap().due, NOW + Duration::from_millis(left));
+}
+
 // ---- helpers ----
 
 fn sidecar(effect: Effect, endpoints: usize) -> Balancer {
@@ -287,9 +299,6 @@
         verbs: vec![verb],
         companies: vec![],
         surplus_utility: 1.0,
-        goal_whole: 0.6,
-        goal_worst_verb: 0.4,
-        goal_worst_company: 0.0,
         tick: ms(1),
         max_relays: 3,
         max_retry_after: Some(ms(500)),
@@ -322,7 +331,6 @@
 fn command() -> Command {
     Command {
         verb: 0,
-        company: None,
         came: NOW,
         due: NOW + Duration::from_millis(400),
         leave: NOW + Duration::from_millis(500),
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -54,20 +54,6 @@
     }
 }
 
-/// How much was asked for, and answered in time.
-#[derive(Clone, Copy, Default)]
-pub struct Share {
-    pub asked: Faded,
-    pub served: Faded,
-}
-
-impl Share {
-    pub fn service(&self, now: Duration, over: Duration) -> f64 {
-        let asked = self.asked.rate(now, over);
-        if asked > 0.0 { (self.served.rate(now, over) / asked).min(1.0) } else { 1.0 }
-    }
-}
-
 /// For one relay.
 #[derive(Clone, Copy)]
 pub struct Relay {
@@ -86,7 +72,6 @@
 /// For one command.
 pub struct Command {
     pub verb: usize,
-    pub company: Option<usize>,
     pub came: Duration,
     pub due: Duration,   // its response goal passes
     pub leave: Duration, // the client gives up
