--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -591,15 +591,15 @@
                 self.queue.push(cmd);
                 continue;
             }
-            let free = c.relays.is_empty();
-            let choice = if shut && free { None } else { self.pick(cmd, false) };
+            let (free, lost) = (c.relays.is_empty(), now >= self.last_call(cmd));
+            let choice = if lost || shut && free { None } else { self.pick(cmd, false) };
             if let Some(at) = choice {
                 self.send(cmd, at);
                 continue;
             }
-            shut |= free;
+            shut |= free && !lost;
             // Guards against sitting on what will be declined anyway: past the room there is, the answer is now.
-            if now >= self.last_call(cmd) || f64::from(line) >= room {
+            if lost || f64::from(line) >= room {
                 self.give_up(cmd);
             } else {
                 line += 1;
