--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -23,6 +23,7 @@
 const SCORE_FLOOR: f64 = 0.02; // near-zero scores must recover, so none is zero
 const OUTCOMES: u32 = 16; // the last few outcomes that judge an endpoint
 const FIRST_LIMIT: f64 = 2.0; // one in work and one waiting, at the usual size
+const GROWTH: f64 = 0.3; // of one, for a round of answers well in time
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
 const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
@@ -737,7 +738,7 @@
                 self.usual.note(now, pace, 10 * CALM);
                 e.pace.note(now, pace, 2 * CALM);
                 if spent < v.goal / 2 && r.ahead + 1.0 >= e.limit {
-                    e.limit = (e.limit + 1.0 / e.limit).min(64.0);
+                    e.limit = (e.limit + GROWTH / e.limit).min(64.0);
                 }
                 let late = spent > v.goal.mul_f64(0.85);
                 if late {
