--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -2,9 +2,9 @@
 //! returns what is to be done, in order. Its types stand in `lib.rs`; ids are indices given out in `door.rs`.
 //! It shares nothing, keeps no clock and does no input or output.
 //!
-//! Ordinary path (after He Xiaofeng's lesson 11): each ready endpoint is scored out of ten by a weighted sum of
-//! sub-scores (reported load, own mean latency, own tail latency); its weight is base weight x score / 10; a
-//! weighted random draw picks the endpoint. Six mechanisms stand beside it:
+//! Ordinary path (He Xiaofeng's lesson 11): each ready endpoint is scored out of ten by a weighted sum of
+//! sub-scores (reported load, own mean and tail latency); its weight is base weight x score / 10; a weighted
+//! random draw picks the endpoint. Six mechanisms stand beside it:
 //!   health   successes among the last outcomes scale the weight; sparing trials bring an endpoint back
 //!   limit    a cap on what an endpoint holds, plus one on success, cut by a share
 //!   relays   time-outs, further relays and second copies, under a budget
@@ -78,13 +78,6 @@
         let bad = (!self.good & ((1 << OUTCOMES) - 1)).count_ones().min(self.seen);
         1.0 - f64::from(bad) / f64::from(self.seen.max(4))
     }
-
-    /// Another process now, or taken for one: nothing that is known of the old one holds.
-    fn start_cold(&mut self, since: Duration, now: Duration, bag: f64) {
-        (self.up_since, self.cold_at, self.cold_bag) = (Some(since), now, bag);
-        (self.good, self.seen, self.pace, self.limit) = (!0, 0, Pace::default(), FIRST_LIMIT);
-        (self.misses, self.try_at) = (0, Duration::ZERO);
-    }
 }
 
 /// One sidecar's decisions; state for the life of the instance.
@@ -187,9 +180,7 @@
             Event::Listed { kind, entries } => self.read_list(kind, entries),
             Event::Arrived(arrival) => self.take(arrival),
             Event::StreamStarted { cmd, .. } => {
-                if let Some(c) = self.commands.get_mut(cmd).and_then(Option::as_mut) {
-                    c.streams = true;
-                }
+                self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.streams = true);
             }
             Event::Finished { cmd, relay, outcome, spent, concluded, report } => {
                 if let Some(at) = self.finish(cmd, relay, outcome, spent) {
@@ -276,7 +267,7 @@
             e.listed = entry.mode == Mode::Running;
             let young = !entry.started.is_zero() && now.saturating_sub(entry.started) < self.duty.warm_within;
             if young && e.up_since.is_none_or(|at| entry.started > at) {
-                e.start_cold(entry.started, now, bag);
+                e.start_cold(entry.started, now, bag, FIRST_LIMIT);
             }
         }
         let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
@@ -319,7 +310,7 @@
         let misses = std::mem::take(&mut e.misses);
         e.try_at = Duration::ZERO;
         if misses >= 3 && e.up_since.is_none_or(|up| now.saturating_sub(up) > within) {
-            e.start_cold(now, now, bag);
+            e.start_cold(now, now, bag, FIRST_LIMIT);
             self.log(format!("endpoint {at} back after {misses} misses, taken as cold"));
         }
     }
@@ -346,8 +337,8 @@
         self.credit(at, step);
     }
 
-    /// Guards against stuck or lying reports, which draw all to the endpoint that seems empty: what it says is
-    /// held against own relays known to be there, against refusals as full, and against the times it takes.
+    /// Guards against stuck or lying reports, which draw all to what seems empty: what an endpoint says is held
+    /// against own relays known to be there, against refusals as full, and against the times it takes.
     fn credit(&mut self, at: EndpointIx, step: f64) {
         let e = &mut self.endpoints[at];
         let before = e.credit;
@@ -374,8 +365,8 @@
 
     // ---- ordinary path: score, weight, draw ----
 
-    /// Load in commands held; old and discredited reports lose trust and drift to the mean of the trusted, and
-    /// what is out from here counts in any case.
+    /// Load in commands held; old and discredited reports lose trust and drift to the mean of the trusted.
+    /// What is out from here counts in any case.
     fn load(&self, e: &Endpoint, usual: f64) -> f64 {
         let trust = e.heard.map_or(0.0, |at| e.credit * self.faith * fade(self.now, at, self.duty.trust));
         (trust * e.holds.max(0.0) + (1.0 - trust) * usual * e.size).max(e.out.len() as f64)
@@ -473,8 +464,8 @@
 
     // ---- warm-up ----
 
-    /// Guards against pushing over a cold endpoint. Sidecars can't agree, so each gives it no more than its ramp
-    /// of what a warm one of its size gets from here, and never two at once.
+    /// Guards against pushing over a cold endpoint. Sidecars can't agree, so each gives it no more than its
+    /// ramp of what a warm one of its size gets from here, and never two at once.
     fn fill_cold_bags(&mut self) {
         let (mut warmth, mut sizes) = (1e-9, 1e-9);
         for e in self.endpoints.iter().filter(|e| e.listed) {
@@ -499,13 +490,10 @@
     // ---- commands ----
 
     fn take(&mut self, a: Arrival) {
-        let Some(v) = self.duty.verbs.get(a.verb) else {
-            self.out.push(Action::Terminate { cmd: a.cmd });
-            return self.out.push(Action::Forget { cmd: a.cmd });
-        };
+        let v = &self.duty.verbs[a.verb];
         let goal = (v.goal + a.work.unwrap_or_default().mul_f64(v.stretch)).min(v.limit);
-        // Guards against answering repeats that are past their goal: first tries of a verb get the same time, a
-        // last try gets what is left of the limit, which tells how much of it is spent.
+        // Guards against answering repeats that are past their goal: first tries of a verb get the same time,
+        // a last try gets what is left of the limit, which tells how much of it is spent.
         let odd = a.budget.abs_diff(v.budget) > v.budget / 50;
         let known = odd && v.budget_votes >= 4;
         let gone = if known { v.limit.saturating_sub(a.budget) } else { Duration::ZERO };
@@ -533,24 +521,33 @@
         }
         self.spare = (self.spare + 0.1).min(5.0);
         self.arrivals.add(self.now, 4 * CALM);
-        let hold = self.heartbeat();
         self.commands[a.cmd] = Some(Command {
             verb: a.verb,
             came: self.now,
             due: (self.now + goal).saturating_sub(gone),
             leave: self.now + a.budget,
             value,
-            hold_until: self.now + hold,
+            hold_until: self.now,
             waits: true,
             over: false,
             streams: false,
             again,
+            asked_twice: false,
             relays: Vec::new(),
         });
         self.enqueue(a.cmd);
-        if !hold.is_zero() {
+        self.hold(a.cmd);
+    }
+
+    /// Holds a command while a few endpoints are asked how they are; tells whether it waits for them.
+    fn hold(&mut self, cmd: CmdIx) -> bool {
+        // Guards against holding a command longer than its client stays.
+        let hold = if self.now < self.last_call(cmd) { self.heartbeat() } else { Duration::ZERO };
+        if let Some(c) = self.commands[cmd].as_mut().filter(|_| !hold.is_zero()) {
+            c.hold_until = self.now + hold;
             self.alarm(hold, ALARM_QUEUE);
         }
+        !hold.is_zero()
     }
 
     fn enqueue(&mut self, cmd: CmdIx) {
@@ -583,23 +580,31 @@
         let (now, hold) = (self.now, self.duty.hold);
         let asked = |e: &Endpoint| e.probing.is_some_and(|at| now.saturating_sub(at) < hold);
         let pending = self.endpoints.iter().any(asked);
+        let usual = self.usual_load();
+        let known = |e: &&Endpoint| e.heard.is_some_and(|at| now.saturating_sub(at) < 2 * self.duty.fresh);
+        let mut seen = self.endpoints.iter().filter(|e| e.listed).filter(known);
+        let idle = seen.any(|e| self.load(e, usual) < 0.5 * e.size);
         let room = (1.0 + self.sends.rate(self.now, CALM) * self.duty.patience.as_secs_f64()).max(2.0);
         let mut line = 0; // those that nothing took; the rest only await heartbeats
         let mut shut = false; // nothing took a command that is worth more
         for cmd in waiting {
             let Some(c) = self.held(cmd).filter(|c| c.waits && !c.over) else { continue };
-            if c.hold_until > now && pending {
+            let (free, lost) = (c.relays.is_empty(), now >= self.last_call(cmd));
+            // One more round of heartbeats where none of those asked is idle.
+            let held = c.hold_until > now && pending;
+            let again = !held && !idle && !c.asked_twice && !self.shedding;
+            if !lost && (held || again && self.hold(cmd)) {
+                self.commands[cmd].iter_mut().for_each(|c| c.asked_twice |= again);
                 self.queue.push(cmd);
                 continue;
             }
-            let (free, lost) = (c.relays.is_empty(), now >= self.last_call(cmd));
             let choice = if lost || shut && free { None } else { self.pick(cmd, false) };
             if let Some(at) = choice {
                 self.send(cmd, at);
                 continue;
             }
             shut |= free && !lost;
-            // Guards against sitting on what will be declined anyway: past the room there is, the answer is now.
+            // Guards against sitting on what will be declined anyway: past the room, the answer is now.
             if lost || f64::from(line) >= room {
                 self.give_up(cmd);
             } else {
@@ -698,8 +703,8 @@
         }
     }
 
-    /// Past its goal an answer is worth nothing. Guards against work that keeps others waiting: it is called off
-    /// where something waits, here or at its endpoint; else it may end by itself and is not wasted.
+    /// Past its goal an answer is worth nothing. Guards against work that keeps others waiting: it is called
+    /// off where something waits, here or at its endpoint; else it may end by itself and is not wasted.
     fn past_goal(&mut self, cmd: CmdIx) {
         let Some(c) = self.held(cmd).filter(|c| !c.over && !c.streams && !c.waits) else { return };
         if self.now < c.due {
@@ -740,8 +745,7 @@
                 if spent < v.goal / 2 && r.ahead + 1.0 >= e.limit {
                     e.limit = (e.limit + GROWTH / e.limit).min(64.0);
                 }
-                let late = spent > v.goal.mul_f64(0.85);
-                if late {
+                if spent > v.goal.mul_f64(0.85) {
                     self.cut(at);
                 }
                 self.credit(at, if pace > 3.0 * self.usual.mean { -0.1 } else { 0.0 });
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -163,7 +163,7 @@
 #[rstest]
 fn a_cold_endpoint_gets_one_at_a_time() {
     let mut b = sidecar(Effect::Pure, 1);
-    b.endpoints[0].start_cold(NOW, NOW, 1.0);
+    b.endpoints[0].start_cold(NOW, NOW, 1.0, FIRST_LIMIT);
     b.commands.extend([Some(command()), Some(command())]);
     b.queue = vec![1, 2];
     let out = b.decide(NOW, Event::Due { token: ALARM_QUEUE });
@@ -173,7 +173,7 @@
 #[rstest]
 fn a_cold_fleet_is_filled_by_a_share_of_arrivals() {
     let mut b = sidecar(Effect::Pure, 1);
-    b.endpoints[0].start_cold(NOW, NOW - CALM, 0.0);
+    b.endpoints[0].start_cold(NOW, NOW - CALM, 0.0, FIRST_LIMIT);
     b.arrivals.add(NOW, CALM);
     b.fill_cold_bags();
     assert!(b.endpoints[0].cold_bag > 0.0);
@@ -262,6 +262,16 @@
     assert!(b.decide(NOW, event).contains(&Action::Forget { cmd: 0 }));
 }
 
+// Replay of i69898d: a client with a millisecond left was held for heartbeats and got no answer.
+#[rstest]
+fn a_command_with_no_time_left_is_declined_at_once() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.endpoints.iter_mut().for_each(|e| e.heard = None);
+    let Event::Arrived(a) = arrival(0) else { unreachable!() };
+    let out = b.decide(NOW, Event::Arrived(Arrival { budget: Duration::from_millis(1), ..a }));
+    assert!(out.iter().any(|a| matches!(a, Action::Decline { cmd: 0, .. })), "{out:?}");
+}
+
 // Incident ic477d7: answers to repeats whose goal had passed took the place of others.
 #[rstest]
 #[case(500, 400)]
@@ -340,6 +350,7 @@
         over: false,
         streams: false,
         again: false,
+        asked_twice: false,
         relays: vec![],
     }
 }
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -81,6 +81,7 @@
     pub over: bool,
     pub streams: bool,
     pub again: bool,
+    pub asked_twice: bool,
     pub relays: Vec<Relay>,
 }
 
@@ -135,4 +136,11 @@
             try_at: Duration::ZERO,
         }
     }
+
+    /// Another process now, or taken for one: nothing that is known of the old one holds.
+    pub fn start_cold(&mut self, since: Duration, now: Duration, bag: f64, limit: f64) {
+        (self.up_since, self.cold_at, self.cold_bag) = (Some(since), now, bag);
+        (self.good, self.seen, self.pace, self.limit) = (!0, 0, Pace::default(), limit);
+        (self.misses, self.try_at) = (0, Duration::ZERO);
+    }
 }
--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -235,7 +235,7 @@
                 self.instances.remove(&line.whole("i")?);
             }
             "PEERS_KNOWN" => self.peers_known(now, &line)?,
-            _ => {
+            "INGRESS" | "STARTED" | "FINISHED" | "LAPSED" | "CHECKED" | "PEER" | "DUE" => {
                 let i = line.whole("i")?;
                 let Some(instance) = self.instances.get_mut(&i) else {
                     return Err(format!("{} for instance {i}, which has not started", line.name));
@@ -244,6 +244,7 @@
                     instance.decide(i, now, event, &mut self.reply);
                 }
             }
+            other => return Err(format!("unknown message {other}")),
         }
         Ok(None)
     }
--- a/crates/passroad-wirehost/src/tests.rs
+++ b/crates/passroad-wirehost/src/tests.rs
@@ -34,7 +34,8 @@
 }
 
 #[rstest]
-#[case("TICK time=5 seq=1\nNONSENSE i=0\n", "line 2: NONSENSE for instance 0, which has not started")]
+#[case("TICK time=5 seq=1\nNONSENSE\n", "line 2: unknown message NONSENSE")]
+#[case("TICK time=5 seq=1\nDUE i=0 cookie=1\n", "line 2: DUE for instance 0, which has not started")]
 #[case("TICK time=x seq=1\n", "line 1: TICK: time=x is not a span")]
 #[case("DUE i=0 cookie=1\n", "line 1: DUE outside a batch")]
 #[case("TICK time=5 seq=1\nDUE what\n", "line 2: 'what' is no name=value pair")]
