--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -87,9 +87,8 @@
     endpoints: Vec<Endpoint>,
     commands: Vec<Option<Command>>,
     queue: Vec<CmdIx>,
-    mix: Vec<f64>, // arrivals by company lately
-    mix_at: Duration,
-    usual: Pace, // pace of all endpoints, against each verb's usual
+    mix: Vec<Faded>, // arrivals by company
+    usual: Pace,     // pace of all endpoints, against each verb's usual
     rtt: Duration,
     sends: Faded,
     arrivals: Faded,
@@ -100,6 +99,7 @@
     shedding: bool,
     shed_at: Duration,
     ask_at: Duration,
+    wake: Duration, // when the queue is looked at next
     now: Duration,
     out: Vec<Action>,
 }
@@ -150,14 +150,13 @@
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
         };
         Balancer {
-            mix: vec![0.0; duty.portions.len()],
+            mix: vec![Faded::default(); duty.portions.len()],
             rtt: duty.tick,
             duty,
             dice: orders.seed | 1,
             endpoints: Vec::new(),
             commands: Vec::new(),
             queue: Vec::new(),
-            mix_at: Duration::ZERO,
             usual: Pace { mean: 1.0, ..Pace::default() },
             sends: Faded::default(),
             arrivals: Faded::default(),
@@ -168,6 +167,7 @@
             shedding: false,
             shed_at: Duration::ZERO,
             ask_at: Duration::ZERO,
+            wake: Duration::ZERO,
             now: Duration::ZERO,
             out: Vec::new(),
         }
@@ -176,6 +176,7 @@
     /// Takes one event and returns what is to be done about it.
     pub fn decide(&mut self, now: Duration, event: Event) -> Vec<Action> {
         self.now = now;
+        let stirs = !matches!(event, Event::Due { token } if token & 3 != ALARM_QUEUE);
         match event {
             Event::Listed { kind, entries } => self.read_list(kind, entries),
             Event::Arrived(arrival) => self.take(arrival),
@@ -195,7 +196,9 @@
             Event::PeerSaid { .. } => {}
             Event::Due { token } => self.due(token),
         }
-        self.pump();
+        if stirs || !self.out.is_empty() {
+            self.pump();
+        }
         std::mem::take(&mut self.out)
     }
 
@@ -258,9 +261,8 @@
         }
         for entry in &entries {
             let (bag, now) = (self.chance(), self.now);
-            while self.endpoints.len() <= entry.endpoint {
-                self.endpoints.push(Endpoint::unknown(now, FIRST_LIMIT));
-            }
+            let len = self.endpoints.len().max(entry.endpoint + 1);
+            self.endpoints.resize_with(len, || Endpoint::unknown(now, FIRST_LIMIT));
             let e = &mut self.endpoints[entry.endpoint];
             (e.zone, e.cell) = (entry.zone, entry.cell);
             e.rating = if self.duty.live_weights { 1.0 } else { entry.rating.clamp(0.01, 1e6) };
@@ -462,6 +464,12 @@
         hold.min(self.duty.hold)
     }
 
+    fn knows_idle(&self) -> bool {
+        let (usual, since) = (self.usual_load(), self.now.saturating_sub(2 * self.duty.fresh));
+        let known = |e: &&Endpoint| e.listed && e.heard.is_some_and(|at| at > since);
+        self.endpoints.iter().filter(known).any(|e| self.load(e, usual) < 0.5 * e.size)
+    }
+
     // ---- warm-up ----
 
     /// Guards against pushing over a cold endpoint. Sidecars can't agree, so each gives it no more than its
@@ -500,11 +508,9 @@
         let again = a.again || known;
         let mut value = v.utility * if again && !known { v.early / (v.early + v.late) } else { 1.0 };
         if let Some(company) = a.company.filter(|c| *c < self.mix.len()) {
-            let faded = fade(self.now, self.mix_at, 8 * CALM);
-            self.mix.iter_mut().for_each(|m| *m *= faded);
-            self.mix_at = self.now;
-            self.mix[company] += 1.0;
-            let share = self.mix[company] / self.mix.iter().sum::<f64>();
+            self.mix[company].add(self.now, 8 * CALM);
+            let rate = |m: &Faded| m.rate(self.now, 8 * CALM);
+            let share = rate(&self.mix[company]) / self.mix.iter().map(rate).sum::<f64>();
             // Past its share a company's commands are worth little: they go last when there is too much.
             if self.shedding && share > 1.3 * self.duty.portions[company] {
                 value *= self.duty.surplus_utility.max(0.3);
@@ -528,6 +534,7 @@
             leave: self.now + a.budget,
             value,
             hold_until: self.now,
+            last_call: self.now,
             waits: true,
             over: false,
             streams: false,
@@ -542,30 +549,22 @@
     /// Holds a command while a few endpoints are asked how they are; tells whether it waits for them.
     fn hold(&mut self, cmd: CmdIx) -> bool {
         // Guards against holding a command longer than its client stays.
-        let hold = if self.now < self.last_call(cmd) { self.heartbeat() } else { Duration::ZERO };
-        if let Some(c) = self.commands[cmd].as_mut().filter(|_| !hold.is_zero()) {
-            c.hold_until = self.now + hold;
-            self.alarm(hold, ALARM_QUEUE);
+        if self.held(cmd).is_none_or(|c| self.now >= c.last_call) {
+            return false;
         }
-        !hold.is_zero()
+        let until = self.now + self.heartbeat();
+        self.commands[cmd].iter_mut().for_each(|c| c.hold_until = until);
+        until > self.now
     }
 
+    /// Lets a command wait until what is left of its goal no longer fits a usual answer: its last call.
     fn enqueue(&mut self, cmd: CmdIx) {
-        let last = self.last_call(cmd).saturating_sub(self.now);
-        if let Some(c) = self.commands[cmd].as_mut() {
-            c.waits = true;
-            self.queue.push(cmd);
-            self.alarm(last, ALARM_QUEUE);
-        }
-    }
-
-    /// When a waiting command is given up: what is left of its goal no longer fits a usual answer.
-    fn last_call(&self, cmd: CmdIx) -> Duration {
-        let Some(c) = self.held(cmd) else { return self.now };
+        let Some(c) = self.commands[cmd].as_mut() else { return };
         let v = &self.duty.verbs[c.verb];
         let need = Duration::from_secs_f64(v.usual.mean.clamp(0.0, 0.6 * v.goal.as_secs_f64()));
         let end = if v.late_utility > 0.0 { c.leave } else { c.due.min(c.leave) };
-        end.saturating_sub(need).min(c.came + v.goal / 2)
+        (c.waits, c.last_call) = (true, end.saturating_sub(need).min(c.came + v.goal / 2));
+        self.queue.push(cmd);
     }
 
     /// Sends what can go, best first; declines what can't make it any more.
@@ -578,21 +577,16 @@
         let rank = |cmd: &CmdIx| self.held(*cmd).map_or((0.0, Duration::ZERO), |c| (-c.value, c.came));
         waiting.sort_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal));
         let (now, hold) = (self.now, self.duty.hold);
-        let asked = |e: &Endpoint| e.probing.is_some_and(|at| now.saturating_sub(at) < hold);
-        let pending = self.endpoints.iter().any(asked);
-        let usual = self.usual_load();
-        let known = |e: &&Endpoint| e.heard.is_some_and(|at| now.saturating_sub(at) < 2 * self.duty.fresh);
-        let mut seen = self.endpoints.iter().filter(|e| e.listed).filter(known);
-        let idle = seen.any(|e| self.load(e, usual) < 0.5 * e.size);
+        let pending = self.endpoints.iter().any(|e| e.probing.is_some_and(|at| now < at + hold));
         let room = (1.0 + self.sends.rate(self.now, CALM) * self.duty.patience.as_secs_f64()).max(2.0);
         let mut line = 0; // those that nothing took; the rest only await heartbeats
         let mut shut = false; // nothing took a command that is worth more
         for cmd in waiting {
             let Some(c) = self.held(cmd).filter(|c| c.waits && !c.over) else { continue };
-            let (free, lost) = (c.relays.is_empty(), now >= self.last_call(cmd));
+            let (free, lost) = (c.relays.is_empty(), now >= c.last_call);
             // One more round of heartbeats where none of those asked is idle.
             let held = c.hold_until > now && pending;
-            let again = !held && !idle && !c.asked_twice && !self.shedding;
+            let again = !held && !c.asked_twice && !self.shedding && !self.knows_idle();
             if !lost && (held || again && self.hold(cmd)) {
                 self.commands[cmd].iter_mut().for_each(|c| c.asked_twice |= again);
                 self.queue.push(cmd);
@@ -616,7 +610,16 @@
         if shut && line > 0 && !pending && now >= self.ask_at {
             self.ask_at = now + self.duty.trust / 2;
             self.heartbeat();
-            self.alarm(self.duty.trust / 2, ALARM_QUEUE);
+        }
+        // One alarm for the whole queue, at the next time when something in it may change by itself.
+        let turn = |c: &Command| if c.hold_until > now { c.last_call.min(c.hold_until) } else { c.last_call };
+        let ask = if shut && line > 0 { self.ask_at } else { Duration::MAX };
+        let turns = self.queue.iter().filter_map(|cmd| self.held(*cmd)).map(turn).min();
+        if let Some(next) = turns.map(|at| at.min(ask).max(now + self.duty.tick))
+            && (self.wake <= now || next < self.wake)
+        {
+            self.wake = next;
+            self.alarm(next - now, ALARM_QUEUE);
         }
         let crowded = f64::from(line) + 1.0 > room;
         if crowded && !self.shedding {
@@ -793,10 +796,9 @@
         }
         let ran = c.relays.iter().any(Relay::may_have_run);
         let again = !ran || self.duty.verbs[c.verb].effect != Effect::Effectful;
-        let time = self.now < self.last_call(cmd) && c.relays.len() < self.duty.most_relays;
         // A first relay that is proven not to have run costs little to send again, but not nothing.
         let price = if outcome.never_ran() && c.relays.len() < 2 { 0.2 } else { 1.0 };
-        if time && again && self.spare >= price {
+        if self.now < c.last_call && c.relays.len() < self.duty.most_relays && again && self.spare >= price {
             self.spare -= price;
             self.enqueue(cmd);
         } else {
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -346,6 +346,7 @@
         leave: NOW + Duration::from_millis(500),
         value: 1.0,
         hold_until: NOW,
+        last_call: NOW + Duration::from_millis(200),
         waits: true,
         over: false,
         streams: false,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -76,7 +76,8 @@
     pub due: Duration,   // its response goal passes
     pub leave: Duration, // the client gives up
     pub value: f64,
-    pub hold_until: Duration,
+    pub hold_until: Duration, // it waits for heartbeats
+    pub last_call: Duration,  // it is given up if it still waits
     pub waits: bool,
     pub over: bool,
     pub streams: bool,
