Count a relay past its goal as no success of its endpoint

Symptom: a tenth of the endpoints leave 60% of their relays until the client goes, probes quick, reports low. Told from overload by the other endpoints' quick answers. Cause: only errors counted against health, work that hangs did not.

--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -272,6 +272,15 @@
     assert!(out.iter().any(|a| matches!(a, Action::Decline { cmd: 0, .. })), "{out:?}");
 }
 
+// Incident i3e941c: endpoints let work hang while their probes were fine.
+#[rstest]
+fn a_relay_past_its_goal_is_no_success() {
+    let mut b = with_relay(Effect::Pure, 1);
+    let relay = b.held(0).unwrap().relays[0];
+    b.slow_answer(&relay, 0, Duration::from_millis(400));
+    assert!(b.endpoints[0].health() < 1.0);
+}
+
 // Incident ic477d7: answers to repeats whose goal had passed took the place of others.
 #[rstest]
 #[case(500, 400)]
