--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -715,7 +715,8 @@
         }
         let (usual, verb) = (self.usual_load(), c.verb);
         let out: Vec<Relay> = c.relays.iter().filter(|r| r.outcome.is_none()).copied().collect();
-        let crowded = |e: &Endpoint| self.load(e, usual) / e.size > 1.2;
+        // What can't be known of an endpoint without credit is taken for the worse.
+        let crowded = |e: &Endpoint| self.load(e, usual) / e.size > 1.2 || e.credit * self.faith < 0.5;
         let wanted = out.iter().any(|r| crowded(&self.endpoints[r.endpoint]));
         if self.queue.is_empty() && !self.shedding && !wanted {
             return;
@@ -775,6 +776,8 @@
         let pace = self.duty.verbs[verb].pace(r, spent).max(1.0);
         self.endpoints[r.endpoint].pace.note(self.now, pace, 2 * CALM);
         self.credit(r.endpoint, if pace > 2.0 * self.usual.mean { -0.1 } else { 0.0 });
+        // Guards against an endpoint that lets work hang while its probes are fine.
+        self.judge(r.endpoint, false);
         self.cut(r.endpoint);
     }
 
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -239,6 +239,15 @@
     assert_eq!(b.out.contains(&Action::Recall { cmd: 0, relay: 0 }), off);
 }
 
+#[rstest]
+fn past_its_goal_work_is_called_off_where_reports_have_no_credit() {
+    let mut b = with_relay(Effect::Pure, 1);
+    b.endpoints[0].credit = 0.0;
+    b.commands[0].as_mut().unwrap().due = NOW;
+    b.past_goal(0);
+    assert!(b.out.contains(&Action::Recall { cmd: 0, relay: 0 }));
+}
+
 #[rstest]
 fn a_refused_list_is_asked_again_later() {
     let mut b = sidecar(Effect::Pure, 1);
