--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -145,7 +145,7 @@
             patience: goal / 4,
             tick: orders.tick,
             live_weights: orders.weights_live,
-            near: 1.0 - orders.cross_zone_price.clamp(0.0, 0.5),
+            near: 0.01 / (0.01 + orders.cross_zone_price.max(0.0)),
             cold_from: orders.cold_from.clamp(0.01, 1.0),
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
         };
