--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -68,8 +68,6 @@
     budget: Duration, // what most clients give, and how sure that is
     budget_votes: u32,
     usual: Pace, // seconds that an answer takes
-    early: f64,  // own prompt declines lately, and
-    late: f64,   // own endings past the goal: what a repeat may still be worth
 }
 
 impl Endpoint {
@@ -120,8 +118,6 @@
             budget: Duration::ZERO,
             budget_votes: 0,
             usual: Pace { mean: v.goal.as_secs_f64() / 4.0, ..Pace::default() },
-            early: 1.0,
-            late: 0.0,
         });
         // Heartbeats may cost most of a hundredth of the service; no probes or no reports, no heartbeats.
         let asks = orders.probes && orders.reports != ReportsHow::Silent;
@@ -374,16 +370,17 @@
         (trust * e.holds.max(0.0) + (1.0 - trust) * usual * e.size).max(e.out.len() as f64)
     }
 
-    /// Mean of the trusted loads, in commands a usual size; nothing where no report can be trusted.
+    /// Mean of the trusted loads, in commands a usual size. Guards against a lock-up where nothing is heard any
+    /// more: as reports age or lose credit it falls to nothing, and own relays in flight decide.
     fn usual_load(&self) -> f64 {
-        let (mut sum, mut of) = (0.0, 0.0);
+        let (mut sum, mut of, mut all) = (0.0, 0.0, 0.0);
         for e in self.endpoints.iter().filter(|e| e.listed) {
-            let Some(heard) = e.heard else { continue };
-            let fresh = fade(self.now, heard, 4 * self.duty.trust);
+            let fresh = e.heard.map_or(0.0, |at| fade(self.now, at, 4 * self.duty.trust));
             sum += fresh * e.credit * self.faith * e.holds.max(e.out.len() as f64);
             of += fresh * e.size;
+            all += e.size;
         }
-        if of > 0.0 { sum / of } else { 1.0 }
+        if all > 0.0 { sum / of.max(0.2 * all) } else { 1.0 }
     }
 
     fn ramp(&self, e: &Endpoint) -> f64 {
@@ -505,8 +502,8 @@
         let odd = a.budget.abs_diff(v.budget) > v.budget / 50;
         let known = odd && v.budget_votes >= 4;
         let gone = if known { v.limit.saturating_sub(a.budget) } else { Duration::ZERO };
-        let again = a.again || known;
-        let mut value = v.utility * if again && !known { v.early / (v.early + v.late) } else { 1.0 };
+        // A marked repeat has spent some of its goal, no one knows how much.
+        let mut value = v.utility * if a.again && !known { 0.3 } else { 1.0 };
         if let Some(company) = a.company.filter(|c| *c < self.mix.len()) {
             self.mix[company].add(self.now, 8 * CALM);
             let rate = |m: &Faded| m.rate(self.now, 8 * CALM);
@@ -538,7 +535,6 @@
             waits: true,
             over: false,
             streams: false,
-            again,
             asked_twice: false,
             relays: Vec::new(),
         });
@@ -812,13 +808,8 @@
     /// The final answer at once: declined where a repeat is harmless, else terminated.
     fn give_up(&mut self, cmd: CmdIx) {
         let Some(c) = self.held(cmd) else { return };
-        let (verb, late, again) = (c.verb, self.now >= c.due, c.again);
+        let (v, late) = (&self.duty.verbs[c.verb], self.now >= c.due);
         let ran = c.relays.iter().any(Relay::may_have_run);
-        let v = &mut self.duty.verbs[verb];
-        if !again {
-            v.early = v.early * 0.98 + if late { 0.0 } else { 1.0 };
-            v.late = v.late * 0.98 + if late { 1.0 } else { 0.0 };
-        }
         let drops_any = v.effect == Effect::Receipted && v.group == Group::All;
         let harmless = !ran || v.effect == Effect::Pure || drops_any;
         let rest = if late { v.limit } else { v.goal / 5 };
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -248,6 +248,15 @@
     assert!(b.out.contains(&Action::Recall { cmd: 0, relay: 0 }));
 }
 
+// Replay of id7bedd without heartbeats: nothing was heard any more, the last mean stayed over every limit.
+#[rstest]
+fn without_news_the_fleet_is_not_taken_for_full() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.duty.heartbeats = 0;
+    b.endpoints.iter_mut().for_each(|e| (e.holds, e.heard) = (9.0, Some(NOW - Duration::from_secs(9))));
+    assert_eq!(relays(&b.decide(NOW, arrival(0))).len(), 1);
+}
+
 #[rstest]
 fn a_refused_list_is_asked_again_later() {
     let mut b = sidecar(Effect::Pure, 1);
@@ -368,7 +377,6 @@
         waits: true,
         over: false,
         streams: false,
-        again: false,
         asked_twice: false,
         relays: vec![],
     }
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -81,7 +81,6 @@
     pub waits: bool,
     pub over: bool,
     pub streams: bool,
-    pub again: bool,
     pub asked_twice: bool,
     pub relays: Vec<Relay>,
 }
