--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -406,7 +406,7 @@
             }
             let ramp = self.ramp(e);
             let (mean, tail) = e.pace.read(self.now, 2 * CALM, &self.usual);
-            let load = 10.0 - 20.0 * (load / ramp - least);
+            let load = 10.0 - 40.0 * (load / ramp - least);
             let mean = 10.0 - 9.0 * (mean / self.usual.mean.max(1e-6) - 1.0).max(0.0);
             let tail = 10.0 - 9.0 * (tail / tail_of_all.max(1e-6) - 1.0).max(0.0);
             let score = LOAD_SHARE * load + (1.0 - LOAD_SHARE) * (mean + tail) / 2.0;
