Give cold endpoints up to the root of the stated multiple of their ramp

Symptom: refusals as full and time-outs in one zone during a release, others half idle. Told from lying reports by the wire: busy endpoints report 3.8 held and 95% busy, the idle ones started lately. Cause: the ramp is a lower bound, so warm endpoints were overfull while cold ones were half idle. Change: the allowance is the ramp times the root of tip_multiple.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -54,6 +54,7 @@
     near: f64, // weight in another zone against the own
     cold_from: f64,
     warm_within: Duration,
+    cold_share: f64, // of a warm one's sends, times the ramp
 }
 
 struct VerbDuty {
@@ -144,6 +145,8 @@
             near: 0.01 / (0.01 + orders.cross_zone_price.max(0.0)),
             cold_from: orders.cold_from.clamp(0.01, 1.0),
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
+            // Half way, as a ratio, from a fair share to what would push a cold endpoint over.
+            cold_share: orders.tip_multiple.max(1.0).sqrt(),
         };
         Balancer {
             mix: vec![Faded::default(); duty.portions.len()],
@@ -479,7 +482,8 @@
         }
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
         let arrivals = self.arrivals.rate(self.now, 4 * CALM);
-        let rate = (self.sends.rate(self.now, CALM) / warmth).max(0.3 * arrivals / sizes);
+        let rate =
+            self.duty.cold_share * (self.sends.rate(self.now, CALM) / warmth).max(0.3 * arrivals / sizes);
         for at in 0..self.endpoints.len() {
             let (e, now) = (&self.endpoints[at], self.now);
             let Some(up) = e.up_since else { continue };
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -179,6 +179,13 @@
     assert!(b.endpoints[0].cold_bag > 0.0);
 }
 
+// Incident i4a6661: warm endpoints overfull beside half-idle cold ones, whose ramp is a lower bound.
+#[rstest]
+fn a_cold_endpoint_may_get_more_than_its_ramp_but_not_what_pushes_it_over() {
+    let b = sidecar(Effect::Pure, 1);
+    assert!(b.duty.cold_share > 1.0 && b.duty.cold_share < 3.0);
+}
+
 #[rstest]
 fn an_endpoint_back_from_silence_counts_as_cold() {
     let mut b = sidecar(Effect::Pure, 1);
