--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -145,8 +145,8 @@
             near: 0.01 / (0.01 + orders.cross_zone_price.max(0.0)),
             cold_from: orders.cold_from.clamp(0.01, 1.0),
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
-            // Half way, as a ratio, from a fair share to what would push a cold endpoint over.
-            cold_share: orders.tip_multiple.max(1.0).sqrt(),
+            // Three quarters of the way, as a ratio, from a fair share to what would push a cold endpoint over.
+            cold_share: orders.tip_multiple.max(1.0).powf(0.75),
         };
         Balancer {
             mix: vec![Faded::default(); duty.portions.len()],
