--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -443,8 +443,10 @@
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
             *w = if e.probing.is_some() || known || *w <= 0.0 { 0.0 } else { w.max(0.05) };
         }
+        // Where most are idle, one asked is enough; the second round asks again if it is not.
+        let most = self.duty.heartbeats.min(1 + (4.0 * self.usual_load()) as usize);
         let mut asked = Vec::new();
-        while asked.len() < self.duty.heartbeats {
+        while asked.len() < most {
             let Some(at) = self.draw(&weights) else { break };
             weights[at] = 0.0;
             asked.push(at);
