--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -342,25 +342,25 @@
     /// against own relays known to be there, against refusals as full, and against the times it takes.
     fn credit(&mut self, at: EndpointIx, step: f64) {
         let e = &mut self.endpoints[at];
-        let before = e.credit;
         e.credit = (e.credit + step).clamp(0.0, 1.0);
         self.faith = (self.faith + 0.2 * step).clamp(0.0, 1.0);
-        let (after, holds) = (e.credit, e.holds);
-        if (before < 0.5) != (after < 0.5) {
-            let word = if after < 0.5 { "do not fit" } else { "fit again" };
-            self.log(format!("endpoint {at}: reports {word} (says {holds:.1}, credit {after:.2})"));
+        let (credit, holds) = (e.credit, e.holds);
+        if e.doubted != (credit < if e.doubted { 0.75 } else { 0.5 }) {
+            e.doubted = !e.doubted;
+            let word = if e.doubted { "do not fit" } else { "fit again" };
+            self.log(format!("endpoint {at}: reports {word} (says {holds:.1}, credit {credit:.2})"));
         }
     }
 
     fn judge(&mut self, at: EndpointIx, good: bool) {
         let e = &mut self.endpoints[at];
-        let before = e.health();
         e.good = e.good << 1 | u32::from(good);
         e.seen = (e.seen + 1).min(OUTCOMES);
-        let after = e.health();
-        if (before < 0.5) != (after < 0.5) {
-            let word = if after < 0.5 { "failing" } else { "well again" };
-            self.log(format!("endpoint {at} {word}: {:.0}% of its last outcomes good", after * 100.0));
+        let health = e.health();
+        if e.ailing != (health < if e.ailing { 0.75 } else { 0.5 }) {
+            e.ailing = !e.ailing;
+            let word = if e.ailing { "failing" } else { "well again" };
+            self.log(format!("endpoint {at} {word}: {:.0}% of its last outcomes good", health * 100.0));
         }
     }
 
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -306,6 +306,18 @@
     assert!(b.endpoints[0].health() < 1.0);
 }
 
+// Incident i0fad20: 130 lines of endpoints failing and well again within seconds.
+#[rstest]
+#[case(8, true)]
+#[case(13, false)]
+fn a_failing_endpoint_is_well_again_at_three_quarters(#[case] good: u32, #[case] ailing: bool) {
+    let mut b = sidecar(Effect::Pure, 1);
+    let e = &mut b.endpoints[0];
+    (e.good, e.seen, e.ailing) = ((1 << (good - 1)) - 1, OUTCOMES, true);
+    b.judge(0, true);
+    assert_eq!(b.endpoints[0].ailing, ailing);
+}
+
 // Incident ic477d7: answers to repeats whose goal had passed took the place of others.
 #[rstest]
 #[case(500, 400)]
@@ -336,8 +348,6 @@
     };
     let mut b = Balancer::new(StandingOrders {
         seed: 7,
-        own_number: 0,
-        instances: 2,
         zone: 0,
         zones: vec!["z".into()],
         verbs: vec![verb],
@@ -349,21 +359,15 @@
         probes: true,
         may_cancel: true,
         second_copies: true,
-        streams_per_conn: 1,
         list_on_request: true,
         reports: ReportsHow::Piggyback,
-        weights_given: true,
         weights_live: false,
         probe_price: 0.002,
-        waste_price: 0.0,
         cross_zone_price: 0.0,
-        late_price: 0.0,
-        drain_grace: ms(500),
         ask_every: Duration::from_secs(10),
         cold_from: 0.2,
         warm_within: Duration::from_secs(20),
         tip_multiple: 3.0,
-        tip_after: Duration::from_secs(1),
     });
     b.now = NOW;
     b.endpoints = (0..endpoints).map(|_| Endpoint::unknown(NOW, FIRST_LIMIT)).collect();
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -46,7 +46,6 @@
 #[derive(Debug, Clone)]
 pub struct CompanyOrder {
     pub name: String,
-    pub quota_per_s: f64,
     pub portion: f64,
 }
 
@@ -54,8 +53,6 @@
 #[derive(Debug, Clone)]
 pub struct StandingOrders {
     pub seed: u64,
-    pub own_number: usize,
-    pub instances: usize,
     pub zone: usize,
     pub zones: Vec<String>,
     pub verbs: Vec<VerbOrder>,
@@ -67,21 +64,15 @@
     pub probes: bool,
     pub may_cancel: bool,
     pub second_copies: bool,
-    pub streams_per_conn: u32,
     pub list_on_request: bool,
     pub reports: ReportsHow,
-    pub weights_given: bool,
     pub weights_live: bool,
     pub probe_price: f64,
-    pub waste_price: f64,
     pub cross_zone_price: f64,
-    pub late_price: f64,
-    pub drain_grace: Duration,
     pub ask_every: Duration,
     pub cold_from: f64,
     pub warm_within: Duration,
     pub tip_multiple: f64,
-    pub tip_after: Duration,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -103,6 +103,8 @@
     pub pace: Pace,
     pub good: u32, // the last outcomes, one bit each
     pub seen: u32,
+    pub ailing: bool, // told of as failing, and its reports as not fitting
+    pub doubted: bool,
     pub limit: f64,
     pub last_cut: Duration,
     pub probing: Option<Duration>,
@@ -129,6 +131,8 @@
             pace: Pace::default(),
             good: !0,
             seen: 0,
+            ailing: false,
+            doubted: false,
             limit,
             last_cut: Duration::ZERO,
             probing: None,
@@ -140,7 +144,8 @@
     /// Another process now, or taken for one: nothing that is known of the old one holds.
     pub fn start_cold(&mut self, since: Duration, now: Duration, bag: f64, limit: f64) {
         (self.up_since, self.cold_at, self.cold_bag) = (Some(since), now, bag);
-        (self.good, self.seen, self.pace, self.limit) = (!0, 0, Pace::default(), limit);
+        (self.good, self.seen, self.ailing, self.pace) = (!0, 0, false, Pace::default());
+        self.limit = limit;
         (self.misses, self.try_at) = (0, Duration::ZERO);
     }
 }
--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -7,6 +7,7 @@
 use passroad_choice::{Action, Arrival, Event, ListKind, Listing, Mode, StandingOrders};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
@@ -28,7 +29,6 @@
     commands: Door<String>,
     zones: Door<String>,
     kinds: Door<String>,
-    keys: Door<String>,
     verbs: Vec<String>,
     companies: Vec<String>,
 }
@@ -46,7 +46,6 @@
             endpoints: Door::new(),
             commands: Door::new(),
             kinds: Door::new(),
-            keys: Door::new(),
             zones,
         }
     }
@@ -67,11 +66,10 @@
     fn arrival(&mut self, line: &Line) -> Result<Event, String> {
         let verb = line.need("profile")?;
         let position = self.verbs.iter().position(|v| v == verb);
-        let key = line.get("name_key").filter(|k| *k != "-").map(str::to_string);
         Ok(Event::Arrived(Arrival {
             verb: position.ok_or_else(|| format!("INGRESS: unknown verb {verb}"))?,
             company: line.get("tenant").and_then(|t| self.companies.iter().position(|c| c == t)),
-            key: key.map(|k| self.keys.admit(&k) as u64),
+            key: line.get("name_key").filter(|k| *k != "-").map(hash),
             budget: line.span("budget")?,
             work: line.get("hint").map(|_| line.span("hint")).transpose()?,
             again: line.flag("again_by_client")?,
@@ -185,6 +183,13 @@
     }
 }
 
+/// The same for the same key in every process; keys are too many to keep.
+fn hash(key: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// All that one process holds: its instances, and the numbered lists of the wire.
 #[derive(Default)]
 pub struct Host {
--- a/crates/passroad-wirehost/src/orders.rs
+++ b/crates/passroad-wirehost/src/orders.rs
@@ -100,19 +100,13 @@
     }
     let companies = at.items("/tenants")?.iter().map(|t| {
         let at = At(t);
-        Ok(CompanyOrder {
-            name: at.word("/name", "")?,
-            quota_per_s: at.number("/quota_per_s", 0.0)?,
-            portion: at.number("/portion", 0.0)?,
-        })
+        Ok(CompanyOrder { name: at.word("/name", "")?, portion: at.number("/portion", 0.0)? })
     });
     let zones = at.words("/dcs")?;
     let own = at.word("/az", "")?;
     let weights = at.word("/weights", "silent")?;
     Ok(StandingOrders {
         seed,
-        own_number: at.number("/my_number", 0.0)? as usize,
-        instances: at.number("/n_instances", 1.0)? as usize,
         zone: zones.iter().position(|z| *z == own).unwrap_or(usize::MAX),
         zones,
         verbs,
@@ -127,24 +121,18 @@
         probes: at.flag("/allowed/probes", false)?,
         may_cancel: at.flag("/allowed/may_cancel", false)?,
         second_copies: at.flag("/allowed/second_copies", false)?,
-        streams_per_conn: at.number("/allowed/streams_per_conn", 1.0)? as u32,
         list_on_request: at.word("/discovery", "pushed")? == "on_request",
         reports: match at.word("/report/how", "silent")?.as_str() {
             "piggyback" => ReportsHow::Piggyback,
             "pull" => ReportsHow::Pull,
             _ => ReportsHow::Silent,
         },
-        weights_given: weights != "silent",
         weights_live: weights == "live",
         probe_price: at.number("/prices/probe", 0.0)?,
-        waste_price: at.number("/prices/waste", 0.0)?,
         cross_zone_price: at.number("/prices/cross_zone", 0.0)?,
-        late_price: at.number("/prices/late_fail", 0.0)?,
-        drain_grace: at.span("/rules/drain_grace", Duration::ZERO)?,
         ask_every: at.span("/rules/ask_every", Duration::from_secs(10))?,
         cold_from: at.number("/rules/cold_from", 1.0)?,
         warm_within: at.span("/rules/warm_within", Duration::ZERO)?,
         tip_multiple: at.number("/rules/tip_multiple", 1.0)?,
-        tip_after: at.span("/rules/tip_after", Duration::from_secs(1))?,
     })
 }
