Rank waiting commands by what an answer adds to the whole and to the worst verb

Symptom: in overload the verb worth least gets a third of what the best gets, and the goal counts the worst verb. Told from a fault by even figures over zones and endpoints. What is remembered for a verb moved to state.rs.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -12,7 +12,7 @@
 //!   warm-up  a cold endpoint gets no more than its ramp's share of what warm ones get
 //!   list     subscribe or ask with jitter and back-off; what drains or is gone gets nothing new
 
-use crate::state::{Command, Endpoint, Faded, Pace, Relay, fade};
+use crate::state::{Command, Endpoint, Faded, Pace, Relay, VerbDuty, fade};
 use crate::*;
 use std::time::Duration;
 
@@ -35,6 +35,8 @@
 struct DutySheet {
     verbs: Vec<VerbDuty>,
     best_utility: f64,
+    goal_whole: f64, // what the result is made of
+    goal_verb: f64,
     portions: Vec<f64>,
     surplus_utility: f64,
     own_zone: usize,
@@ -57,20 +59,6 @@
     cold_share: f64, // of a warm one's sends, times the ramp
 }
 
-struct VerbDuty {
-    effect: Effect,
-    group: Group,
-    window: Duration,
-    goal: Duration,
-    limit: Duration,
-    stretch: f64,
-    utility: f64,
-    late_utility: f64,
-    budget: Duration, // what most clients give, and how sure that is
-    budget_votes: u32,
-    usual: Pace, // seconds that an answer takes
-}
-
 impl Endpoint {
     /// Share of successes among the last few outcomes; few outcomes count as mostly good.
     fn health(&self) -> f64 {
@@ -107,25 +95,15 @@
     pub fn new(orders: StandingOrders) -> Self {
         let goals = orders.verbs.iter().map(|v| v.goal).min().unwrap_or_default();
         let goal = goals.clamp(Duration::from_millis(1), Duration::from_secs(60));
-        let verbs = orders.verbs.iter().map(|v| VerbDuty {
-            effect: v.effect,
-            group: v.group,
-            window: v.window,
-            goal: v.goal,
-            limit: v.limit,
-            stretch: v.goal_stretch,
-            utility: v.utility,
-            late_utility: v.late_utility,
-            budget: Duration::ZERO,
-            budget_votes: 0,
-            usual: Pace { mean: v.goal.as_secs_f64() / 4.0, ..Pace::default() },
-        });
+        let verbs = orders.verbs.iter().map(|v| VerbDuty::of(v, v.goal / 4));
         // Heartbeats may cost most of a hundredth of the service; no probes or no reports, no heartbeats.
         let asks = orders.probes && orders.reports != ReportsHow::Silent;
         let heartbeats = (0.007 / orders.probe_price.max(1e-4)).clamp(1.0, 4.0) as usize;
         let duty = DutySheet {
             verbs: verbs.collect(),
             best_utility: orders.verbs.iter().map(|v| v.utility).fold(1e-9, f64::max),
+            goal_whole: orders.goal_whole,
+            goal_verb: orders.goal_worst_verb,
             portions: orders.companies.iter().map(|c| c.portion).collect(),
             surplus_utility: orders.surplus_utility,
             own_zone: orders.zone,
@@ -145,7 +123,8 @@
             near: 0.01 / (0.01 + orders.cross_zone_price.max(0.0)),
             cold_from: orders.cold_from.clamp(0.01, 1.0),
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
-            // Three quarters of the way, as a ratio, from a fair share to what would push a cold endpoint over.
+            // Three quarters of the way, as a ratio, from a fair share to what would push a cold endpoint
+            // over.
             cold_share: orders.tip_multiple.max(1.0).powf(0.75),
         };
         Balancer {
@@ -338,8 +317,8 @@
         self.credit(at, step);
     }
 
-    /// Guards against stuck or lying reports, which draw all to what seems empty: what an endpoint says is held
-    /// against own relays known to be there, against refusals as full, and against the times it takes.
+    /// Guards against stuck or lying reports, which draw all to what seems empty: what an endpoint says is
+    /// held against own relays known to be there, against refusals as full, and against the times it takes.
     fn credit(&mut self, at: EndpointIx, step: f64) {
         let e = &mut self.endpoints[at];
         e.credit = (e.credit + step).clamp(0.0, 1.0);
@@ -373,8 +352,8 @@
         (trust * e.holds.max(0.0) + (1.0 - trust) * usual * e.size).max(e.out.len() as f64)
     }
 
-    /// Mean of the trusted loads, in commands a usual size. Guards against a lock-up where nothing is heard any
-    /// more: as reports age or lose credit it falls to nothing, and own relays in flight decide.
+    /// Mean of the trusted loads, in commands a usual size. Guards against a lock-up where nothing is heard
+    /// any more: as reports age or lose credit it falls to nothing, and own relays in flight decide.
     fn usual_load(&self) -> f64 {
         let (mut sum, mut of, mut all) = (0.0, 0.0, 0.0);
         for e in self.endpoints.iter().filter(|e| e.listed) {
@@ -509,7 +488,7 @@
         let known = odd && v.budget_votes >= 4;
         let gone = if known { v.limit.saturating_sub(a.budget) } else { Duration::ZERO };
         // A marked repeat has spent some of its goal, no one knows how much.
-        let mut value = v.utility * if a.again && !known { 0.3 } else { 1.0 };
+        let mut value = self.value(v) * if a.again && !known { 0.3 } else { 1.0 };
         if let Some(company) = a.company.filter(|c| *c < self.mix.len()) {
             self.mix[company].add(self.now, 8 * CALM);
             let rate = |m: &Faded| m.rate(self.now, 8 * CALM);
@@ -520,6 +499,9 @@
             }
         }
         let v = &mut self.duty.verbs[a.verb];
+        if !a.again && !known {
+            v.asked.add(self.now, 8 * CALM);
+        }
         match (odd, v.budget_votes) {
             (true, 0) => (v.budget, v.budget_votes) = (a.budget, 1),
             (true, _) => v.budget_votes -= 1,
@@ -559,6 +541,18 @@
         until > self.now
     }
 
+    /// What an answer in time adds to the result. Guards against starving the verb that is worth least for
+    /// as long as the result counts the worst served.
+    fn value(&self, v: &VerbDuty) -> f64 {
+        let rate = |v: &VerbDuty| v.asked.rate(self.now, 8 * CALM) + 1e-3;
+        let service = |v: &VerbDuty| v.served.rate(self.now, 8 * CALM) / rate(v);
+        let all: f64 = self.duty.verbs.iter().map(rate).sum();
+        let worth: f64 = self.duty.verbs.iter().map(|v| rate(v) * v.utility).sum();
+        let least = self.duty.verbs.iter().map(service).fold(1.0, f64::min);
+        let behind = (1.0 - 10.0 * (service(v) - least)).max(0.0);
+        self.duty.goal_whole * v.utility * all / worth + self.duty.goal_verb * behind * all / rate(v)
+    }
+
     /// Lets a command wait until what is left of its goal no longer fits a usual answer: its last call.
     fn enqueue(&mut self, cmd: CmdIx) {
         let Some(c) = self.commands[cmd].as_mut() else { return };
@@ -660,7 +654,7 @@
         };
         let may = |e: &Endpoint| (e.up_since.is_none() || e.cold_bag >= 1.0) && drops_repeats(e);
         // A second copy is a luxury: it goes only where there is room for the least worth.
-        let value = if copy { 0.0 } else { (c.value / self.duty.best_utility).clamp(0.0, 1.0) };
+        let value = if copy { 0.0 } else { (v.utility / self.duty.best_utility).clamp(0.0, 1.0) };
         let mut weights = self.weigh(Some(value), &may);
         for r in &c.relays {
             weights[r.endpoint] *= if copy { 0.0 } else { 0.01 };
@@ -733,7 +727,8 @@
     fn finish(&mut self, cmd: CmdIx, n: usize, outcome: Outcome, spent: Duration) -> Option<EndpointIx> {
         let now = self.now;
         let c = self.commands.get_mut(cmd)?.as_mut()?;
-        let (verb, r) = (c.verb, c.relays.get_mut(n).filter(|r| r.outcome.is_none())?);
+        let (verb, in_time) = (c.verb, now <= c.due);
+        let r = c.relays.get_mut(n).filter(|r| r.outcome.is_none())?;
         r.outcome = Some(outcome);
         let (r, at) = (*r, r.endpoint);
         let e = &mut self.endpoints[at];
@@ -744,6 +739,9 @@
         match outcome {
             Outcome::Answered => {
                 let v = &mut self.duty.verbs[verb];
+                if in_time {
+                    v.served.add(now, 8 * CALM);
+                }
                 let pace = v.pace(&r, spent);
                 v.usual.note(now, spent.as_secs_f64(), 10 * CALM);
                 self.usual.note(now, pace, 10 * CALM);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -306,6 +306,26 @@
     assert!(b.endpoints[0].health() < 1.0);
 }
 
+// Incidents ic477d7 and ibbfe5c: the verb worth least got a third of what the best got.
+#[rstest]
+#[case(1.0, true)]
+#[case(0.2, false)]
+fn the_worst_served_verb_goes_first(#[case] served: f64, #[case] richer_first: bool) {
+    let mut b = sidecar(Effect::Pure, 1);
+    let mut other = VerbDuty { utility: 3.0, ..VerbDuty::of(&verb(Effect::Pure), CALM) };
+    for n in 0..100 {
+        b.duty.verbs[0].asked.add(NOW, CALM);
+        other.asked.add(NOW, CALM);
+        other.served.add(NOW, CALM);
+        if f64::from(n) < served * 100.0 {
+            b.duty.verbs[0].served.add(NOW, CALM);
+        }
+    }
+    b.duty.verbs.push(other);
+    let ratio = b.value(&b.duty.verbs[1]) / b.value(&b.duty.verbs[0]);
+    assert_eq!(ratio > 1.0, richer_first, "{ratio}");
+}
+
 // Incident i0fad20: 130 lines of endpoints failing and well again within seconds.
 #[rstest]
 #[case(8, true)]
@@ -332,9 +352,9 @@
 
 // ---- helpers ----
 
-fn sidecar(effect: Effect, endpoints: usize) -> Balancer {
+fn verb(effect: Effect) -> VerbOrder {
     let ms = Duration::from_millis;
-    let verb = VerbOrder {
+    VerbOrder {
         name: "v".into(),
         effect,
         group: Group::All,
@@ -345,14 +365,20 @@
         utility: 1.0,
         late_utility: 0.0,
         stream: false,
-    };
+    }
+}
+
+fn sidecar(effect: Effect, endpoints: usize) -> Balancer {
+    let ms = Duration::from_millis;
     let mut b = Balancer::new(StandingOrders {
         seed: 7,
         zone: 0,
         zones: vec!["z".into()],
-        verbs: vec![verb],
+        verbs: vec![verb(effect)],
         companies: vec![],
         surplus_utility: 1.0,
+        goal_whole: 0.6,
+        goal_worst_verb: 0.4,
         tick: ms(1),
         max_relays: 3,
         max_retry_after: Some(ms(500)),
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -58,6 +58,8 @@
     pub verbs: Vec<VerbOrder>,
     pub companies: Vec<CompanyOrder>,
     pub surplus_utility: f64,
+    pub goal_whole: f64,
+    pub goal_worst_verb: f64,
     pub tick: Duration,
     pub max_relays: usize,
     pub max_retry_after: Option<Duration>,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -1,7 +1,7 @@
-//! What the decisions remember, by how long it lives: for one relay, for one command, for one endpoint.
+//! What the decisions remember, by how long it lives: for one relay, one command, one endpoint, one verb.
 //! Only shapes and sums stand here; what follows from them is decided in `choice.rs`.
 
-use crate::{EndpointIx, Outcome};
+use crate::{Effect, EndpointIx, Group, Outcome, VerbOrder};
 use std::time::Duration;
 
 /// A mean and a spread over the last few seconds.
@@ -27,8 +27,8 @@
         self.spread += gain * (off.abs() - self.spread);
     }
 
-    /// Mean, and a tail of two spreads above it. Few samples say little of a mean and less of a tail: both are
-    /// drawn toward the usual.
+    /// Mean, and a tail of two spreads above it. Few samples say little of a mean and less of a tail: both
+    /// are drawn toward the usual.
     pub fn read(&self, now: Duration, calm: Duration, usual: &Pace) -> (f64, f64) {
         let n = self.count * fade(now, self.at, calm);
         let mean = (self.mean * n + usual.mean * 2.0) / (n + 2.0);
@@ -54,6 +54,43 @@
     }
 }
 
+/// For one verb: what was ordered, and what was seen of it.
+pub struct VerbDuty {
+    pub effect: Effect,
+    pub group: Group,
+    pub window: Duration,
+    pub goal: Duration,
+    pub limit: Duration,
+    pub stretch: f64,
+    pub utility: f64,
+    pub late_utility: f64,
+    pub budget: Duration, // what most clients give, and how sure that is
+    pub budget_votes: u32,
+    pub asked: Faded,
+    pub served: Faded, // in time
+    pub usual: Pace,   // seconds that an answer takes
+}
+
+impl VerbDuty {
+    pub fn of(v: &VerbOrder, usual: Duration) -> Self {
+        VerbDuty {
+            effect: v.effect,
+            group: v.group,
+            window: v.window,
+            goal: v.goal,
+            limit: v.limit,
+            stretch: v.goal_stretch,
+            utility: v.utility,
+            late_utility: v.late_utility,
+            budget: Duration::ZERO,
+            budget_votes: 0,
+            asked: Faded::default(),
+            served: Faded::default(),
+            usual: Pace { mean: usual.as_secs_f64(), ..Pace::default() },
+        }
+    }
+}
+
 /// For one relay.
 #[derive(Clone, Copy)]
 pub struct Relay {
--- a/crates/passroad-wirehost/src/orders.rs
+++ b/crates/passroad-wirehost/src/orders.rs
@@ -112,6 +112,8 @@
         verbs,
         companies: companies.collect::<Result<Vec<_>, String>>()?,
         surplus_utility: at.number("/surplus_utility", 1.0)?,
+        goal_whole: at.number("/goal/whole", 1.0)?,
+        goal_worst_verb: at.number("/goal/worst_class", 0.0)?,
         tick: at.span("/tick", Duration::from_millis(1))?,
         max_relays: at.number("/allowed/max_relays", 1.0)? as usize,
         max_retry_after: match at.flag("/allowed/retry_after", false)? {
