Judge an endpoint by its last eight outcomes, not sixteen

Cause: a sidecar with little traffic sees a few outcomes of an endpoint in the whole trouble, and sixteen reach back past its start.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -21,7 +21,7 @@
 
 const LOAD_SHARE: f64 = 0.5; // of the score; own mean and tail latency share the rest
 const SCORE_FLOOR: f64 = 0.02; // near-zero scores must recover, so none is zero
-const OUTCOMES: u32 = 16; // the last few outcomes that judge an endpoint
+const OUTCOMES: u32 = 8; // the last few outcomes that judge an endpoint
 const FIRST_LIMIT: f64 = 2.0; // one in work and one waiting, at the usual size
 const GROWTH: f64 = 0.3; // of one, for a round of answers well in time
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -328,8 +328,8 @@
 
 // Incident i0fad20: 130 lines of endpoints failing and well again within seconds.
 #[rstest]
-#[case(8, true)]
-#[case(13, false)]
+#[case(OUTCOMES / 2, true)]
+#[case(OUTCOMES - 1, false)]
 fn a_failing_endpoint_is_well_again_at_three_quarters(#[case] good: u32, #[case] ailing: bool) {
     let mut b = sidecar(Effect::Pure, 1);
     let e = &mut b.endpoints[0];
@@ -338,6 +338,15 @@
     assert_eq!(b.endpoints[0].ailing, ailing);
 }
 
+// Incidents i3e941c and i4a6661: sixteen outcomes reached back past the start of the trouble.
+#[rstest]
+fn three_failures_in_a_row_take_most_of_the_weight() {
+    let mut b = sidecar(Effect::Pure, 2);
+    (b.endpoints[0].good, b.endpoints[0].seen) = (!0 << 3, OUTCOMES);
+    let w = b.weigh(None, &|_| true);
+    assert!(w[0] < 0.3 * w[1], "{w:?}");
+}
+
 // Incident ic477d7: answers to repeats whose goal had passed took the place of others.
 #[rstest]
 #[case(500, 400)]
