--- a/crates/passroad-wirehost/src/tests.rs
+++ b/crates/passroad-wirehost/src/tests.rs
@@ -59,3 +59,24 @@
 fn an_empty_batch_is_acknowledged() {
     assert_eq!(run("TICK time=5 seq=9\nEOF_BATCH\n"), ("ACK seq=9\n".into(), Ok(())));
 }
+
+#[rstest]
+#[case("STARTED i=0 op_id=ab spent=5 endpoint=10.0.0.1:9 trial=0")]
+#[case("PEER i=0 neighbour=1 bytes=aGkgNw==")]
+#[case("PEER i=0 neighbour=1 bytes=-")]
+#[case("INGRESS i=0 op_id=cd name_key=user:k hint=12000000 profile=v budget=500000000 write=1")]
+#[case("PEERS_KNOWN i=0 kind=refused revision=2")]
+fn events_that_few_sites_use_are_taken(#[case] event: &str) {
+    let command = "INGRESS i=0 op_id=ab profile=v budget=500000000\n";
+    let (out, end) = run(&format!("TICK time=5 seq=1\n{HELLO}{command}{event}\nEOF_BATCH\n"));
+    assert_eq!((out.lines().last(), end), (Some("ACK seq=1"), Ok(())));
+    assert!(!out.contains("BUG"), "{out}");
+}
+
+#[rstest]
+fn a_stream_that_has_started_is_not_recalled() {
+    let started = "STARTED i=0 op_id=ab spent=5 endpoint=10.0.0.1:9 trial=0\nLAPSED i=0 op_id=ab\n";
+    let command = "INGRESS i=0 op_id=ab profile=v budget=500000000\n";
+    let (out, _) = run(&format!("TICK time=5 seq=1\n{HELLO}{command}{started}EOF_BATCH\n"));
+    assert!(out.contains("PLACE") && !out.contains("RECALL"), "{out}");
+}
