--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -23,9 +23,9 @@
     mode: Mode,
 }
 
-struct Instance {
+pub struct Instance {
     balancer: Balancer,
-    endpoints: Door<String>,
+    pub endpoints: Door<String>,
     commands: Door<String>,
     zones: Door<String>,
     kinds: Door<String>,
@@ -34,7 +34,7 @@
 }
 
 impl Instance {
-    fn new(orders: StandingOrders) -> Self {
+    pub fn new(orders: StandingOrders) -> Self {
         let mut zones = Door::new();
         for zone in &orders.zones {
             zones.admit(zone);
@@ -133,7 +133,7 @@
         }
     }
 
-    fn write(&mut self, i: u64, action: &Action, reply: &mut String) -> Option<()> {
+    pub fn write(&mut self, i: u64, action: &Action, reply: &mut String) -> Option<()> {
         let cmds = &mut self.commands;
         let points = &self.endpoints;
         let _ = match action {
--- a/crates/passroad-wirehost/src/tests.rs
+++ b/crates/passroad-wirehost/src/tests.rs
@@ -1,4 +1,5 @@
-use super::serve;
+use super::{host::Instance, orders, serve};
+use passroad_choice::Action;
 use rstest::rstest;
 
 const HELLO: &str = concat!(
@@ -80,3 +81,18 @@
     let (out, _) = run(&format!("TICK time=5 seq=1\n{HELLO}{command}{started}EOF_BATCH\n"));
     assert!(out.contains("PLACE") && !out.contains("RECALL"), "{out}");
 }
+
+#[rstest]
+#[case(Action::Tell { to: None, bytes: b"hi 7".to_vec() }, "TELL i=3 dst=-1 bytes=aGkgNw==")]
+#[case(Action::Tell { to: Some(2), bytes: vec![] }, "TELL i=3 dst=2 bytes=-")]
+#[case(Action::AskList, "LIST_ALL i=3")]
+#[case(Action::Listen { active: false }, "LISTEN i=3 active=0")]
+#[case(Action::Disconnect { endpoint: 0 }, "DISCONNECT i=3 endpoint=10.0.0.1:9")]
+fn actions_that_few_sites_use_are_written(#[case] action: Action, #[case] line: &str) {
+    let settings = r#"{"verbs":[{"name":"v","effect":"read_like"}]}"#;
+    let mut instance = Instance::new(orders::read(1, settings).unwrap());
+    instance.endpoints.admit(&"10.0.0.1:9".to_string());
+    let mut reply = String::new();
+    instance.write(3, &action, &mut reply).unwrap();
+    assert_eq!(reply.trim_end(), line);
+}
