--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -187,6 +187,8 @@
                 self.listening = true;
                 self.out.push(Action::Listen { active: true });
             }
+            // Guards against a lost command: an alarm that comes a hair early must not stop the queue's clock.
+            ALARM_QUEUE if self.wake <= self.now + self.duty.tick => self.wake = Duration::ZERO,
             ALARM_COPY => self.copy(cmd),
             ALARM_GOAL => self.past_goal(cmd),
             _ => {}
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -142,6 +142,17 @@
     assert!(matches!(out[0], Action::Decline { cmd: 0, .. }), "{out:?}");
 }
 
+// Incidents i76fc45 and icb7ea6: the queue's alarm came 239 ns early, none followed, a command got no answer.
+#[rstest]
+fn an_alarm_that_comes_early_is_followed_by_another() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].listed = false;
+    b.commands[0] = Some(command());
+    (b.queue, b.wake) = (vec![0], NOW + Duration::from_nanos(239));
+    let out = b.decide(NOW, Event::Due { token: ALARM_QUEUE });
+    assert!(out.iter().any(|a| matches!(a, Action::Alarm { token: ALARM_QUEUE, .. })), "{out:?}");
+}
+
 #[rstest]
 fn no_return_time_where_none_may_be_given() {
     let mut b = with_relay(Effect::Pure, 1);
