An endpoint without an open connection counts as fuller by the stated prices

A new connection now counts as load by the prices of handshakes and, for each link open, of connections; where both are nought nothing changes.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -54,6 +54,10 @@
     tick: Duration,
     live_weights: bool,
     near: f64, // weight in another zone against the own
+    idle_close: Duration,
+    one_stream: bool, // a connection carries one relay at a time
+    new_link: f64,    // load that a new connection counts as, and more for each that is open
+    next_link: f64,
     cold_from: f64,
     warm_within: Duration,
     cold_share: f64, // of a warm one's sends, times the ramp
@@ -121,6 +125,11 @@
             tick: orders.tick,
             live_weights: orders.weights_live,
             near: 0.01 / (0.01 + orders.cross_zone_price.max(0.0)),
+            idle_close: orders.idle_close,
+            one_stream: orders.streams <= 1,
+            // A tenth of the service is worth one command ahead.
+            new_link: 10.0 * orders.handshake_price.max(0.0),
+            next_link: 10.0 * orders.connection_price.max(0.0) * orders.instances as f64 / 100.0,
             cold_from: orders.cold_from.clamp(0.01, 1.0),
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
             // Three quarters of the way, as a ratio, from a fair share to what would push a cold endpoint
@@ -367,6 +376,19 @@
         if all > 0.0 { sum / of.max(0.2 * all) } else { 1.0 }
     }
 
+    fn linked(&self, e: &Endpoint) -> bool {
+        let open = e.used.is_some_and(|at| self.now.saturating_sub(at) < self.duty.idle_close);
+        open && !(self.duty.one_stream && !e.out.is_empty())
+    }
+
+    /// Guards against hundreds of sidecars that each connect to all: a new connection costs its endpoint work,
+    /// and endpoints take few. Where none is open from here an endpoint counts as fuller by the stated prices.
+    fn link_load(&self) -> f64 {
+        let links = self.endpoints.iter().filter(|e| self.linked(e)).count() as f64;
+        let listed = self.endpoints.iter().filter(|e| e.listed).count().max(1) as f64;
+        self.duty.new_link + self.duty.next_link * links / listed
+    }
+
     fn ramp(&self, e: &Endpoint) -> f64 {
         let Some(up) = e.up_since else { return 1.0 };
         let age = self.now.saturating_sub(up).as_secs_f64() / self.duty.warm_within.as_secs_f64();
@@ -376,11 +398,12 @@
     /// Weights of all endpoints for one command; zero where it may not go. `value` is the command's utility
     /// against the best; without one, limits do not count.
     fn weigh(&self, value: Option<f64>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
-        let usual = self.usual_load();
+        let (usual, link) = (self.usual_load(), self.link_load());
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
+        let new = |e: &Endpoint| if self.linked(e) { 0.0 } else { link };
         let load = |e: &Endpoint| if ready(e) { self.load(e, usual) / e.size } else { f64::INFINITY };
         let loads: Vec<f64> = self.endpoints.iter().map(load).collect();
-        let ramped = |(e, load): (&Endpoint, &f64)| load / self.ramp(e);
+        let ramped = |(e, load): (&Endpoint, &f64)| load / self.ramp(e) + new(e);
         let least = self.endpoints.iter().zip(&loads).map(ramped).fold(f64::INFINITY, f64::min);
         let tail_of_all = self.usual.mean + 2.0 * self.usual.spread;
         let late = 4 * self.rtt + 2 * self.duty.tick;
@@ -390,7 +413,7 @@
             }
             let ramp = self.ramp(e);
             let (mean, tail) = e.pace.read(self.now, 2 * CALM, &self.usual);
-            let load = 10.0 - 40.0 * (load / ramp - least);
+            let load = 10.0 - 40.0 * (load / ramp + new(e) - least);
             let mean = 10.0 - 9.0 * (mean / self.usual.mean.max(1e-6) - 1.0).max(0.0);
             let tail = 10.0 - 9.0 * (tail / tail_of_all.max(1e-6) - 1.0).max(0.0);
             let score = LOAD_SHARE * load + (1.0 - LOAD_SHARE) * (mean + tail) / 2.0;
@@ -422,7 +445,7 @@
         let mut weights = self.weigh(None, &|_| true);
         for (e, w) in self.endpoints.iter().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
-            *w = if e.probing.is_some() || known || *w <= 0.0 { 0.0 } else { w.max(0.05) };
+            *w = if e.probing.is_some() || known || *w <= 0.0 { 0.0 } else { w.max(0.002) };
         }
         // Where most are idle, one asked is enough; the second round asks again if it is not.
         let most = self.duty.heartbeats.min(1 + (4.0 * self.usual_load()) as usize);
@@ -675,6 +698,7 @@
         self.out.push(Action::Relay { cmd, endpoint: at, within });
         let e = &mut self.endpoints[at];
         e.out.push(now);
+        e.used = Some(now);
         e.holds = e.holds.max(0.0) + 1.0;
         e.cold_bag -= 1.0;
         self.sends.add(now, CALM);
@@ -740,6 +764,7 @@
         }
         match outcome {
             Outcome::Answered => {
+                e.used = Some(now);
                 let v = &mut self.duty.verbs[verb];
                 if in_time {
                     v.served.add(now, 8 * CALM);
@@ -766,6 +791,7 @@
             Outcome::TimedOut => self.slow_answer(&r, verb, spent),
             Outcome::Error => self.judge(at, false),
             Outcome::NoConnection | Outcome::Broken => {
+                self.endpoints[at].used = None;
                 self.judge(at, false);
                 self.missed(at);
             }
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -84,6 +84,17 @@
     assert_eq!((b.endpoints[0].pace.count, b.endpoints[0].seen), (0.0, 1));
 }
 
+// tunis-transport at its later size: nearly half of all relays got no connection, handshakes ate the rest.
+#[rstest]
+#[case(Duration::from_secs(1), true)]
+#[case(Duration::from_secs(61), false)]
+fn an_open_connection_is_preferred_where_new_ones_cost(#[case] ago: Duration, #[case] preferred: bool) {
+    let mut b = sidecar(Effect::Pure, 2);
+    (b.duty.new_link, b.endpoints[0].used) = (0.2, Some(NOW - ago));
+    let w = b.weigh(None, &|_| true);
+    assert_eq!(w[0] > 1.3 * w[1], preferred, "{w:?}");
+}
+
 #[rstest]
 fn failures_scale_the_weight_down_but_not_to_nothing() {
     let mut b = sidecar(Effect::Pure, 2);
@@ -410,6 +421,11 @@
         weights_live: false,
         probe_price: 0.002,
         cross_zone_price: 0.0,
+        handshake_price: 0.0,
+        connection_price: 0.0,
+        idle_close: Duration::from_secs(60),
+        streams: 100,
+        instances: 1,
         ask_every: Duration::from_secs(10),
         cold_from: 0.2,
         warm_within: Duration::from_secs(20),
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -133,10 +133,11 @@
     pub cold_bag: f64,              // sends that a cold one may get now
     pub cold_at: Duration,
     pub heard: Option<Duration>,
-    pub holds: f64,         // last reported, and own sends and answers since
-    pub errs: f64,          // share of errors that it reports
-    pub credit: f64,        // how far its reports fit what it does
-    pub out: Vec<Duration>, // when own relays that are still out were sent
+    pub holds: f64,             // last reported, and own sends and answers since
+    pub errs: f64,              // share of errors that it reports
+    pub credit: f64,            // how far its reports fit what it does
+    pub out: Vec<Duration>,     // when own relays that are still out were sent
+    pub used: Option<Duration>, // last relay; a connection is open from here
     pub pace: Pace,
     pub good: u32, // the last outcomes, one bit each
     pub seen: u32,
@@ -165,6 +166,7 @@
             errs: 0.0,
             credit: 1.0,
             out: Vec::new(),
+            used: None,
             pace: Pace::default(),
             good: !0,
             seen: 0,
