The usual load goes by the reports heard, not by a share of the fleet

Cause: the mean of trusted loads was drawn to nothing unless a fifth of the fleet had been heard of in the last goal; in the small all are, at full size a sidecar hears of one or two. All seemed idle, one endpoint was asked.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -366,19 +366,19 @@
     /// Mean of the trusted loads, in commands a usual size. Guards against a lock-up where nothing is heard
     /// any more: as reports age or lose credit it falls to nothing, and own relays in flight decide.
     fn usual_load(&self) -> f64 {
-        let (mut sum, mut of, mut all) = (0.0, 0.0, 0.0);
+        let (mut sum, mut of) = (0.0, 0.0);
         for e in self.endpoints.iter().filter(|e| e.listed) {
             let fresh = e.heard.map_or(0.0, |at| fade(self.now, at, 4 * self.duty.trust));
             sum += fresh * e.credit * self.faith * e.holds.max(e.out.len() as f64);
             of += fresh * e.size;
-            all += e.size;
         }
-        if all > 0.0 { sum / of.max(0.2 * all) } else { 1.0 }
+        // Against one report, not a share of the fleet: of a large one few are heard of at any time.
+        sum / of.max(1.0)
     }
 
     fn linked(&self, e: &Endpoint) -> bool {
         let open = e.used.is_some_and(|at| self.now.saturating_sub(at) < self.duty.idle_close);
-        open && !(self.duty.one_stream && !e.out.is_empty())
+        open && (!self.duty.one_stream || e.out.is_empty())
     }
 
     /// Guards against hundreds of sidecars that each connect to all: a new connection costs its endpoint work,
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -95,6 +95,15 @@
     assert_eq!(w[0] > 1.3 * w[1], preferred, "{w:?}");
 }
 
+// All three deployments at their later size: with few reports in a large fleet the usual load seemed near nought.
+#[rstest]
+fn one_fresh_report_of_many_tells_the_usual_load() {
+    let mut b = sidecar(Effect::Pure, 80);
+    b.endpoints.iter_mut().for_each(|e| e.heard = None);
+    (b.endpoints[3].heard, b.endpoints[3].holds) = (Some(NOW), 2.0);
+    assert!((b.usual_load() - 2.0).abs() < 1e-9);
+}
+
 #[rstest]
 fn failures_scale_the_weight_down_but_not_to_nothing() {
     let mut b = sidecar(Effect::Pure, 2);
