--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -25,6 +25,7 @@
 const FIRST_LIMIT: f64 = 2.0; // one in work and one waiting, at the usual size
 const GROWTH: f64 = 0.3; // of one, for a round of answers well in time
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
+const ROUNDS: u32 = 1; // of heartbeats after the first, for one command
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
 const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
 const ALARM_QUEUE: u64 = 1;
@@ -548,7 +549,7 @@
             waits: true,
             over: false,
             streams: false,
-            asked_twice: false,
+            rounds: 0,
             relays: Vec::new(),
         });
         self.enqueue(a.cmd);
@@ -605,11 +606,11 @@
         for cmd in waiting {
             let Some(c) = self.held(cmd).filter(|c| c.waits && !c.over) else { continue };
             let (free, lost) = (c.relays.is_empty(), now >= c.last_call);
-            // One more round of heartbeats where none of those asked is idle.
+            // More rounds of heartbeats where none of those asked is idle.
             let held = c.hold_until > now && pending;
-            let again = !held && !c.asked_twice && !self.shedding && !self.knows_idle();
+            let again = !held && c.rounds < ROUNDS && !self.shedding && !self.knows_idle();
             if !lost && (held || again && self.hold(cmd)) {
-                self.commands[cmd].iter_mut().for_each(|c| c.asked_twice |= again);
+                self.commands[cmd].iter_mut().for_each(|c| c.rounds += u32::from(again));
                 self.queue.push(cmd);
                 continue;
             }
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -459,7 +459,7 @@
         waits: true,
         over: false,
         streams: false,
-        asked_twice: false,
+        rounds: 0,
         relays: vec![],
     }
 }
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -118,7 +118,7 @@
     pub waits: bool,
     pub over: bool,
     pub streams: bool,
-    pub asked_twice: bool,
+    pub rounds: u32, // of heartbeats after the first
     pub relays: Vec<Relay>,
 }
 
