--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -24,6 +24,7 @@
 const OUTCOMES: u32 = 8; // the last few outcomes that judge an endpoint
 const FIRST_LIMIT: f64 = 2.0; // one in work and one waiting, at the usual size
 const GROWTH: f64 = 0.3; // of one, for a round of answers well in time
+const LIMIT_SPREAD: f64 = 0.5; // of a change at one endpoint, what goes to the usual limit
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
 const ROUNDS: u32 = 1; // of heartbeats after the first, for one command
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
@@ -84,6 +85,7 @@
     rtt: Duration,
     sends: Faded,
     arrivals: Faded,
+    limit: f64, // the usual one, at the usual size
     faith: f64, // credit of reports as a whole
     spare: f64, // further relays allowed now
     listening: bool,
@@ -148,6 +150,7 @@
             usual: Pace { mean: 1.0, ..Pace::default() },
             sends: Faded::default(),
             arrivals: Faded::default(),
+            limit: FIRST_LIMIT,
             faith: 1.0,
             spare: 2.0,
             listening: false,
@@ -252,14 +255,14 @@
         for entry in &entries {
             let (bag, now) = (self.chance(), self.now);
             let len = self.endpoints.len().max(entry.endpoint + 1);
-            self.endpoints.resize_with(len, || Endpoint::unknown(now, FIRST_LIMIT));
+            self.endpoints.resize_with(len, || Endpoint::unknown(now));
             let e = &mut self.endpoints[entry.endpoint];
             (e.zone, e.cell) = (entry.zone, entry.cell);
             e.rating = if self.duty.live_weights { 1.0 } else { entry.rating.clamp(0.01, 1e6) };
             e.listed = entry.mode == Mode::Running;
             let young = !entry.started.is_zero() && now.saturating_sub(entry.started) < self.duty.warm_within;
             if young && e.up_since.is_none_or(|at| entry.started > at) {
-                e.start_cold(entry.started, now, bag, FIRST_LIMIT);
+                e.start_cold(entry.started, now, bag);
             }
         }
         let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
@@ -302,7 +305,7 @@
         let misses = std::mem::take(&mut e.misses);
         e.try_at = Duration::ZERO;
         if misses >= 3 && e.up_since.is_none_or(|up| now.saturating_sub(up) > within) {
-            e.start_cold(now, now, bag, FIRST_LIMIT);
+            e.start_cold(now, now, bag);
             self.log(format!("endpoint {at} back after {misses} misses, taken as cold"));
         }
     }
@@ -409,7 +412,7 @@
         let tail_of_all = self.usual.mean + 2.0 * self.usual.spread;
         let late = 4 * self.rtt + 2 * self.duty.tick;
         let weight = |(e, &load): (&Endpoint, &f64)| {
-            if load.is_infinite() || value.is_some_and(|v| load >= e.limit * (0.6 + 0.4 * v)) {
+            if load.is_infinite() || value.is_some_and(|v| load >= self.limit_of(e) * (0.6 + 0.4 * v)) {
                 return 0.0;
             }
             let ramp = self.ramp(e);
@@ -774,10 +777,12 @@
                 v.usual.note(now, spent.as_secs_f64(), 10 * CALM);
                 self.usual.note(now, pace, 10 * CALM);
                 e.pace.note(now, pace, 2 * CALM);
-                if spent < v.goal / 2 && r.ahead + 1.0 >= e.limit {
-                    e.limit = (e.limit + GROWTH / e.limit).min(64.0);
+                let (quick, late) = (spent < v.goal / 2, spent > v.goal.mul_f64(0.85));
+                let limit = self.limit_of(&self.endpoints[at]);
+                if quick && r.ahead + 1.0 >= limit {
+                    self.set_limit(at, (limit + GROWTH / limit).min(64.0));
                 }
-                if spent > v.goal.mul_f64(0.85) {
+                if late {
                     self.cut(at);
                 }
                 self.credit(at, if pace > 3.0 * self.usual.mean { -0.1 } else { 0.0 });
@@ -811,12 +816,23 @@
     }
 
     fn cut(&mut self, at: EndpointIx) {
-        let e = &mut self.endpoints[at];
-        if self.now.saturating_sub(e.last_cut) > self.duty.trust {
-            (e.limit, e.last_cut) = ((e.limit * CUT).max(1.0), self.now);
+        if self.now.saturating_sub(self.endpoints[at].last_cut) > self.duty.trust {
+            self.endpoints[at].last_cut = self.now;
+            self.set_limit(at, (self.limit_of(&self.endpoints[at]) * CUT).max(1.0));
         }
     }
 
+    /// An endpoint not tried lately has the usual limit. Guards against limits that never grow: in a large
+    /// fleet a sidecar meets each endpoint too seldom to learn one for each.
+    fn limit_of(&self, e: &Endpoint) -> f64 {
+        self.limit + (e.limit - self.limit) * fade(self.now, e.tried, 4 * CALM)
+    }
+
+    fn set_limit(&mut self, at: EndpointIx, limit: f64) {
+        self.limit = (self.limit + LIMIT_SPREAD * (limit - self.limit_of(&self.endpoints[at]))).max(1.0);
+        (self.endpoints[at].limit, self.endpoints[at].tried) = (limit, self.now);
+    }
+
     /// What becomes of a command of which a relay ended without an answer.
     fn go_on(&mut self, cmd: CmdIx, outcome: Outcome) {
         let Some(c) = self.held(cmd) else { return };
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -194,7 +194,7 @@
 #[rstest]
 fn a_cold_endpoint_gets_one_at_a_time() {
     let mut b = sidecar(Effect::Pure, 1);
-    b.endpoints[0].start_cold(NOW, NOW, 1.0, FIRST_LIMIT);
+    b.endpoints[0].start_cold(NOW, NOW, 1.0);
     b.commands.extend([Some(command()), Some(command())]);
     b.queue = vec![1, 2];
     let out = b.decide(NOW, Event::Due { token: ALARM_QUEUE });
@@ -204,7 +204,7 @@
 #[rstest]
 fn a_cold_fleet_is_filled_by_a_share_of_arrivals() {
     let mut b = sidecar(Effect::Pure, 1);
-    b.endpoints[0].start_cold(NOW, NOW - CALM, 0.0, FIRST_LIMIT);
+    b.endpoints[0].start_cold(NOW, NOW - CALM, 0.0);
     b.arrivals.add(NOW, CALM);
     b.fill_cold_bags();
     assert!(b.endpoints[0].cold_bag > 0.0);
@@ -250,11 +250,20 @@
 #[rstest]
 fn a_time_out_cuts_the_limit_once_in_a_while() {
     let mut b = sidecar(Effect::Pure, 1);
-    b.endpoints[0].limit = 10.0;
+    (b.endpoints[0].limit, b.endpoints[0].tried) = (10.0, NOW);
+    b.cut(0);
     b.cut(0);
     assert_eq!(b.endpoints[0].limit, 7.0);
 }
 
+// sahel-ambulances at its later size: limits stayed at two, endpoints of two cores stood half idle in a burst.
+#[rstest]
+fn a_limit_learnt_at_one_endpoint_serves_the_others() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.set_limit(0, 6.0);
+    assert!(b.limit_of(&b.endpoints[1]) > FIRST_LIMIT);
+}
+
 #[rstest]
 #[case(1.0, 1)]
 #[case(0.0, 0)]
@@ -441,7 +450,7 @@
         tip_multiple: 3.0,
     });
     b.now = NOW;
-    b.endpoints = (0..endpoints).map(|_| Endpoint::unknown(NOW, FIRST_LIMIT)).collect();
+    b.endpoints = (0..endpoints).map(|_| Endpoint::unknown(NOW)).collect();
     b.endpoints.iter_mut().for_each(|e| (e.listed, e.heard) = (true, Some(NOW)));
     b.commands = vec![None];
     b
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -143,7 +143,8 @@
     pub seen: u32,
     pub ailing: bool, // told of as failing, and its reports as not fitting
     pub doubted: bool,
-    pub limit: f64,
+    pub limit: f64, // as it was when last changed
+    pub tried: Duration,
     pub last_cut: Duration,
     pub probing: Option<Duration>,
     pub misses: u32,      // times in a row that it could not be reached
@@ -151,7 +152,7 @@
 }
 
 impl Endpoint {
-    pub fn unknown(now: Duration, limit: f64) -> Self {
+    pub fn unknown(now: Duration) -> Self {
         Endpoint {
             zone: 0,
             cell: 0,
@@ -172,7 +173,8 @@
             seen: 0,
             ailing: false,
             doubted: false,
-            limit,
+            limit: 1.0,
+            tried: Duration::ZERO,
             last_cut: Duration::ZERO,
             probing: None,
             misses: 0,
@@ -181,10 +183,10 @@
     }
 
     /// Another process now, or taken for one: nothing that is known of the old one holds.
-    pub fn start_cold(&mut self, since: Duration, now: Duration, bag: f64, limit: f64) {
+    pub fn start_cold(&mut self, since: Duration, now: Duration, bag: f64) {
         (self.up_since, self.cold_at, self.cold_bag) = (Some(since), now, bag);
         (self.good, self.seen, self.ailing, self.pace) = (!0, 0, false, Pace::default());
-        self.limit = limit;
+        self.tried = Duration::ZERO;
         (self.misses, self.try_at) = (0, Duration::ZERO);
     }
 }
