One allowance for all cold endpoints in place of one for each

Each sidecar's allowance for each endpoint took most of a minute to come to one send, was lost when not used, and heartbeats asked cold endpoints that could get nothing. Told from slow cold ones by their times: 130 ms against 230 at warm ones. Now one bag a sidecar, filled by the sum of ramps and the rate to warm ones; none is asked without it.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -84,6 +84,9 @@
     usual: Pace,     // pace of all endpoints, against each verb's usual
     rtt: Duration,
     sends: Faded,
+    warm_sends: Faded,
+    cold_bag: f64, // sends that cold endpoints may get now
+    cold_at: Duration,
     arrivals: Faded,
     limit: f64, // the usual one, at the usual size
     faith: f64, // credit of reports as a whole
@@ -149,6 +152,9 @@
             queue: Vec::new(),
             usual: Pace { mean: 1.0, ..Pace::default() },
             sends: Faded::default(),
+            warm_sends: Faded::default(),
+            cold_bag: 0.0,
+            cold_at: Duration::ZERO,
             arrivals: Faded::default(),
             limit: FIRST_LIMIT,
             faith: 1.0,
@@ -230,6 +236,9 @@
 
     fn read_list(&mut self, kind: ListKind, entries: Vec<Listing>) {
         let jitter = self.chance();
+        if self.cold_at.is_zero() {
+            (self.cold_bag, self.cold_at) = (jitter, self.now); // the sidecars' bags fill at different times
+        }
         match kind {
             // Guards against a crowd at a list service that is down: later each time, never in step.
             ListKind::Refused => {
@@ -253,16 +262,16 @@
             self.endpoints.iter_mut().for_each(|e| e.listed = false);
         }
         for entry in &entries {
-            let (bag, now) = (self.chance(), self.now);
+            let now = self.now;
             let len = self.endpoints.len().max(entry.endpoint + 1);
-            self.endpoints.resize_with(len, || Endpoint::unknown(now));
+            self.endpoints.resize_with(len, Endpoint::unknown);
             let e = &mut self.endpoints[entry.endpoint];
             (e.zone, e.cell) = (entry.zone, entry.cell);
             e.rating = if self.duty.live_weights { 1.0 } else { entry.rating.clamp(0.01, 1e6) };
             e.listed = entry.mode == Mode::Running;
             let young = !entry.started.is_zero() && now.saturating_sub(entry.started) < self.duty.warm_within;
             if young && e.up_since.is_none_or(|at| entry.started > at) {
-                e.start_cold(entry.started, now, bag);
+                e.start_cold(entry.started);
             }
         }
         let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
@@ -300,12 +309,12 @@
     /// Guards against pushing over a process that restarted before the list says so: if it could not be
     /// reached and now can, it counts as cold from here.
     fn reached(&mut self, at: EndpointIx) {
-        let (bag, now, within) = (self.chance(), self.now, self.duty.warm_within);
+        let (now, within) = (self.now, self.duty.warm_within);
         let e = &mut self.endpoints[at];
         let misses = std::mem::take(&mut e.misses);
         e.try_at = Duration::ZERO;
         if misses >= 3 && e.up_since.is_none_or(|up| now.saturating_sub(up) > within) {
-            e.start_cold(now, now, bag);
+            e.start_cold(now);
             self.log(format!("endpoint {at} back after {misses} misses, taken as cold"));
         }
     }
@@ -446,7 +455,8 @@
     /// Asks a few likely endpoints how they are before a command goes out. Guards against choosing by reports
     /// that are older than a service time: each sidecar sees too little traffic to hear of all by answers.
     fn heartbeat(&mut self) -> Duration {
-        let mut weights = self.weigh(None, &|_| true);
+        self.fill_cold_bag();
+        let mut weights = self.weigh(None, &|e| self.cold_bag >= 1.0 || !self.cold(e));
         for (e, w) in self.endpoints.iter().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
             *w = if e.probing.is_some() || known || *w <= 0.0 { 0.0 } else { w.max(0.002) };
@@ -482,28 +492,25 @@
 
     // ---- warm-up ----
 
-    /// Guards against pushing over a cold endpoint. Sidecars can't agree, so each gives it no more than its
-    /// ramp of what a warm one of its size gets from here, and never two at once.
-    fn fill_cold_bags(&mut self) {
-        let (mut warmth, mut sizes) = (1e-9, 1e-9);
+    fn cold(&self, e: &Endpoint) -> bool {
+        e.up_since.is_some_and(|up| self.now.saturating_sub(up) < self.duty.warm_within)
+    }
+
+    /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends to all cold ones
+    /// follows their ramps and its own rate to warm ones of like size. One bag for all: in a large fleet a
+    /// sidecar meets each too seldom for one each, and what is not used is lost, so bursts stay small.
+    fn fill_cold_bag(&mut self) {
+        let (mut ramps, mut warm, mut sizes) = (0.0, 0.0, 1e-9);
         for e in self.endpoints.iter().filter(|e| e.listed) {
-            warmth += e.size * self.ramp(e);
             sizes += e.size;
+            if self.cold(e) { ramps += e.size * self.ramp(e) } else { warm += e.size }
         }
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
-        let arrivals = self.arrivals.rate(self.now, 4 * CALM);
-        let rate =
-            self.duty.cold_share * (self.sends.rate(self.now, CALM) / warmth).max(0.3 * arrivals / sizes);
-        for at in 0..self.endpoints.len() {
-            let (e, now) = (&self.endpoints[at], self.now);
-            let Some(up) = e.up_since else { continue };
-            let gain = rate * e.size * self.ramp(e) * now.saturating_sub(e.cold_at).as_secs_f64();
-            let e = &mut self.endpoints[at];
-            (e.cold_bag, e.cold_at) = ((e.cold_bag + gain).min(1.0), now);
-            if now.saturating_sub(up) >= self.duty.warm_within {
-                e.up_since = None;
-            }
-        }
+        let arrivals = 0.3 * self.arrivals.rate(self.now, 4 * CALM) / sizes;
+        let rate = (self.warm_sends.rate(self.now, 4 * CALM) / f64::max(warm, 0.1 * sizes)).max(arrivals);
+        let since = self.now.saturating_sub(self.cold_at).as_secs_f64();
+        self.cold_bag = (self.cold_bag + self.duty.cold_share * rate * ramps * since).min(1.0);
+        self.cold_at = self.now;
     }
 
     // ---- commands ----
@@ -597,7 +604,7 @@
         if self.queue.is_empty() {
             return;
         }
-        self.fill_cold_bags();
+        self.fill_cold_bag();
         let mut waiting = std::mem::take(&mut self.queue);
         let rank = |cmd: &CmdIx| self.held(*cmd).map_or((0.0, Duration::ZERO), |c| (-c.value, c.came));
         waiting.sort_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal));
@@ -681,7 +688,7 @@
                 Group::Cell => e.zone == home.zone && e.cell == home.cell,
             })
         };
-        let may = |e: &Endpoint| (e.up_since.is_none() || e.cold_bag >= 1.0) && drops_repeats(e);
+        let may = |e: &Endpoint| (self.cold_bag >= 1.0 || !self.cold(e)) && drops_repeats(e);
         // A second copy is a luxury: it goes only where there is room for the least worth.
         let value = if copy { 0.0 } else { (v.utility / self.duty.best_utility).clamp(0.0, 1.0) };
         let mut weights = self.weigh(Some(value), &may);
@@ -694,6 +701,7 @@
     fn send(&mut self, cmd: CmdIx, at: EndpointIx) {
         let (now, usual) = (self.now, self.usual_load());
         let ahead = self.load(&self.endpoints[at], usual) / self.endpoints[at].size;
+        let cold = self.cold(&self.endpoints[at]);
         let Some(c) = self.commands[cmd].as_mut() else { return };
         let first = c.relays.is_empty();
         c.waits = false;
@@ -704,8 +712,12 @@
         e.out.push(now);
         e.used = Some(now);
         e.holds = e.holds.max(0.0) + 1.0;
-        e.cold_bag -= 1.0;
         self.sends.add(now, CALM);
+        if cold {
+            self.cold_bag -= 1.0;
+        } else {
+            self.warm_sends.add(now, 4 * CALM);
+        }
         let v = &self.duty.verbs[c.verb];
         let (until_due, slow) = (c.due.saturating_sub(now), v.slow());
         let copies = self.duty.second_copies && v.effect != Effect::Effectful && slow < v.goal.mul_f64(0.8);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -194,7 +194,8 @@
 #[rstest]
 fn a_cold_endpoint_gets_one_at_a_time() {
     let mut b = sidecar(Effect::Pure, 1);
-    b.endpoints[0].start_cold(NOW, NOW, 1.0);
+    b.endpoints[0].start_cold(NOW);
+    b.cold_bag = 1.0;
     b.commands.extend([Some(command()), Some(command())]);
     b.queue = vec![1, 2];
     let out = b.decide(NOW, Event::Due { token: ALARM_QUEUE });
@@ -204,10 +205,24 @@
 #[rstest]
 fn a_cold_fleet_is_filled_by_a_share_of_arrivals() {
     let mut b = sidecar(Effect::Pure, 1);
-    b.endpoints[0].start_cold(NOW, NOW - CALM, 0.0);
+    b.endpoints[0].start_cold(NOW);
+    b.cold_at = NOW - CALM;
     b.arrivals.add(NOW, CALM);
-    b.fill_cold_bags();
-    assert!(b.endpoints[0].cold_bag > 0.0);
+    b.fill_cold_bag();
+    assert!(b.cold_bag > 0.0);
+}
+
+// tunis-transport at its later size, big-1: cold endpoints idle three quarters of the time, each sidecar's
+// allowance for each took a minute to come to one send.
+#[rstest]
+fn many_cold_endpoints_share_one_allowance() {
+    let mut b = sidecar(Effect::Pure, 60);
+    b.endpoints[30..].iter_mut().for_each(|e| e.start_cold(NOW));
+    b.warm_sends.add(NOW, 4 * CALM);
+    (b.cold_bag, b.cold_at) = (0.0, NOW - CALM);
+    b.fill_cold_bag();
+    let each = b.duty.cold_share * b.warm_sends.rate(NOW, 4 * CALM) / 30.0 * b.duty.cold_from * 2.0;
+    assert!((b.cold_bag - 30.0 * each).abs() < 1e-9, "{}", b.cold_bag);
 }
 
 // Incident i4a6661: warm endpoints overfull beside half-idle cold ones, whose ramp is a lower bound.
@@ -450,7 +465,7 @@
         tip_multiple: 3.0,
     });
     b.now = NOW;
-    b.endpoints = (0..endpoints).map(|_| Endpoint::unknown(NOW)).collect();
+    b.endpoints = (0..endpoints).map(|_| Endpoint::unknown()).collect();
     b.endpoints.iter_mut().for_each(|e| (e.listed, e.heard) = (true, Some(NOW)));
     b.commands = vec![None];
     b
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -130,8 +130,6 @@
     pub size: f64, // rating against the mean of the listed
     pub listed: bool,
     pub up_since: Option<Duration>, // cold from here, if it started lately
-    pub cold_bag: f64,              // sends that a cold one may get now
-    pub cold_at: Duration,
     pub heard: Option<Duration>,
     pub holds: f64,             // last reported, and own sends and answers since
     pub errs: f64,              // share of errors that it reports
@@ -152,7 +150,7 @@
 }
 
 impl Endpoint {
-    pub fn unknown(now: Duration) -> Self {
+    pub fn unknown() -> Self {
         Endpoint {
             zone: 0,
             cell: 0,
@@ -160,8 +158,6 @@
             size: 1.0,
             listed: false,
             up_since: None,
-            cold_bag: 0.0,
-            cold_at: now,
             heard: None,
             holds: 0.0,
             errs: 0.0,
@@ -183,8 +179,8 @@
     }
 
     /// Another process now, or taken for one: nothing that is known of the old one holds.
-    pub fn start_cold(&mut self, since: Duration, now: Duration, bag: f64) {
-        (self.up_since, self.cold_at, self.cold_bag) = (Some(since), now, bag);
+    pub fn start_cold(&mut self, since: Duration) {
+        self.up_since = Some(since);
         (self.good, self.seen, self.ailing, self.pace) = (!0, 0, false, Pace::default());
         self.tried = Duration::ZERO;
         (self.misses, self.try_at) = (0, Duration::ZERO);
