An unheard cold endpoint is taken to hold its ramp's share of the usual

Cause: it was taken to hold what warm ones hold, which over its ramp looked five times as full; none was asked.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -373,7 +373,7 @@
     /// What is out from here counts in any case.
     fn load(&self, e: &Endpoint, usual: f64) -> f64 {
         let trust = e.heard.map_or(0.0, |at| e.credit * self.faith * fade(self.now, at, self.duty.trust));
-        (trust * e.holds.max(0.0) + (1.0 - trust) * usual * e.size).max(e.out.len() as f64)
+        (trust * e.holds.max(0.0) + (1.0 - trust) * usual * e.size * self.ramp(e)).max(e.out.len() as f64)
     }
 
     /// Mean of the trusted loads, in commands a usual size. Guards against a lock-up where nothing is heard
