A command goes as soon as one asked endpoint is idle

Cause: replies of idle endpoints grew old while the slowest heartbeat was awaited, and others chose the same ones.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -617,8 +617,9 @@
             let Some(c) = self.held(cmd).filter(|c| c.waits && !c.over) else { continue };
             let (free, lost) = (c.relays.is_empty(), now >= c.last_call);
             // More rounds of heartbeats where none of those asked is idle.
-            let held = c.hold_until > now && pending;
-            let again = !held && c.rounds < ROUNDS && !self.shedding && !self.knows_idle();
+            let idle = self.knows_idle();
+            let held = c.hold_until > now && pending && !idle;
+            let again = !held && !idle && c.rounds < ROUNDS && !self.shedding;
             if !lost && (held || again && self.hold(cmd)) {
                 self.commands[cmd].iter_mut().for_each(|c| c.rounds += u32::from(again));
                 self.queue.push(cmd);
