Passes for cold endpoints, drawn by chance and soon lost, in place of the bag

Now each arrival draws, at the ramp times the rate to warm ones, whether there is a pass and for which endpoint; it holds for a quarter of the stated time. The endpoint of a pass is asked in any case and pays no load for its connection.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -62,6 +62,7 @@
     next_link: f64,
     cold_from: f64,
     warm_within: Duration,
+    tip_after: Duration,
     cold_share: f64, // of a warm one's sends, times the ramp
 }
 
@@ -85,8 +86,7 @@
     rtt: Duration,
     sends: Faded,
     warm_sends: Faded,
-    cold_bag: f64, // sends that cold endpoints may get now
-    cold_at: Duration,
+    pass_at: Duration, // when a pass was last drawn
     arrivals: Faded,
     limit: f64, // the usual one, at the usual size
     faith: f64, // credit of reports as a whole
@@ -138,6 +138,7 @@
             next_link: 10.0 * orders.connection_price.max(0.0) * orders.instances as f64 / 100.0,
             cold_from: orders.cold_from.clamp(0.01, 1.0),
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
+            tip_after: orders.tip_after,
             // Three quarters of the way, as a ratio, from a fair share to what would push a cold endpoint
             // over.
             cold_share: orders.tip_multiple.max(1.0).powf(0.75),
@@ -153,8 +154,7 @@
             usual: Pace { mean: 1.0, ..Pace::default() },
             sends: Faded::default(),
             warm_sends: Faded::default(),
-            cold_bag: 0.0,
-            cold_at: Duration::ZERO,
+            pass_at: Duration::ZERO,
             arrivals: Faded::default(),
             limit: FIRST_LIMIT,
             faith: 1.0,
@@ -236,9 +236,6 @@
 
     fn read_list(&mut self, kind: ListKind, entries: Vec<Listing>) {
         let jitter = self.chance();
-        if self.cold_at.is_zero() {
-            (self.cold_bag, self.cold_at) = (jitter, self.now); // the sidecars' bags fill at different times
-        }
         match kind {
             // Guards against a crowd at a list service that is down: later each time, never in step.
             ListKind::Refused => {
@@ -413,7 +410,7 @@
     fn weigh(&self, value: Option<f64>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
         let (usual, link) = (self.usual_load(), self.link_load());
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
-        let new = |e: &Endpoint| if self.linked(e) { 0.0 } else { link };
+        let new = |e: &Endpoint| if self.linked(e) || self.cold(e) { 0.0 } else { link };
         let load = |e: &Endpoint| if ready(e) { self.load(e, usual) / e.size } else { f64::INFINITY };
         let loads: Vec<f64> = self.endpoints.iter().map(load).collect();
         let ramped = |(e, load): (&Endpoint, &f64)| load / self.ramp(e) + new(e);
@@ -434,7 +431,7 @@
             let health = (e.health() * (1.0 - e.errs)).max(0.1).powi(3);
             // Guards against an endpoint that stands still: it does not answer a heartbeat in the usual time.
             let quiet = e.probing.is_some_and(|at| self.now.saturating_sub(at) > late);
-            base * score.clamp(SCORE_FLOOR, 10.0) / 10.0 * health * ramp * if quiet { 0.02 } else { 1.0 }
+            base * score.clamp(SCORE_FLOOR, 10.0) / 10.0 * health * if quiet { 0.02 } else { 1.0 }
         };
         self.endpoints.iter().zip(&loads).map(weight).collect()
     }
@@ -455,15 +452,16 @@
     /// Asks a few likely endpoints how they are before a command goes out. Guards against choosing by reports
     /// that are older than a service time: each sidecar sees too little traffic to hear of all by answers.
     fn heartbeat(&mut self) -> Duration {
-        self.fill_cold_bag();
-        let mut weights = self.weigh(None, &|e| self.cold_bag >= 1.0 || !self.cold(e));
+        let mut weights = self.weigh(None, &|e| self.open(e));
         for (e, w) in self.endpoints.iter().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
             *w = if e.probing.is_some() || known || *w <= 0.0 { 0.0 } else { w.max(0.002) };
         }
         // Where most are idle, one asked is enough; the second round asks again if it is not.
         let most = self.duty.heartbeats.min(1 + (4.0 * self.usual_load()) as usize);
-        let mut asked = Vec::new();
+        // A pass is for now: its endpoint is asked in any case.
+        let passed = |at: &EndpointIx| weights[*at] > 0.0 && self.cold(&self.endpoints[*at]);
+        let mut asked: Vec<_> = (0..weights.len()).filter(passed).collect();
         while asked.len() < most {
             let Some(at) = self.draw(&weights) else { break };
             weights[at] = 0.0;
@@ -492,25 +490,44 @@
 
     // ---- warm-up ----
 
+    /// Warm, or with a pass that still holds.
+    fn open(&self, e: &Endpoint) -> bool {
+        !self.cold(e) || self.now < e.pass_until
+    }
+
     fn cold(&self, e: &Endpoint) -> bool {
         e.up_since.is_some_and(|up| self.now.saturating_sub(up) < self.duty.warm_within)
     }
 
-    /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends to all cold ones
-    /// follows their ramps and its own rate to warm ones of like size. One bag for all: in a large fleet a
-    /// sidecar meets each too seldom for one each, and what is not used is lost, so bursts stay small.
-    fn fill_cold_bag(&mut self) {
-        let (mut ramps, mut warm, mut sizes) = (0.0, 0.0, 1e-9);
+    /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends there follows its
+    /// ramp and the own rate to warm ones of like size, in any short time: each arrival draws whether there
+    /// is a pass for one send, and for which endpoint. An unused pass is soon lost, so that hundreds of
+    /// sidecars never hold a burst in hand, and it serves no other endpoint than its own.
+    fn draw_pass(&mut self) {
+        let (mut warm, mut sizes) = (0.0, 1e-9);
         for e in self.endpoints.iter().filter(|e| e.listed) {
             sizes += e.size;
-            if self.cold(e) { ramps += e.size * self.ramp(e) } else { warm += e.size }
+            warm += if self.cold(e) { 0.0 } else { e.size };
+        }
+        let since = self.now.saturating_sub(std::mem::replace(&mut self.pass_at, self.now));
+        if sizes - warm < 1e-6 {
+            return;
         }
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
         let arrivals = 0.3 * self.arrivals.rate(self.now, 4 * CALM) / sizes;
         let rate = (self.warm_sends.rate(self.now, 4 * CALM) / f64::max(warm, 0.1 * sizes)).max(arrivals);
-        let since = self.now.saturating_sub(self.cold_at).as_secs_f64();
-        self.cold_bag = (self.cold_bag + self.duty.cold_share * rate * ramps * since).min(1.0);
-        self.cold_at = self.now;
+        let gain = self.duty.cold_share * rate * since.min(self.duty.tip_after).as_secs_f64();
+        let mut left = self.chance();
+        for at in 0..self.endpoints.len() {
+            let e = &self.endpoints[at];
+            if e.listed && self.cold(e) {
+                left -= gain * e.size * self.ramp(e);
+                if left < 0.0 {
+                    self.endpoints[at].pass_until = self.now + self.duty.tip_after / 4;
+                    return;
+                }
+            }
+        }
     }
 
     // ---- commands ----
@@ -548,6 +565,7 @@
         }
         self.spare = (self.spare + 0.1).min(5.0);
         self.arrivals.add(self.now, 4 * CALM);
+        self.draw_pass();
         self.commands[a.cmd] = Some(Command {
             verb: a.verb,
             came: self.now,
@@ -604,7 +622,6 @@
         if self.queue.is_empty() {
             return;
         }
-        self.fill_cold_bag();
         let mut waiting = std::mem::take(&mut self.queue);
         let rank = |cmd: &CmdIx| self.held(*cmd).map_or((0.0, Duration::ZERO), |c| (-c.value, c.came));
         waiting.sort_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal));
@@ -689,7 +706,7 @@
                 Group::Cell => e.zone == home.zone && e.cell == home.cell,
             })
         };
-        let may = |e: &Endpoint| (self.cold_bag >= 1.0 || !self.cold(e)) && drops_repeats(e);
+        let may = |e: &Endpoint| self.open(e) && drops_repeats(e);
         // A second copy is a luxury: it goes only where there is room for the least worth.
         let value = if copy { 0.0 } else { (v.utility / self.duty.best_utility).clamp(0.0, 1.0) };
         let mut weights = self.weigh(Some(value), &may);
@@ -715,7 +732,7 @@
         e.holds = e.holds.max(0.0) + 1.0;
         self.sends.add(now, CALM);
         if cold {
-            self.cold_bag -= 1.0;
+            self.endpoints[at].pass_until = Duration::ZERO;
         } else {
             self.warm_sends.add(now, 4 * CALM);
         }
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -80,6 +80,7 @@
     pub cold_from: f64,
     pub warm_within: Duration,
     pub tip_multiple: f64,
+    pub tip_after: Duration,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -130,6 +130,7 @@
     pub size: f64, // rating against the mean of the listed
     pub listed: bool,
     pub up_since: Option<Duration>, // cold from here, if it started lately
+    pub pass_until: Duration,       // a cold one may get one send until then
     pub heard: Option<Duration>,
     pub holds: f64,             // last reported, and own sends and answers since
     pub errs: f64,              // share of errors that it reports
@@ -158,6 +159,7 @@
             size: 1.0,
             listed: false,
             up_since: None,
+            pass_until: Duration::ZERO,
             heard: None,
             holds: 0.0,
             errs: 0.0,
@@ -180,7 +182,7 @@
 
     /// Another process now, or taken for one: nothing that is known of the old one holds.
     pub fn start_cold(&mut self, since: Duration) {
-        self.up_since = Some(since);
+        (self.up_since, self.pass_until) = (Some(since), Duration::ZERO);
         (self.good, self.seen, self.ailing, self.pace) = (!0, 0, false, Pace::default());
         self.tried = Duration::ZERO;
         (self.misses, self.try_at) = (0, Duration::ZERO);
--- a/crates/passroad-wirehost/src/orders.rs
+++ b/crates/passroad-wirehost/src/orders.rs
@@ -140,6 +140,7 @@
         ask_every: at.span("/rules/ask_every", Duration::from_secs(10))?,
         cold_from: at.number("/rules/cold_from", 1.0)?,
         warm_within: at.span("/rules/warm_within", Duration::ZERO)?,
+        tip_after: at.span("/rules/tip_after", Duration::from_secs(1))?,
         tip_multiple: at.number("/rules/tip_multiple", 1.0)?,
     })
 }
