Shapes to state.rs, their decisions to choice.rs; fading without exponentials

Pace and cold start were decided in state.rs; they stand in choice.rs now, and the duty sheet's and the instance's shapes in state.rs. Figures fade by a power that follows the exponential: every walk over a large fleet took three.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -12,7 +12,8 @@
 //!   warm-up  a cold endpoint gets no more than its ramp's share of what warm ones get
 //!   list     subscribe or ask with jitter and back-off; what drains or is gone gets nothing new
 
-use crate::state::{Command, Endpoint, Faded, Pace, Relay, VerbDuty, fade};
+pub use crate::state::Balancer;
+use crate::state::{Command, DutySheet, Endpoint, Faded, Pace, Relay, VerbDuty, fade};
 use crate::*;
 use std::time::Duration;
 
@@ -27,78 +28,46 @@
 const LIMIT_SPREAD: f64 = 0.5; // of a change at one endpoint, what goes to the usual limit
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
 const ROUNDS: u32 = 1; // of heartbeats after the first, for one command
+const LEAST_GAIN: f64 = 0.02; // of a sample, however many came before
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
 const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
 const ALARM_QUEUE: u64 = 1;
 const ALARM_COPY: u64 = 2;
 const ALARM_GOAL: u64 = 3;
 
-/// What the standing orders come to: the figures that decisions use.
-struct DutySheet {
-    verbs: Vec<VerbDuty>,
-    best_utility: f64,
-    goal_whole: f64, // what the result is made of
-    goal_verb: f64,
-    portions: Vec<f64>,
-    surplus_utility: f64,
-    own_zone: usize,
-    most_relays: usize,
-    return_after: Option<Duration>,
-    may_recall: bool,
-    second_copies: bool,
-    listen: bool,
-    list_every: Duration,
-    heartbeats: usize,  // probes that one command is worth
-    fresh: Duration,    // a report needs no heartbeat for so long
-    trust: Duration,    // trust in a report falls to a third in this
-    hold: Duration,     // the longest wait for heartbeats
-    patience: Duration, // the wait that a queue may come to
-    tick: Duration,
-    live_weights: bool,
-    near: f64, // weight in another zone against the own
-    idle_close: Duration,
-    one_stream: bool, // a connection carries one relay at a time
-    new_link: f64,    // load that a new connection counts as, and more for each that is open
-    next_link: f64,
-    cold_from: f64,
-    warm_within: Duration,
-    tip_after: Duration,
-    cold_share: f64, // of a warm one's sends, times the ramp
-}
-
 impl Endpoint {
     /// Share of successes among the last few outcomes; few outcomes count as mostly good.
     fn health(&self) -> f64 {
         let bad = (!self.good & ((1 << OUTCOMES) - 1)).count_ones().min(self.seen);
         1.0 - f64::from(bad) / f64::from(self.seen.max(4))
     }
+
+    /// Another process now, or taken for one: nothing that is known of the old one holds.
+    fn start_cold(&mut self, since: Duration) {
+        (self.up_since, self.pass_until) = (Some(since), Duration::ZERO);
+        (self.good, self.seen, self.ailing, self.pace) = (!0, 0, false, Pace::default());
+        self.tried = Duration::ZERO;
+        (self.misses, self.try_at) = (0, Duration::ZERO);
+    }
 }
 
-/// One sidecar's decisions; state for the life of the instance.
-pub struct Balancer {
-    duty: DutySheet,
-    dice: u64,
-    endpoints: Vec<Endpoint>,
-    commands: Vec<Option<Command>>,
-    queue: Vec<CmdIx>,
-    mix: Vec<Faded>, // arrivals by company
-    usual: Pace,     // pace of all endpoints, against each verb's usual
-    rtt: Duration,
-    sends: Faded,
-    warm_sends: Faded,
-    pass_at: Duration, // when a pass was last drawn
-    arrivals: Faded,
-    limit: f64, // the usual one, at the usual size
-    faith: f64, // credit of reports as a whole
-    spare: f64, // further relays allowed now
-    listening: bool,
-    list_fails: u32,
-    shedding: bool,
-    shed_at: Duration,
-    ask_at: Duration,
-    wake: Duration, // when the queue is looked at next
-    now: Duration,
-    out: Vec<Action>,
+impl Pace {
+    fn note(&mut self, now: Duration, value: f64, calm: Duration) {
+        self.count = self.count * fade(now, self.at, calm) + 1.0;
+        self.at = now;
+        let gain = (1.0 / self.count).max(LEAST_GAIN);
+        let off = value - self.mean;
+        self.mean += gain * off;
+        self.spread += gain * (off.abs() - self.spread);
+    }
+
+    /// Mean, and a tail of two spreads above it. Few samples say little of a mean and less of a tail: both
+    /// are drawn toward the usual.
+    fn read(&self, now: Duration, calm: Duration, usual: &Pace) -> (f64, f64) {
+        let n = self.count * fade(now, self.at, calm);
+        let mean = (self.mean * n + usual.mean * 2.0) / (n + 2.0);
+        (mean, mean + 2.0 * (self.spread * n + usual.spread * 8.0) / (n + 8.0))
+    }
 }
 
 impl Balancer {
@@ -148,25 +117,11 @@
             rtt: duty.tick,
             duty,
             dice: orders.seed | 1,
-            endpoints: Vec::new(),
-            commands: Vec::new(),
-            queue: Vec::new(),
             usual: Pace { mean: 1.0, ..Pace::default() },
-            sends: Faded::default(),
-            warm_sends: Faded::default(),
-            pass_at: Duration::ZERO,
-            arrivals: Faded::default(),
             limit: FIRST_LIMIT,
             faith: 1.0,
             spare: 2.0,
-            listening: false,
-            list_fails: 0,
-            shedding: false,
-            shed_at: Duration::ZERO,
-            ask_at: Duration::ZERO,
-            wake: Duration::ZERO,
-            now: Duration::ZERO,
-            out: Vec::new(),
+            ..Balancer::default()
         }
     }
 
@@ -490,15 +445,15 @@
 
     // ---- warm-up ----
 
+    fn cold(&self, e: &Endpoint) -> bool {
+        e.up_since.is_some_and(|up| self.now.saturating_sub(up) < self.duty.warm_within)
+    }
+
     /// Warm, or with a pass that still holds.
     fn open(&self, e: &Endpoint) -> bool {
         !self.cold(e) || self.now < e.pass_until
     }
 
-    fn cold(&self, e: &Endpoint) -> bool {
-        e.up_since.is_some_and(|up| self.now.saturating_sub(up) < self.duty.warm_within)
-    }
-
     /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends there follows its
     /// ramp and the own rate to warm ones of like size, in any short time: each arrival draws whether there
     /// is a pass for one send, and for which endpoint. An unused pass is soon lost, so that hundreds of
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -1,7 +1,7 @@
 //! What the decisions remember, by how long it lives: for one relay, one command, one endpoint, one verb.
 //! Only shapes and sums stand here; what follows from them is decided in `choice.rs`.
 
-use crate::{Effect, EndpointIx, Group, Outcome, VerbOrder};
+use crate::{Action, CmdIx, Effect, EndpointIx, Group, Outcome, VerbOrder};
 use std::time::Duration;
 
 /// A mean and a spread over the last few seconds.
@@ -13,27 +13,10 @@
     pub at: Duration,
 }
 
+/// To a third in `over`, to nothing in 32 of it: an exponential but for its far end, at a fraction of the CPU.
 pub fn fade(now: Duration, since: Duration, over: Duration) -> f64 {
-    (-now.saturating_sub(since).as_secs_f64() / over.as_secs_f64()).exp()
-}
-
-impl Pace {
-    pub fn note(&mut self, now: Duration, value: f64, calm: Duration) {
-        self.count = self.count * fade(now, self.at, calm) + 1.0;
-        self.at = now;
-        let gain = (1.0 / self.count).max(0.02);
-        let off = value - self.mean;
-        self.mean += gain * off;
-        self.spread += gain * (off.abs() - self.spread);
-    }
-
-    /// Mean, and a tail of two spreads above it. Few samples say little of a mean and less of a tail: both
-    /// are drawn toward the usual.
-    pub fn read(&self, now: Duration, calm: Duration, usual: &Pace) -> (f64, f64) {
-        let n = self.count * fade(now, self.at, calm);
-        let mean = (self.mean * n + usual.mean * 2.0) / (n + 2.0);
-        (mean, mean + 2.0 * (self.spread * n + usual.spread * 8.0) / (n + 8.0))
-    }
+    let spans = now.saturating_sub(since).as_secs_f64() / over.as_secs_f64();
+    (1.0 - spans / 32.0).max(0.0).powi(32)
 }
 
 /// A count that fades.
@@ -179,12 +162,66 @@
             try_at: Duration::ZERO,
         }
     }
+}
 
-    /// Another process now, or taken for one: nothing that is known of the old one holds.
-    pub fn start_cold(&mut self, since: Duration) {
-        (self.up_since, self.pass_until) = (Some(since), Duration::ZERO);
-        (self.good, self.seen, self.ailing, self.pace) = (!0, 0, false, Pace::default());
-        self.tried = Duration::ZERO;
-        (self.misses, self.try_at) = (0, Duration::ZERO);
-    }
+/// For the life of the instance: one sidecar's decisions, which stand in `choice.rs`.
+#[derive(Default)]
+pub struct Balancer {
+    pub(crate) duty: DutySheet,
+    pub(crate) dice: u64,
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) commands: Vec<Option<Command>>,
+    pub(crate) queue: Vec<CmdIx>,
+    pub(crate) mix: Vec<Faded>, // arrivals by company
+    pub(crate) usual: Pace,     // pace of all endpoints, against each verb's usual
+    pub(crate) rtt: Duration,
+    pub(crate) sends: Faded,
+    pub(crate) warm_sends: Faded,
+    pub(crate) pass_at: Duration, // when a pass was last drawn
+    pub(crate) arrivals: Faded,
+    pub(crate) limit: f64, // the usual one, at the usual size
+    pub(crate) faith: f64, // credit of reports as a whole
+    pub(crate) spare: f64, // further relays allowed now
+    pub(crate) listening: bool,
+    pub(crate) list_fails: u32,
+    pub(crate) shedding: bool,
+    pub(crate) shed_at: Duration,
+    pub(crate) ask_at: Duration,
+    pub(crate) wake: Duration, // when the queue is looked at next
+    pub(crate) now: Duration,
+    pub(crate) out: Vec<Action>,
+}
+
+/// What the standing orders come to: the figures that decisions use.
+#[derive(Default)]
+pub struct DutySheet {
+    pub verbs: Vec<VerbDuty>,
+    pub best_utility: f64,
+    pub goal_whole: f64, // what the result is made of
+    pub goal_verb: f64,
+    pub portions: Vec<f64>,
+    pub surplus_utility: f64,
+    pub own_zone: usize,
+    pub most_relays: usize,
+    pub return_after: Option<Duration>,
+    pub may_recall: bool,
+    pub second_copies: bool,
+    pub listen: bool,
+    pub list_every: Duration,
+    pub heartbeats: usize,  // probes that one command is worth
+    pub fresh: Duration,    // a report needs no heartbeat for so long
+    pub trust: Duration,    // trust in a report falls to a third in this
+    pub hold: Duration,     // the longest wait for heartbeats
+    pub patience: Duration, // the wait that a queue may come to
+    pub tick: Duration,
+    pub live_weights: bool,
+    pub near: f64, // weight in another zone against the own
+    pub idle_close: Duration,
+    pub one_stream: bool, // a connection carries one relay at a time
+    pub new_link: f64,    // load that a new connection counts as, and more for each that is open
+    pub next_link: f64,
+    pub cold_from: f64,
+    pub warm_within: Duration,
+    pub tip_after: Duration,
+    pub cold_share: f64, // of a warm one's sends, times the ramp
 }
