--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -423,13 +423,6 @@
             asked.push(at);
         }
         let hold = if asked.is_empty() { Duration::ZERO } else { 3 * self.rtt + 2 * self.duty.tick };
-        // Sparing trials: what could not be reached is asked now and then.
-        let lost = |e: &Endpoint| e.listed && e.misses > 0 && e.probing.is_none() && self.now >= e.try_at;
-        if self.duty.heartbeats > 0 {
-            let lost = (0..self.endpoints.len()).filter(|at| lost(&self.endpoints[*at]));
-            let lost: Vec<_> = lost.filter(|at| !asked.contains(at)).collect();
-            asked.extend(lost);
-        }
         for endpoint in asked {
             self.endpoints[endpoint].probing = Some(self.now);
             self.out.push(Action::Probe { endpoint });
