--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -371,7 +371,6 @@
         let ramped = |(e, load): (&Endpoint, &f64)| load / self.ramp(e) + new(e);
         let least = self.endpoints.iter().zip(&loads).map(ramped).fold(f64::INFINITY, f64::min);
         let tail_of_all = self.usual.mean + 2.0 * self.usual.spread;
-        let late = 4 * self.rtt + 2 * self.duty.tick;
         let weight = |(e, &load): (&Endpoint, &f64)| {
             if load.is_infinite() || value.is_some_and(|v| load >= self.limit_of(e) * (0.6 + 0.4 * v)) {
                 return 0.0;
@@ -384,24 +383,18 @@
             let score = LOAD_SHARE * load + (1.0 - LOAD_SHARE) * (mean + tail) / 2.0;
             let base = e.size * if e.zone == self.duty.own_zone { 1.0 } else { self.duty.near };
             let health = (e.health() * (1.0 - e.errs)).max(0.1).powi(3);
-            // Guards against an endpoint that stands still: it does not answer a heartbeat in the usual time.
-            let quiet = e.probing.is_some_and(|at| self.now.saturating_sub(at) > late);
-            base * score.clamp(SCORE_FLOOR, 10.0) / 10.0 * health * if quiet { 0.02 } else { 1.0 }
+            base * score.clamp(SCORE_FLOOR, 10.0) / 10.0 * health
         };
         self.endpoints.iter().zip(&loads).map(weight).collect()
     }
 
     fn draw(&mut self, weights: &[f64]) -> Option<EndpointIx> {
         let mut left = weights.iter().sum::<f64>() * self.chance();
-        let mut last = None;
-        for (at, &w) in weights.iter().enumerate().filter(|(_, w)| **w > 0.0) {
-            last = Some(at);
+        let mut hit = |w: &f64| {
             left -= w;
-            if left < 0.0 {
-                break;
-            }
-        }
-        last
+            *w > 0.0 && left < 0.0
+        };
+        weights.iter().position(&mut hit).or_else(|| weights.iter().rposition(|w| *w > 0.0))
     }
 
     /// Asks a few likely endpoints how they are before a command goes out. Guards against choosing by reports
