--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -29,6 +29,7 @@
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
 const ROUNDS: u32 = 1; // of heartbeats after the first, for one command
 const LEAST_GAIN: f64 = 0.02; // of a sample, however many came before
+const FEW: f64 = 0.1; // a second; so little asked says little of how a verb is served
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
 const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
 const ALARM_QUEUE: u64 = 1;
@@ -80,7 +81,6 @@
         let heartbeats = (0.007 / orders.probe_price.max(1e-4)).clamp(1.0, 4.0) as usize;
         let duty = DutySheet {
             verbs: verbs.collect(),
-            best_utility: orders.verbs.iter().map(|v| v.utility).fold(1e-9, f64::max),
             goal_whole: orders.goal_whole,
             goal_verb: orders.goal_worst_verb,
             portions: orders.companies.iter().map(|c| c.portion).collect(),
@@ -360,8 +360,8 @@
         self.duty.cold_from + (1.0 - self.duty.cold_from) * age.min(1.0)
     }
 
-    /// Weights of all endpoints for one command; zero where it may not go. `value` is the command's utility
-    /// against the best; without one, limits do not count.
+    /// Weights of all endpoints for one command; zero where it may not go. `value` is what it adds against the
+    /// verb that adds most; without one, limits do not count.
     fn weigh(&self, value: Option<f64>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
         let (usual, link) = (self.usual_load(), self.link_load());
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
@@ -513,6 +513,7 @@
             due: (self.now + goal).saturating_sub(gone),
             leave: self.now + a.budget,
             value,
+            best: self.duty.verbs.iter().map(|v| self.value(v)).fold(1e-9, f64::max),
             hold_until: self.now,
             last_call: self.now,
             waits: true,
@@ -539,8 +540,8 @@
     /// What an answer in time adds to the result. Guards against starving the verb that is worth least for
     /// as long as the result counts the worst served.
     fn value(&self, v: &VerbDuty) -> f64 {
-        let rate = |v: &VerbDuty| v.asked.rate(self.now, 8 * CALM) + 1e-3;
-        let service = |v: &VerbDuty| v.served.rate(self.now, 8 * CALM) / rate(v);
+        let rate = |v: &VerbDuty| v.asked.rate(self.now, 8 * CALM) + FEW;
+        let service = |v: &VerbDuty| (v.served.rate(self.now, 8 * CALM) + FEW) / rate(v);
         let all: f64 = self.duty.verbs.iter().map(rate).sum();
         let worth: f64 = self.duty.verbs.iter().map(|v| rate(v) * v.utility).sum();
         let least = self.duty.verbs.iter().map(service).fold(1.0, f64::min);
@@ -649,7 +650,7 @@
         };
         let may = |e: &Endpoint| self.open(e) && drops_repeats(e);
         // A second copy is a luxury: it goes only where there is room for the least worth.
-        let value = if copy { 0.0 } else { (v.utility / self.duty.best_utility).clamp(0.0, 1.0) };
+        let value = if copy { 0.0 } else { (c.value / c.best).clamp(0.0, 1.0) };
         let mut weights = self.weigh(Some(value), &may);
         for r in &c.relays {
             weights[r.endpoint] *= if copy { 0.0 } else { 0.01 };
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -477,6 +477,7 @@
         due: NOW + Duration::from_millis(400),
         leave: NOW + Duration::from_millis(500),
         value: 1.0,
+        best: 1.0,
         hold_until: NOW,
         last_call: NOW + Duration::from_millis(200),
         waits: true,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -96,6 +96,7 @@
     pub due: Duration,   // its response goal passes
     pub leave: Duration, // the client gives up
     pub value: f64,
+    pub best: f64,            // value of the verb worth most at that time
     pub hold_until: Duration, // it waits for heartbeats
     pub last_call: Duration,  // it is given up if it still waits
     pub waits: bool,
@@ -196,7 +197,6 @@
 #[derive(Default)]
 pub struct DutySheet {
     pub verbs: Vec<VerbDuty>,
-    pub best_utility: f64,
     pub goal_whole: f64, // what the result is made of
     pub goal_verb: f64,
     pub portions: Vec<f64>,
