--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -119,6 +119,7 @@
             dice: orders.seed | 1,
             usual: Pace { mean: 1.0, ..Pace::default() },
             limit: FIRST_LIMIT,
+            listed: 1.0,
             faith: 1.0,
             spare: 2.0,
             ..Balancer::default()
@@ -229,6 +230,7 @@
         let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
         let (sum, count) = ratings.fold((0.0, 0.0), |(s, n): (f64, f64), r| (s + r, n + 1.0));
         let unit = if sum > 0.0 { count / sum } else { 1.0 };
+        self.listed = count.max(1.0);
         self.endpoints.iter_mut().for_each(|e| e.size = e.rating * unit);
     }
 
@@ -325,6 +327,8 @@
     /// What is out from here counts in any case.
     fn load(&self, e: &Endpoint, usual: f64) -> f64 {
         let trust = e.heard.map_or(0.0, |at| e.credit * self.faith * fade(self.now, at, self.duty.trust));
+        // Guards against a crowd of unheard ones, each a little likely, that outweighs the one known to be idle.
+        let usual = if self.duty.heartbeats > 0 { usual.max(1.0) } else { usual };
         (trust * e.holds.max(0.0) + (1.0 - trust) * usual * e.size * self.ramp(e)).max(e.out.len() as f64)
     }
 
@@ -350,8 +354,7 @@
     /// and endpoints take few. Where none is open from here an endpoint counts as fuller by the stated prices.
     fn link_load(&self) -> f64 {
         let links = self.endpoints.iter().filter(|e| self.linked(e)).count() as f64;
-        let listed = self.endpoints.iter().filter(|e| e.listed).count().max(1) as f64;
-        self.duty.new_link + self.duty.next_link * links / listed
+        self.duty.new_link + self.duty.next_link * links / self.listed
     }
 
     fn ramp(&self, e: &Endpoint) -> f64 {
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -35,6 +35,16 @@
     assert!((b.load(&b.endpoints[0], 1.0) - 1.0).abs() < 1e-3);
 }
 
+// sfax-trajets at its later size, big-1: a third of relays went to endpoints not heard of, beside one known idle.
+#[rstest]
+fn a_crowd_of_unheard_endpoints_does_not_outweigh_an_idle_one() {
+    let mut b = sidecar(Effect::Pure, 60);
+    b.endpoints.iter_mut().for_each(|e| e.heard = None);
+    b.endpoints[7].heard = Some(NOW);
+    let w = b.weigh(None, &|_| true);
+    assert!(w[7] > 0.8 * w.iter().sum::<f64>());
+}
+
 #[rstest]
 fn own_relays_count_whatever_the_report_says() {
     let mut b = sidecar(Effect::Pure, 1);
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -171,6 +171,7 @@
     pub(crate) duty: DutySheet,
     pub(crate) dice: u64,
     pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) listed: f64, // how many of them are, one at least
     pub(crate) commands: Vec<Option<Command>>,
     pub(crate) queue: Vec<CmdIx>,
     pub(crate) mix: Vec<Faded>, // arrivals by company
