--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -102,8 +102,8 @@
             near: 0.01 / (0.01 + orders.cross_zone_price.max(0.0)),
             idle_close: orders.idle_close,
             one_stream: orders.streams <= 1,
-            // A tenth of the service is worth one command ahead.
-            new_link: 10.0 * orders.handshake_price.max(0.0),
+            // A new connection at a fortieth of the service is as bad as one command ahead.
+            new_link: 40.0 * orders.handshake_price.max(0.0),
             next_link: 10.0 * orders.connection_price.max(0.0) * orders.instances as f64 / 100.0,
             cold_from: orders.cold_from.clamp(0.01, 1.0),
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
