Of a large fleet only those met lately and a few drawn ones are in view

Up to 32 endpoints all stay in view; beyond, those heard of, linked, tried or with a pass, and a few drawn by base weight from a table made when the list changes; the design's draw is among them.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -28,6 +28,7 @@
 const LIMIT_SPREAD: f64 = 0.5; // of a change at one endpoint, what goes to the usual limit
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
 const ROUNDS: u32 = 1; // of heartbeats after the first, for one command
+const SMALL: usize = 32; // endpoints; so few are all in view
 const LEAST_GAIN: f64 = 0.02; // of a sample, however many came before
 const FEW: f64 = 0.1; // a second; so little asked says little of how a verb is served
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
@@ -45,10 +46,14 @@
 
     /// Another process now, or taken for one: nothing that is known of the old one holds.
     fn start_cold(&mut self, since: Duration) {
-        (self.up_since, self.pass_until) = (Some(since), Duration::ZERO);
+        let met = self.met;
+        self.forget();
+        (self.up_since, self.pass_until, self.met) = (Some(since), Duration::ZERO, met);
+    }
+
+    fn forget(&mut self) {
         (self.good, self.seen, self.ailing, self.pace) = (!0, 0, false, Pace::default());
-        self.tried = Duration::ZERO;
-        (self.misses, self.try_at) = (0, Duration::ZERO);
+        (self.misses, self.try_at, self.tried, self.met) = (0, Duration::ZERO, Duration::ZERO, false);
     }
 }
 
@@ -129,6 +134,9 @@
     /// Takes one event and returns what is to be done about it.
     pub fn decide(&mut self, now: Duration, event: Event) -> Vec<Action> {
         self.now = now;
+        if now >= self.next_survey {
+            self.survey();
+        }
         let stirs = !matches!(event, Event::Due { token } if token & 3 != ALARM_QUEUE);
         match event {
             Event::Listed { kind, entries } => self.read_list(kind, entries),
@@ -227,11 +235,62 @@
                 e.start_cold(entry.started);
             }
         }
+        self.survey();
+    }
+
+    /// What the list comes to: sizes, the cold ones, and the warm ones as a table to draw from by base weight.
+    fn survey(&mut self) {
         let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
         let (sum, count) = ratings.fold((0.0, 0.0), |(s, n): (f64, f64), r| (s + r, n + 1.0));
-        let unit = if sum > 0.0 { count / sum } else { 1.0 };
-        self.listed = count.max(1.0);
-        self.endpoints.iter_mut().for_each(|e| e.size = e.rating * unit);
+        (self.listed, self.warm, self.next_survey) = (f64::max(count, 1.0), 0.0, Duration::MAX);
+        (self.table, self.colds) = (Vec::new(), Vec::new());
+        let mut mass = 0.0;
+        for at in 0..self.endpoints.len() {
+            self.endpoints[at].size = self.endpoints[at].rating * if sum > 0.0 { count / sum } else { 1.0 };
+            let e = &self.endpoints[at];
+            if e.listed && self.cold(e) {
+                self.colds.push(at);
+                let warm_at = e.up_since.unwrap_or_default() + self.duty.warm_within;
+                self.next_survey = self.next_survey.min(warm_at);
+            } else if e.listed {
+                self.warm += e.size;
+                mass += self.base(e);
+            }
+            self.table.push(mass);
+            if self.endpoints.len() <= SMALL {
+                self.meet(at);
+            }
+        }
+    }
+
+    fn meet(&mut self, at: EndpointIx) {
+        if !std::mem::replace(&mut self.endpoints[at].met, true) {
+            self.met.push(at);
+        }
+    }
+
+    /// A small fleet is in view whole; of a large one those met lately and a few more, drawn by base weight.
+    /// Guards against walks over hundreds of endpoints for every command.
+    fn look_around(&mut self) {
+        if self.endpoints.len() <= SMALL {
+            return;
+        }
+        let (now, old) = (self.now, |at: Duration, span: Duration| self.now.saturating_sub(at) > span);
+        let gone = |e: &Endpoint| {
+            let silent = e.heard.is_none_or(|at| old(at, 8 * self.duty.trust)) && old(e.pace.at, 4 * CALM);
+            let idle = e.out.is_empty() && e.probing.is_none() && !self.linked(e);
+            silent && idle && now >= e.try_at.max(e.pass_until)
+        };
+        let (gone, met): (Vec<_>, _) = self.met.iter().partition(|at| gone(&self.endpoints[**at]));
+        self.met = met;
+        gone.into_iter().for_each(|at: EndpointIx| self.endpoints[at].forget());
+        for _ in 0..2 * self.duty.heartbeats.max(2) {
+            let mass = self.chance() * self.table.last().copied().unwrap_or_default();
+            let at = self.table.partition_point(|m| *m <= mass);
+            if at < self.endpoints.len() {
+                self.meet(at);
+            }
+        }
     }
 
     // ---- what endpoints show ----
@@ -269,6 +328,7 @@
         e.try_at = Duration::ZERO;
         if misses >= 3 && e.up_since.is_none_or(|up| now.saturating_sub(up) > within) {
             e.start_cold(now);
+            self.next_survey = now;
             self.log(format!("endpoint {at} back after {misses} misses, taken as cold"));
         }
     }
@@ -323,6 +383,14 @@
 
     // ---- ordinary path: score, weight, draw ----
 
+    fn view(&self) -> impl Iterator<Item = &Endpoint> {
+        self.met.iter().map(|at| &self.endpoints[*at])
+    }
+
+    fn base(&self, e: &Endpoint) -> f64 {
+        e.size * if e.zone == self.duty.own_zone { 1.0 } else { self.duty.near }
+    }
+
     /// Load in commands held; old and discredited reports lose trust and drift to the mean of the trusted.
     /// What is out from here counts in any case.
     fn load(&self, e: &Endpoint, usual: f64) -> f64 {
@@ -336,7 +404,7 @@
     /// any more: as reports age or lose credit it falls to nothing, and own relays in flight decide.
     fn usual_load(&self) -> f64 {
         let (mut sum, mut of) = (0.0, 0.0);
-        for e in self.endpoints.iter().filter(|e| e.listed) {
+        for e in self.view().filter(|e| e.listed) {
             let fresh = e.heard.map_or(0.0, |at| fade(self.now, at, 4 * self.duty.trust));
             sum += fresh * e.credit * self.faith * e.holds.max(e.out.len() as f64);
             of += fresh * e.size;
@@ -353,7 +421,7 @@
     /// Guards against hundreds of sidecars that each connect to all: a new connection costs its endpoint work,
     /// and endpoints take few. Where none is open from here an endpoint counts as fuller by the stated prices.
     fn link_load(&self) -> f64 {
-        let links = self.endpoints.iter().filter(|e| self.linked(e)).count() as f64;
+        let links = self.view().filter(|e| self.linked(e)).count() as f64;
         self.duty.new_link + self.duty.next_link * links / self.listed
     }
 
@@ -363,35 +431,34 @@
         self.duty.cold_from + (1.0 - self.duty.cold_from) * age.min(1.0)
     }
 
-    /// Weights of all endpoints for one command; zero where it may not go. `value` is what it adds against the
-    /// verb that adds most; without one, limits do not count.
-    fn weigh(&self, value: Option<f64>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
+    /// Weights for one command; zero where it may not go. `value` is what it adds against the verb that adds
+    /// most; without one, limits do not count.
+    fn weigh(&self, ats: &[EndpointIx], value: Option<f64>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
         let (usual, link) = (self.usual_load(), self.link_load());
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
         let new = |e: &Endpoint| if self.linked(e) || self.cold(e) { 0.0 } else { link };
         let load = |e: &Endpoint| if ready(e) { self.load(e, usual) / e.size } else { f64::INFINITY };
-        let loads: Vec<f64> = self.endpoints.iter().map(load).collect();
-        let ramped = |(e, load): (&Endpoint, &f64)| load / self.ramp(e) + new(e);
-        let least = self.endpoints.iter().zip(&loads).map(ramped).fold(f64::INFINITY, f64::min);
+        let loads: Vec<f64> = ats.iter().map(|at| load(&self.endpoints[*at])).collect();
+        let all = || ats.iter().map(|at| &self.endpoints[*at]).zip(&loads);
+        let least = all().map(|(e, load)| load / self.ramp(e) + new(e)).fold(f64::INFINITY, f64::min);
         let tail_of_all = self.usual.mean + 2.0 * self.usual.spread;
         let weight = |(e, &load): (&Endpoint, &f64)| {
             if load.is_infinite() || value.is_some_and(|v| load >= self.limit_of(e) * (0.6 + 0.4 * v)) {
                 return 0.0;
             }
-            let ramp = self.ramp(e);
             let (mean, tail) = e.pace.read(self.now, 2 * CALM, &self.usual);
-            let load = 10.0 - 40.0 * (load / ramp + new(e) - least);
+            let load = 10.0 - 40.0 * (load / self.ramp(e) + new(e) - least);
             let mean = 10.0 - 9.0 * (mean / self.usual.mean.max(1e-6) - 1.0).max(0.0);
             let tail = 10.0 - 9.0 * (tail / tail_of_all.max(1e-6) - 1.0).max(0.0);
             let score = LOAD_SHARE * load + (1.0 - LOAD_SHARE) * (mean + tail) / 2.0;
-            let base = e.size * if e.zone == self.duty.own_zone { 1.0 } else { self.duty.near };
             let health = (e.health() * (1.0 - e.errs)).max(0.1).powi(3);
-            base * score.clamp(SCORE_FLOOR, 10.0) / 10.0 * health
+            self.base(e) * score.clamp(SCORE_FLOOR, 10.0) / 10.0 * health
         };
-        self.endpoints.iter().zip(&loads).map(weight).collect()
+        all().map(weight).collect()
     }
 
-    fn draw(&mut self, weights: &[f64]) -> Option<EndpointIx> {
+    /// A place among the weights.
+    fn draw(&mut self, weights: &[f64]) -> Option<usize> {
         let mut left = weights.iter().sum::<f64>() * self.chance();
         let mut hit = |w: &f64| {
             left -= w;
@@ -403,23 +470,24 @@
     /// Asks a few likely endpoints how they are before a command goes out. Guards against choosing by reports
     /// that are older than a service time: each sidecar sees too little traffic to hear of all by answers.
     fn heartbeat(&mut self) -> Duration {
-        let mut weights = self.weigh(None, &|e| self.open(e));
-        for (e, w) in self.endpoints.iter().zip(&mut weights) {
+        self.look_around();
+        let mut weights = self.weigh(&self.met, None, &|e| self.open(e));
+        for (e, w) in self.view().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
             *w = if e.probing.is_some() || known || *w <= 0.0 { 0.0 } else { w.max(0.002) };
         }
         // Where most are idle, one asked is enough; the second round asks again if it is not.
         let most = self.duty.heartbeats.min(1 + (4.0 * self.usual_load()) as usize);
         // A pass is for now: its endpoint is asked in any case.
-        let passed = |at: &EndpointIx| weights[*at] > 0.0 && self.cold(&self.endpoints[*at]);
+        let passed = |n: &usize| weights[*n] > 0.0 && self.cold(&self.endpoints[self.met[*n]]);
         let mut asked: Vec<_> = (0..weights.len()).filter(passed).collect();
         while asked.len() < most {
-            let Some(at) = self.draw(&weights) else { break };
-            weights[at] = 0.0;
-            asked.push(at);
+            let Some(n) = self.draw(&weights) else { break };
+            weights[n] = 0.0;
+            asked.push(n);
         }
         let hold = if asked.is_empty() { Duration::ZERO } else { 3 * self.rtt + 2 * self.duty.tick };
-        for endpoint in asked {
+        for endpoint in asked.into_iter().map(|n| self.met[n]) {
             self.endpoints[endpoint].probing = Some(self.now);
             self.out.push(Action::Probe { endpoint });
         }
@@ -429,7 +497,7 @@
     fn knows_idle(&self) -> bool {
         let (usual, since) = (self.usual_load(), self.now.saturating_sub(2 * self.duty.fresh));
         let known = |e: &&Endpoint| e.listed && e.heard.is_some_and(|at| at > since);
-        self.endpoints.iter().filter(known).any(|e| self.load(e, usual) < 0.5 * e.size)
+        self.view().filter(known).any(|e| self.load(e, usual) < 0.5 * e.size)
     }
 
     // ---- warm-up ----
@@ -448,29 +516,19 @@
     /// is a pass for one send, and for which endpoint. An unused pass is soon lost, so that hundreds of
     /// sidecars never hold a burst in hand, and it serves no other endpoint than its own.
     fn draw_pass(&mut self) {
-        let (mut warm, mut sizes) = (0.0, 1e-9);
-        for e in self.endpoints.iter().filter(|e| e.listed) {
-            sizes += e.size;
-            warm += if self.cold(e) { 0.0 } else { e.size };
-        }
         let since = self.now.saturating_sub(std::mem::replace(&mut self.pass_at, self.now));
-        if sizes - warm < 1e-6 {
-            return;
-        }
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
-        let arrivals = 0.3 * self.arrivals.rate(self.now, 4 * CALM) / sizes;
-        let rate = (self.warm_sends.rate(self.now, 4 * CALM) / f64::max(warm, 0.1 * sizes)).max(arrivals);
-        let gain = self.duty.cold_share * rate * since.min(self.duty.tip_after).as_secs_f64();
+        let arrivals = 0.3 * self.arrivals.rate(self.now, 4 * CALM) / self.listed;
+        let sends = self.warm_sends.rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
+        let gain = self.duty.cold_share * sends.max(arrivals) * since.min(self.duty.tip_after).as_secs_f64();
         let mut left = self.chance();
-        for at in 0..self.endpoints.len() {
-            let e = &self.endpoints[at];
-            if e.listed && self.cold(e) {
-                left -= gain * e.size * self.ramp(e);
-                if left < 0.0 {
-                    self.endpoints[at].pass_until = self.now + self.duty.tip_after / 4;
-                    return;
-                }
-            }
+        let chosen = self.colds.iter().copied().find(|at| {
+            left -= gain * self.endpoints[*at].size * self.ramp(&self.endpoints[*at]);
+            left < 0.0
+        });
+        if let Some(at) = chosen {
+            self.endpoints[at].pass_until = self.now + self.duty.tip_after / 4;
+            self.meet(at);
         }
     }
 
@@ -571,7 +629,7 @@
         let rank = |cmd: &CmdIx| self.held(*cmd).map_or((0.0, Duration::ZERO), |c| (-c.value, c.came));
         waiting.sort_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal));
         let (now, hold) = (self.now, self.duty.hold);
-        let pending = self.endpoints.iter().any(|e| e.probing.is_some_and(|at| now < at + hold));
+        let pending = self.view().any(|e| e.probing.is_some_and(|at| now < at + hold));
         let room = (1.0 + self.sends.rate(self.now, CALM) * self.duty.patience.as_secs_f64()).max(2.0);
         let mut line = 0; // those that nothing took; the rest only await heartbeats
         let mut shut = false; // nothing took a command that is worth more
@@ -654,17 +712,28 @@
         let may = |e: &Endpoint| self.open(e) && drops_repeats(e);
         // A second copy is a luxury: it goes only where there is room for the least worth.
         let value = if copy { 0.0 } else { (c.value / c.best).clamp(0.0, 1.0) };
-        let mut weights = self.weigh(Some(value), &may);
-        for r in &c.relays {
-            weights[r.endpoint] *= if copy { 0.0 } else { 0.01 };
+        let whole: Vec<_> = if home.is_some() { (0..self.endpoints.len()).collect() } else { Vec::new() };
+        let ats = if home.is_some() { &whole } else { &self.met };
+        let mut weights = self.weigh(ats, Some(value), &may);
+        for (at, w) in ats.iter().zip(&mut weights) {
+            let again = c.relays.iter().any(|r| r.endpoint == *at);
+            *w *= if !again {
+                1.0
+            } else if copy {
+                0.0
+            } else {
+                0.01
+            };
         }
-        self.draw(&weights)
+        let n = self.draw(&weights)?;
+        Some(if whole.is_empty() { self.met[n] } else { whole[n] })
     }
 
     fn send(&mut self, cmd: CmdIx, at: EndpointIx) {
         let (now, usual) = (self.now, self.usual_load());
         let ahead = self.load(&self.endpoints[at], usual) / self.endpoints[at].size;
         let cold = self.cold(&self.endpoints[at]);
+        self.meet(at);
         let Some(c) = self.commands[cmd].as_mut() else { return };
         let first = c.relays.is_empty();
         c.waits = false;
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -23,7 +23,7 @@
 fn weight_is_base_weight_times_score() {
     let mut b = sidecar(Effect::Pure, 2);
     b.endpoints[1].size = 2.0;
-    let w = b.weigh(None, &|_| true);
+    let w = b.weigh(&b.met, None, &|_| true);
     assert!((w[1] / w[0] - 2.0).abs() < 1e-9, "{w:?}");
 }
 
@@ -41,10 +41,30 @@
     let mut b = sidecar(Effect::Pure, 60);
     b.endpoints.iter_mut().for_each(|e| e.heard = None);
     b.endpoints[7].heard = Some(NOW);
-    let w = b.weigh(None, &|_| true);
+    let w = b.weigh(&b.met, None, &|_| true);
     assert!(w[7] > 0.8 * w.iter().sum::<f64>());
 }
 
+// Incident iaf261e: every command walked 477 endpoints several times; CPU cost a seventh of the service.
+#[rstest]
+fn of_a_large_fleet_a_few_are_in_view() {
+    let mut b = sidecar(Effect::Pure, 500);
+    b.endpoints.iter_mut().for_each(|e| e.heard = None);
+    b.decide(NOW, arrival(0));
+    assert!(!b.met.is_empty() && b.met.len() < 20, "{}", b.met.len());
+}
+
+// A first form lost the endpoint of a pass from view before it was asked; deploy days fell by a third.
+#[rstest]
+fn the_endpoint_of_a_pass_stays_in_view() {
+    let mut b = sidecar(Effect::Pure, 500);
+    b.endpoints.iter_mut().for_each(|e| e.heard = None);
+    b.endpoints[9].start_cold(NOW);
+    b.endpoints[9].pass_until = NOW + CALM;
+    b.look_around();
+    assert!(b.met.contains(&9));
+}
+
 #[rstest]
 fn own_relays_count_whatever_the_report_says() {
     let mut b = sidecar(Effect::Pure, 1);
@@ -83,7 +103,7 @@
 fn a_slow_endpoint_is_told_by_its_pace() {
     let mut b = sidecar(Effect::Pure, 2);
     b.endpoints[0].pace = Pace { mean: 4.0, spread: 1.0, count: 8.0, at: NOW };
-    let w = b.weigh(None, &|_| true);
+    let w = b.weigh(&b.met, None, &|_| true);
     assert!(w[0] < 0.1 * w[1], "{w:?}");
 }
 
@@ -101,7 +121,7 @@
 fn an_open_connection_is_preferred_where_new_ones_cost(#[case] ago: Duration, #[case] preferred: bool) {
     let mut b = sidecar(Effect::Pure, 2);
     (b.duty.new_link, b.endpoints[0].used) = (0.2, Some(NOW - ago));
-    let w = b.weigh(None, &|_| true);
+    let w = b.weigh(&b.met, None, &|_| true);
     assert_eq!(w[0] > 1.3 * w[1], preferred, "{w:?}");
 }
 
@@ -118,7 +138,7 @@
 fn failures_scale_the_weight_down_but_not_to_nothing() {
     let mut b = sidecar(Effect::Pure, 2);
     (b.endpoints[0].good, b.endpoints[0].seen) = (0, OUTCOMES);
-    let w = b.weigh(None, &|_| true);
+    let w = b.weigh(&b.met, None, &|_| true);
     assert!(w[0] > 0.0 && w[0] < 0.01 * w[1], "{w:?}");
 }
 
@@ -198,7 +218,7 @@
     let mut b = sidecar(Effect::Pure, 1);
     let entry = Listing { mode, ..listing(0, Duration::ZERO) };
     b.read_list(ListKind::Changes, vec![entry]);
-    assert_eq!(b.weigh(None, &|_| true), [0.0]);
+    assert_eq!(b.weigh(&b.met, None, &|_| true), [0.0]);
 }
 
 // Overloaded days drawn for the rules, tunis-transport at its later size: unused allowances of 150 sidecars went to
@@ -209,6 +229,7 @@
 fn a_pass_is_for_one_send_and_soon_lost(#[case] age: Duration, #[case] sent: usize) {
     let mut b = sidecar(Effect::Pure, 1);
     b.endpoints[0].start_cold(NOW);
+    b.survey();
     b.endpoints[0].pass_until = NOW - age + b.duty.tip_after / 4;
     b.commands.extend([Some(command()), Some(command())]);
     b.queue = vec![1, 2];
@@ -221,6 +242,7 @@
 fn passes_come_at_the_ramp_times_the_rate_to_warm_ones() {
     let mut b = sidecar(Effect::Pure, 60);
     b.endpoints[30..].iter_mut().for_each(|e| e.start_cold(NOW));
+    b.survey();
     (0..30).for_each(|_| b.warm_sends.add(NOW, 4 * CALM));
     let (mut drawn, each) = (0.0, b.duty.cold_share * b.warm_sends.rate(NOW, 4 * CALM) / 30.0 * 0.2);
     for _ in 0..2000 {
@@ -406,7 +428,7 @@
 fn three_failures_in_a_row_take_most_of_the_weight() {
     let mut b = sidecar(Effect::Pure, 2);
     (b.endpoints[0].good, b.endpoints[0].seen) = (!0 << 3, OUTCOMES);
-    let w = b.weigh(None, &|_| true);
+    let w = b.weigh(&b.met, None, &|_| true);
     assert!(w[0] < 0.3 * w[1], "{w:?}");
 }
 
@@ -477,6 +499,8 @@
     b.endpoints = (0..endpoints).map(|_| Endpoint::unknown()).collect();
     b.endpoints.iter_mut().for_each(|e| (e.listed, e.heard) = (true, Some(NOW)));
     b.commands = vec![None];
+    b.survey();
+    (0..endpoints).for_each(|at| b.meet(at));
     b
 }
 
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -113,6 +113,7 @@
     pub rating: f64,
     pub size: f64, // rating against the mean of the listed
     pub listed: bool,
+    pub met: bool,                  // it is in view
     pub up_since: Option<Duration>, // cold from here, if it started lately
     pub pass_until: Duration,       // a cold one may get one send until then
     pub heard: Option<Duration>,
@@ -142,6 +143,7 @@
             rating: 1.0,
             size: 1.0,
             listed: false,
+            met: false,
             up_since: None,
             pass_until: Duration::ZERO,
             heard: None,
@@ -171,7 +173,12 @@
     pub(crate) duty: DutySheet,
     pub(crate) dice: u64,
     pub(crate) endpoints: Vec<Endpoint>,
-    pub(crate) listed: f64, // how many of them are, one at least
+    pub(crate) listed: f64,          // how many of them are, one at least
+    pub(crate) warm: f64,            // size of those that are warm
+    pub(crate) met: Vec<EndpointIx>, // those in view
+    pub(crate) colds: Vec<EndpointIx>,
+    pub(crate) table: Vec<f64>, // running sum of the base weights of warm ones
+    pub(crate) next_survey: Duration,
     pub(crate) commands: Vec<Option<Command>>,
     pub(crate) queue: Vec<CmdIx>,
     pub(crate) mix: Vec<Faded>, // arrivals by company
