--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -13,7 +13,10 @@
 //!   list     subscribe or ask with jitter and back-off; what drains or is gone gets nothing new
 
 pub use crate::state::Balancer;
-use crate::state::{Command, DutySheet, Endpoint, Faded, Pace, Relay, VerbDuty, fade};
+use crate::state::{
+    ALARM_COPY, ALARM_GOAL, ALARM_LIST, ALARM_QUEUE, Command, DutySheet, Endpoint, Faded, Pace, Relay,
+    VerbDuty, fade,
+};
 use crate::*;
 use std::time::Duration;
 
@@ -32,10 +35,6 @@
 const LEAST_GAIN: f64 = 0.02; // of a sample, however many came before
 const FEW: f64 = 0.1; // a second; so little asked says little of how a verb is served
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
-const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
-const ALARM_QUEUE: u64 = 1;
-const ALARM_COPY: u64 = 2;
-const ALARM_GOAL: u64 = 3;
 
 impl Endpoint {
     /// Share of successes among the last few outcomes; few outcomes count as mostly good.
@@ -109,7 +108,6 @@
             one_stream: orders.streams <= 1,
             // A new connection at a fortieth of the service is as bad as one command ahead.
             new_link: 40.0 * orders.handshake_price.max(0.0),
-            next_link: 10.0 * orders.connection_price.max(0.0) * orders.instances as f64 / 100.0,
             cold_from: orders.cold_from.clamp(0.01, 1.0),
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
             tip_after: orders.tip_after,
@@ -178,24 +176,10 @@
         }
     }
 
-    /// Multiply-with-carry; a number from 0 up to 1.
-    fn chance(&mut self) -> f64 {
-        self.dice = (self.dice & 0xffff_ffff) * 4_294_957_665 + (self.dice >> 32);
-        (self.dice & 0xffff_ffff) as f64 / 4_294_967_296.0
-    }
-
     fn alarm(&mut self, after: Duration, token: u64) {
         self.out.push(Action::Alarm { after: after.max(self.duty.tick), token });
     }
 
-    fn log(&mut self, line: String) {
-        self.out.push(Action::Log(line));
-    }
-
-    fn held(&self, cmd: CmdIx) -> Option<&Command> {
-        self.commands.get(cmd).and_then(Option::as_ref)
-    }
-
     // ---- list ----
 
     fn read_list(&mut self, kind: ListKind, entries: Vec<Listing>) {
@@ -223,8 +207,7 @@
             self.endpoints.iter_mut().for_each(|e| e.listed = false);
         }
         for entry in &entries {
-            let now = self.now;
-            let len = self.endpoints.len().max(entry.endpoint + 1);
+            let (now, len) = (self.now, self.endpoints.len().max(entry.endpoint + 1));
             self.endpoints.resize_with(len, Endpoint::unknown);
             let e = &mut self.endpoints[entry.endpoint];
             (e.zone, e.cell) = (entry.zone, entry.cell);
@@ -238,42 +221,11 @@
         self.survey();
     }
 
-    /// What the list comes to: sizes, the cold ones, and the warm ones as a table to draw from by base weight.
-    fn survey(&mut self) {
-        let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
-        let (sum, count) = ratings.fold((0.0, 0.0), |(s, n): (f64, f64), r| (s + r, n + 1.0));
-        (self.listed, self.warm, self.next_survey) = (f64::max(count, 1.0), 0.0, Duration::MAX);
-        (self.table, self.colds) = (Vec::new(), Vec::new());
-        let mut mass = 0.0;
-        for at in 0..self.endpoints.len() {
-            self.endpoints[at].size = self.endpoints[at].rating * if sum > 0.0 { count / sum } else { 1.0 };
-            let e = &self.endpoints[at];
-            if e.listed && self.cold(e) {
-                self.colds.push(at);
-                let warm_at = e.up_since.unwrap_or_default() + self.duty.warm_within;
-                self.next_survey = self.next_survey.min(warm_at);
-            } else if e.listed {
-                self.warm += e.size;
-                mass += self.base(e);
-            }
-            self.table.push(mass);
-            if self.endpoints.len() <= SMALL {
-                self.meet(at);
-            }
-        }
-    }
-
-    fn meet(&mut self, at: EndpointIx) {
-        if !std::mem::replace(&mut self.endpoints[at].met, true) {
-            self.met.push(at);
-        }
-    }
-
     /// A small fleet is in view whole; of a large one those met lately and a few more, drawn by base weight.
     /// Guards against walks over hundreds of endpoints for every command.
     fn look_around(&mut self) {
         if self.endpoints.len() <= SMALL {
-            return;
+            return (0..self.endpoints.len()).for_each(|at| self.meet(at));
         }
         let (now, old) = (self.now, |at: Duration, span: Duration| self.now.saturating_sub(at) > span);
         let gone = |e: &Endpoint| {
@@ -383,11 +335,7 @@
 
     // ---- ordinary path: score, weight, draw ----
 
-    fn view(&self) -> impl Iterator<Item = &Endpoint> {
-        self.met.iter().map(|at| &self.endpoints[*at])
-    }
-
-    fn base(&self, e: &Endpoint) -> f64 {
+    pub(crate) fn base(&self, e: &Endpoint) -> f64 {
         e.size * if e.zone == self.duty.own_zone { 1.0 } else { self.duty.near }
     }
 
@@ -413,18 +361,13 @@
         sum / of.max(1.0)
     }
 
+    /// Guards against hundreds of sidecars that each connect to all: a new connection costs its endpoint work,
+    /// and endpoints take few. Where none is open from here an endpoint counts as fuller, by the stated price.
     fn linked(&self, e: &Endpoint) -> bool {
         let open = e.used.is_some_and(|at| self.now.saturating_sub(at) < self.duty.idle_close);
         open && (!self.duty.one_stream || e.out.is_empty())
     }
 
-    /// Guards against hundreds of sidecars that each connect to all: a new connection costs its endpoint work,
-    /// and endpoints take few. Where none is open from here an endpoint counts as fuller by the stated prices.
-    fn link_load(&self) -> f64 {
-        let links = self.view().filter(|e| self.linked(e)).count() as f64;
-        self.duty.new_link + self.duty.next_link * links / self.listed
-    }
-
     fn ramp(&self, e: &Endpoint) -> f64 {
         let Some(up) = e.up_since else { return 1.0 };
         let age = self.now.saturating_sub(up).as_secs_f64() / self.duty.warm_within.as_secs_f64();
@@ -434,9 +377,9 @@
     /// Weights for one command; zero where it may not go. `value` is what it adds against the verb that adds
     /// most; without one, limits do not count.
     fn weigh(&self, ats: &[EndpointIx], value: Option<f64>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
-        let (usual, link) = (self.usual_load(), self.link_load());
+        let usual = self.usual_load();
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
-        let new = |e: &Endpoint| if self.linked(e) || self.cold(e) { 0.0 } else { link };
+        let new = |e: &Endpoint| if self.linked(e) || self.cold(e) { 0.0 } else { self.duty.new_link };
         let load = |e: &Endpoint| if ready(e) { self.load(e, usual) / e.size } else { f64::INFINITY };
         let loads: Vec<f64> = ats.iter().map(|at| load(&self.endpoints[*at])).collect();
         let all = || ats.iter().map(|at| &self.endpoints[*at]).zip(&loads);
@@ -460,11 +403,11 @@
     /// A place among the weights.
     fn draw(&mut self, weights: &[f64]) -> Option<usize> {
         let mut left = weights.iter().sum::<f64>() * self.chance();
-        let mut hit = |w: &f64| {
+        let hit = |w: &f64| {
             left -= w;
             *w > 0.0 && left < 0.0
         };
-        weights.iter().position(&mut hit).or_else(|| weights.iter().rposition(|w| *w > 0.0))
+        weights.iter().position(hit).or_else(|| weights.iter().rposition(|w| *w > 0.0))
     }
 
     /// Asks a few likely endpoints how they are before a command goes out. Guards against choosing by reports
@@ -502,7 +445,7 @@
 
     // ---- warm-up ----
 
-    fn cold(&self, e: &Endpoint) -> bool {
+    pub(crate) fn cold(&self, e: &Endpoint) -> bool {
         e.up_since.is_some_and(|up| self.now.saturating_sub(up) < self.duty.warm_within)
     }
 
@@ -645,8 +588,7 @@
                 self.queue.push(cmd);
                 continue;
             }
-            let choice = if lost || shut && free { None } else { self.pick(cmd, false) };
-            if let Some(at) = choice {
+            if let Some(at) = if lost || shut && free { None } else { self.pick(cmd, false) } {
                 self.send(cmd, at);
                 continue;
             }
@@ -674,16 +616,15 @@
             self.wake = next;
             self.alarm(next - now, ALARM_QUEUE);
         }
-        let crowded = f64::from(line) + 1.0 > room;
-        if crowded && !self.shedding {
-            self.log(format!("too much to carry: {line} commands wait, room for {room:.0}"));
+        if f64::from(line) + 1.0 > room {
+            if !std::mem::replace(&mut self.shedding, true) {
+                self.log(format!("too much to carry: {line} commands wait, room for {room:.0}"));
+            }
+            self.shed_at = now;
         } else if self.shedding && now.saturating_sub(self.shed_at) > 2 * CALM {
             self.shedding = false;
             self.log(format!("the queue is short again: {line} commands wait"));
         }
-        if crowded {
-            (self.shedding, self.shed_at) = (true, now);
-        }
     }
 
     /// The design's draw among the endpoints where this command may go.
@@ -712,21 +653,13 @@
         let may = |e: &Endpoint| self.open(e) && drops_repeats(e);
         // A second copy is a luxury: it goes only where there is room for the least worth.
         let value = if copy { 0.0 } else { (c.value / c.best).clamp(0.0, 1.0) };
-        let whole: Vec<_> = if home.is_some() { (0..self.endpoints.len()).collect() } else { Vec::new() };
-        let ats = if home.is_some() { &whole } else { &self.met };
-        let mut weights = self.weigh(ats, Some(value), &may);
-        for (at, w) in ats.iter().zip(&mut weights) {
-            let again = c.relays.iter().any(|r| r.endpoint == *at);
-            *w *= if !again {
-                1.0
-            } else if copy {
-                0.0
-            } else {
-                0.01
-            };
+        let ats = if home.is_none() { self.met.clone() } else { (0..self.endpoints.len()).collect() };
+        let mut weights = self.weigh(&ats, Some(value), &may);
+        let tried = |at: &EndpointIx| c.relays.iter().any(|r| r.endpoint == *at);
+        for (_, w) in ats.iter().zip(&mut weights).filter(|(at, _)| tried(at)) {
+            *w *= if copy { 0.0 } else { 0.01 };
         }
-        let n = self.draw(&weights)?;
-        Some(if whole.is_empty() { self.met[n] } else { whole[n] })
+        self.draw(&weights).map(|n| ats[n])
     }
 
     fn send(&mut self, cmd: CmdIx, at: EndpointIx) {
@@ -742,12 +675,9 @@
         self.out.push(Action::Relay { cmd, endpoint: at, within });
         let e = &mut self.endpoints[at];
         e.out.push(now);
-        e.used = Some(now);
-        e.holds = e.holds.max(0.0) + 1.0;
+        (e.used, e.holds, e.pass_until) = (Some(now), e.holds.max(0.0) + 1.0, Duration::ZERO);
         self.sends.add(now, CALM);
-        if cold {
-            self.endpoints[at].pass_until = Duration::ZERO;
-        } else {
+        if !cold {
             self.warm_sends.add(now, 4 * CALM);
         }
         let v = &self.duty.verbs[c.verb];
@@ -807,9 +737,7 @@
         let (r, at) = (*r, r.endpoint);
         let e = &mut self.endpoints[at];
         e.holds -= 1.0;
-        if let Some(gone) = e.out.iter().position(|t| *t == r.sent) {
-            e.out.swap_remove(gone);
-        }
+        e.out.iter().position(|sent| *sent == r.sent).map(|gone| e.out.swap_remove(gone));
         match outcome {
             Outcome::Answered => {
                 e.used = Some(now);
@@ -821,13 +749,11 @@
                 v.usual.note(now, spent.as_secs_f64(), 10 * CALM);
                 self.usual.note(now, pace, 10 * CALM);
                 e.pace.note(now, pace, 2 * CALM);
-                let (quick, late) = (spent < v.goal / 2, spent > v.goal.mul_f64(0.85));
-                let limit = self.limit_of(&self.endpoints[at]);
-                if quick && r.ahead + 1.0 >= limit {
-                    self.set_limit(at, (limit + GROWTH / limit).min(64.0));
-                }
-                if late {
+                let (goal, limit) = (v.goal, self.limit_of(&self.endpoints[at]));
+                if spent > goal.mul_f64(0.85) {
                     self.cut(at);
+                } else if spent < goal / 2 && r.ahead + 1.0 >= limit {
+                    self.set_limit(at, (limit + GROWTH / limit).min(64.0));
                 }
                 self.credit(at, if pace > 3.0 * self.usual.mean { -0.1 } else { 0.0 });
                 self.reached(at);
@@ -923,14 +849,6 @@
         self.queue.retain(|q| *q != cmd);
         self.tidy(cmd);
     }
-
-    fn tidy(&mut self, cmd: CmdIx) {
-        let done = |c: &Command| c.over && c.relays.iter().all(|r| r.outcome.is_some());
-        if self.held(cmd).is_some_and(done) {
-            self.commands[cmd] = None;
-            self.out.push(Action::Forget { cmd });
-        }
-    }
 }
 
 impl VerbDuty {
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -72,10 +72,8 @@
     pub probe_price: f64,
     pub cross_zone_price: f64,
     pub handshake_price: f64,
-    pub connection_price: f64,
     pub idle_close: Duration,
     pub streams: usize, // that one connection carries
-    pub instances: usize,
     pub ask_every: Duration,
     pub cold_from: f64,
     pub warm_within: Duration,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -4,6 +4,11 @@
 use crate::{Action, CmdIx, Effect, EndpointIx, Group, Outcome, VerbOrder};
 use std::time::Duration;
 
+pub const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
+pub const ALARM_QUEUE: u64 = 1;
+pub const ALARM_COPY: u64 = 2;
+pub const ALARM_GOAL: u64 = 3;
+
 /// A mean and a spread over the last few seconds.
 #[derive(Clone, Copy, Default)]
 pub struct Pace {
@@ -226,10 +231,67 @@
     pub near: f64, // weight in another zone against the own
     pub idle_close: Duration,
     pub one_stream: bool, // a connection carries one relay at a time
-    pub new_link: f64,    // load that a new connection counts as, and more for each that is open
-    pub next_link: f64,
+    pub new_link: f64,    // load that a new connection counts as
     pub cold_from: f64,
     pub warm_within: Duration,
     pub tip_after: Duration,
     pub cold_share: f64, // of a warm one's sends, times the ramp
 }
+
+/// What every decision uses and none decides: chance, the log, what is held and in view, what
+/// the list adds up to.
+impl Balancer {
+    /// Multiply-with-carry; a number from 0 up to 1.
+    pub(crate) fn chance(&mut self) -> f64 {
+        self.dice = (self.dice & 0xffff_ffff) * 4_294_957_665 + (self.dice >> 32);
+        (self.dice & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+
+    pub(crate) fn log(&mut self, line: String) {
+        self.out.push(Action::Log(line));
+    }
+
+    pub(crate) fn held(&self, cmd: CmdIx) -> Option<&Command> {
+        self.commands.get(cmd).and_then(Option::as_ref)
+    }
+
+    pub(crate) fn meet(&mut self, at: EndpointIx) {
+        if !std::mem::replace(&mut self.endpoints[at].met, true) {
+            self.met.push(at);
+        }
+    }
+
+    pub(crate) fn view(&self) -> impl Iterator<Item = &Endpoint> {
+        self.met.iter().map(|at| &self.endpoints[*at])
+    }
+
+    pub(crate) fn tidy(&mut self, cmd: CmdIx) {
+        let done = |c: &Command| c.over && c.relays.iter().all(|r| r.outcome.is_some());
+        if self.held(cmd).is_some_and(done) {
+            self.commands[cmd] = None;
+            self.out.push(Action::Forget { cmd });
+        }
+    }
+
+    /// What the list comes to: sizes, the cold ones, and the warm ones as a table to draw from by base weight.
+    pub(crate) fn survey(&mut self) {
+        let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
+        let (sum, count) = ratings.fold((0.0, 0.0), |(s, n): (f64, f64), r| (s + r, n + 1.0));
+        (self.listed, self.warm, self.next_survey) = (f64::max(count, 1.0), 0.0, Duration::MAX);
+        (self.table, self.colds) = (Vec::new(), Vec::new());
+        let mut mass = 0.0;
+        for at in 0..self.endpoints.len() {
+            self.endpoints[at].size = self.endpoints[at].rating * if sum > 0.0 { count / sum } else { 1.0 };
+            let e = &self.endpoints[at];
+            if e.listed && self.cold(e) {
+                self.colds.push(at);
+                let warm_at = e.up_since.unwrap_or_default() + self.duty.warm_within;
+                self.next_survey = self.next_survey.min(warm_at);
+            } else if e.listed {
+                self.warm += e.size;
+                mass += self.base(e);
+            }
+            self.table.push(mass);
+        }
+    }
+}
