Subscriptions spread over a quarter of the time by which a list must be asked for

Cause: hundreds of sidecars started together asked within half a second; the list service, which takes one call from each in some seconds, refused two thirds of them. Told by the log lines; nothing else was refused.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -195,7 +195,7 @@
                 return self.alarm(after, ALARM_LIST);
             }
             ListKind::Remembered if self.duty.listen => {
-                self.alarm(self.duty.list_every.mul_f64(jitter / 20.0), ALARM_LIST);
+                self.alarm(self.duty.list_every.mul_f64(jitter / 4.0), ALARM_LIST);
             }
             ListKind::All | ListKind::Changes if self.list_fails > 0 => {
                 self.log(format!("list answers again after {} refusals", self.list_fails));
