--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -111,8 +111,7 @@
             cold_from: orders.cold_from.clamp(0.01, 1.0),
             warm_within: orders.warm_within.max(Duration::from_millis(1)),
             tip_after: orders.tip_after,
-            // Three quarters of the way, as a ratio, from a fair share to what would push a cold endpoint
-            // over.
+            // Three quarters of the way, as a ratio, from a fair share to what pushes a cold endpoint over.
             cold_share: orders.tip_multiple.max(1.0).powf(0.75),
         };
         Balancer {
@@ -180,8 +179,6 @@
         self.out.push(Action::Alarm { after: after.max(self.duty.tick), token });
     }
 
-    // ---- list ----
-
     fn read_list(&mut self, kind: ListKind, entries: Vec<Listing>) {
         let jitter = self.chance();
         match kind {
@@ -227,11 +224,11 @@
         if self.endpoints.len() <= SMALL {
             return (0..self.endpoints.len()).for_each(|at| self.meet(at));
         }
-        let (now, old) = (self.now, |at: Duration, span: Duration| self.now.saturating_sub(at) > span);
+        let old = |at: Duration, span: Duration| self.now.saturating_sub(at) > span;
         let gone = |e: &Endpoint| {
             let silent = e.heard.is_none_or(|at| old(at, 8 * self.duty.trust)) && old(e.pace.at, 4 * CALM);
             let idle = e.out.is_empty() && e.probing.is_none() && !self.linked(e);
-            silent && idle && now >= e.try_at.max(e.pass_until)
+            silent && idle && self.now >= e.try_at.max(e.pass_until)
         };
         let (gone, met): (Vec<_>, _) = self.met.iter().partition(|at| gone(&self.endpoints[**at]));
         self.met = met;
@@ -339,12 +336,14 @@
         e.size * if e.zone == self.duty.own_zone { 1.0 } else { self.duty.near }
     }
 
+    fn trust(&self, e: &Endpoint) -> f64 {
+        e.heard.map_or(0.0, |at| e.credit * self.faith * fade(self.now, at, self.duty.trust))
+    }
+
     /// Load in commands held; old and discredited reports lose trust and drift to the mean of the trusted.
     /// What is out from here counts in any case.
     fn load(&self, e: &Endpoint, usual: f64) -> f64 {
-        let trust = e.heard.map_or(0.0, |at| e.credit * self.faith * fade(self.now, at, self.duty.trust));
-        // Guards against a crowd of unheard ones, each a little likely, that outweighs the one known to be idle.
-        let usual = if self.duty.heartbeats > 0 { usual.max(1.0) } else { usual };
+        let trust = self.trust(e);
         (trust * e.holds.max(0.0) + (1.0 - trust) * usual * e.size * self.ramp(e)).max(e.out.len() as f64)
     }
 
@@ -379,7 +378,10 @@
     fn weigh(&self, ats: &[EndpointIx], value: Option<f64>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
         let usual = self.usual_load();
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
-        let new = |e: &Endpoint| if self.linked(e) || self.cold(e) { 0.0 } else { self.duty.new_link };
+        // Guards against a crowd of unheard ones, each a little likely, that outweighs the one known to be idle.
+        let doubt = if self.duty.heartbeats > 0 { (1.0 - usual).max(0.0) } else { 0.0 };
+        let link = |e: &Endpoint| if self.linked(e) || self.cold(e) { 0.0 } else { self.duty.new_link };
+        let new = |e: &Endpoint| link(e) + doubt * (1.0 - self.trust(e));
         let load = |e: &Endpoint| if ready(e) { self.load(e, usual) / e.size } else { f64::INFINITY };
         let loads: Vec<f64> = ats.iter().map(|at| load(&self.endpoints[*at])).collect();
         let all = || ats.iter().map(|at| &self.endpoints[*at]).zip(&loads);
@@ -455,9 +457,8 @@
     }
 
     /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends there follows its
-    /// ramp and the own rate to warm ones of like size, in any short time: each arrival draws whether there
-    /// is a pass for one send, and for which endpoint. An unused pass is soon lost, so that hundreds of
-    /// sidecars never hold a burst in hand, and it serves no other endpoint than its own.
+    /// ramp and the own rate to warm ones of like size: each arrival draws whether there is a pass for one send,
+    /// and for which. Unused it is soon lost, so that hundreds of sidecars never hold a burst in hand.
     fn draw_pass(&mut self) {
         let since = self.now.saturating_sub(std::mem::replace(&mut self.pass_at, self.now));
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -45,6 +45,15 @@
     assert!(w[7] > 0.8 * w.iter().sum::<f64>());
 }
 
+// Incidents i69898d and ie1a8dc: where reports lie, all seemed to hold one and own relays told nothing.
+#[rstest]
+fn without_credit_own_relays_decide() {
+    let mut b = sidecar(Effect::Pure, 2);
+    (b.faith, b.endpoints[0].out) = (0.0, vec![NOW]);
+    let w = b.weigh(&b.met, None, &|_| true);
+    assert!(w[0] < 0.1 * w[1], "{w:?}");
+}
+
 // Incident iaf261e: every command walked 477 endpoints several times; CPU cost a seventh of the service.
 #[rstest]
 fn of_a_large_fleet_a_few_are_in_view() {
