--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -247,14 +247,12 @@
     fn checked(&mut self, at: EndpointIx, outcome: Outcome, spent: Duration, report: Option<Report>) {
         let Some(e) = self.endpoints.get_mut(at) else { return };
         e.probing = None;
-        match outcome {
-            Outcome::Answered => {
-                self.rtt = (9 * self.rtt + spent) / 10;
-                self.reached(at);
-                self.hear(at, report);
-            }
-            Outcome::Full => {}
-            _ => self.missed(at),
+        if outcome == Outcome::Answered {
+            self.rtt = (9 * self.rtt + spent) / 10;
+            self.reached(at);
+            self.hear(at, report);
+        } else if outcome != Outcome::Full {
+            self.missed(at);
         }
     }
 
@@ -507,9 +505,8 @@
             (true, _) => v.budget_votes -= 1,
             (false, n) => v.budget_votes = (n + 1).min(20),
         }
-        if a.cmd >= self.commands.len() {
-            self.commands.resize_with(a.cmd + 1, || None);
-        }
+        let len = self.commands.len().max(a.cmd + 1);
+        self.commands.resize_with(len, || None);
         self.spare = (self.spare + 0.1).min(5.0);
         self.arrivals.add(self.now, 4 * CALM);
         self.draw_pass();
@@ -553,9 +550,8 @@
         let (all, least) = (rates.iter().sum::<f64>(), services.iter().copied().fold(1.0, f64::min));
         let worth: f64 = verbs.iter().zip(&rates).map(|(v, rate)| rate * v.utility).sum();
         let behind = |n: usize| (1.0 - 10.0 * (services[n] - least)).max(0.0);
-        let whole = |n: usize| self.duty.goal_whole * verbs[n].utility * all / worth;
-        let value = |n: usize| whole(n) + self.duty.goal_verb * behind(n) * all / rates[n];
-        (0..verbs.len()).map(value).collect()
+        let (whole, worst) = (self.duty.goal_whole * all / worth, self.duty.goal_verb * all);
+        (0..verbs.len()).map(|n| whole * verbs[n].utility + worst * behind(n) / rates[n]).collect()
     }
 
     /// Lets a command wait until what is left of its goal no longer fits a usual answer: its last call.
