Passes drawn without a walk over cold endpoints; surveys no more often than needed

Cause: after an enlargement each arrival walked hundreds of cold endpoints, and each that became warm had the whole fleet surveyed anew at every sidecar.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -463,12 +463,10 @@
         let arrivals = 0.3 * self.arrivals.rate(self.now, 4 * CALM) / self.listed;
         let sends = self.warm_sends.rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
         let gain = self.duty.cold_share * sends.max(arrivals) * since.min(self.duty.tip_after).as_secs_f64();
-        let mut left = self.chance();
-        let chosen = self.colds.iter().copied().find(|at| {
-            left -= gain * self.endpoints[*at].size * self.ramp(&self.endpoints[*at]);
-            left < 0.0
-        });
-        if let Some(at) = chosen {
+        let (count, nth, luck) = (self.colds.len() as f64, self.chance(), self.chance());
+        let Some(&at) = self.colds.get((nth * count) as usize) else { return };
+        let e = &self.endpoints[at];
+        if luck < gain * count * e.size * self.ramp(e) {
             self.endpoints[at].pass_until = self.now + self.duty.tip_after / 4;
             self.meet(at);
         }
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -293,5 +293,7 @@
             }
             self.table.push(mass);
         }
+        // Many become warm one by one: a while later is early enough.
+        self.next_survey = self.next_survey.max(self.now + self.duty.warm_within / 16);
     }
 }
