--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -4,12 +4,12 @@
 //!
 //! Ordinary path (He Xiaofeng's lesson 11): each ready endpoint is scored out of ten by a weighted sum of
 //! sub-scores (reported load, own mean and tail latency); its weight is base weight x score / 10; a weighted
-//! random draw picks the endpoint. Six mechanisms stand beside it:
+//! random draw picks the endpoint, in a large fleet among those in view. Six mechanisms stand beside it:
 //!   health   successes among the last outcomes scale the weight; sparing trials bring an endpoint back
 //!   limit    a cap on what an endpoint holds, plus one on success, cut by a share
 //!   relays   time-outs, further relays and second copies, under a budget
 //!   waiting  a short queue, best utility first; what can't make it is declined at once
-//!   warm-up  a cold endpoint gets no more than its ramp's share of what warm ones get
+//!   warm-up  a cold endpoint gets a send on a pass only: its ramp x the own rate to warm ones, by chance
 //!   list     subscribe or ask with jitter and back-off; what drains or is gone gets nothing new
 
 pub use crate::state::Balancer;
