--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -167,7 +167,7 @@
                 self.listening = true;
                 self.out.push(Action::Listen { active: true });
             }
-            // Guards against a lost command: an alarm that comes a hair early must not stop the queue's clock.
+            // Guards against a lost command: an alarm that comes a hair early must not stop the queue.
             ALARM_QUEUE if self.wake <= self.now + self.duty.tick / 100 => self.wake = Duration::ZERO,
             ALARM_COPY => self.copy(cmd),
             ALARM_GOAL => self.past_goal(cmd),
@@ -358,8 +358,8 @@
         sum / of.max(1.0)
     }
 
-    /// Guards against hundreds of sidecars that each connect to all: a new connection costs its endpoint work,
-    /// and endpoints take few. Where none is open from here an endpoint counts as fuller, by the stated price.
+    /// Guards against hundreds of sidecars that each connect to all: a new connection is work, and endpoints
+    /// take few. Where none is open from here an endpoint counts as fuller, by the stated price.
     fn linked(&self, e: &Endpoint) -> bool {
         let open = e.used.is_some_and(|at| self.now.saturating_sub(at) < self.duty.idle_close);
         open && (!self.duty.one_stream || e.out.is_empty())
@@ -376,7 +376,7 @@
     fn weigh(&self, ats: &[EndpointIx], value: Option<f64>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
         let usual = self.usual_load();
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
-        // Guards against a crowd of unheard ones, each a little likely, that outweighs the one known to be idle.
+        // Guards against a crowd of unheard ones, each a little likely, that outweighs one known to be idle.
         let doubt = if self.duty.heartbeats > 0 { (1.0 - usual).max(0.0) } else { 0.0 };
         let link = |e: &Endpoint| if self.linked(e) || self.cold(e) { 0.0 } else { self.duty.new_link };
         let new = |e: &Endpoint| link(e) + doubt * (1.0 - self.trust(e));
@@ -454,9 +454,9 @@
         !self.cold(e) || self.now < e.pass_until
     }
 
-    /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends there follows its
-    /// ramp and the own rate to warm ones of like size: each arrival draws whether there is a pass for one send,
-    /// and for which. Unused it is soon lost, so that hundreds of sidecars never hold a burst in hand.
+    /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends follows its ramp
+    /// and the own rate to warm ones of like size: each arrival draws whether there is a pass for one send, and
+    /// for which. Unused it is soon lost, so that hundreds of sidecars never hold a burst in hand.
     fn draw_pass(&mut self) {
         let since = self.now.saturating_sub(std::mem::replace(&mut self.pass_at, self.now));
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
@@ -538,8 +538,8 @@
         until > self.now
     }
 
-    /// What an answer in time adds to the result, for each verb. Guards against starving the verb that is worth
-    /// least for as long as the result counts the worst served.
+    /// What an answer in time adds to the result, for each verb. Guards against starving the verb that is
+    /// worth least for as long as the result counts the worst served.
     fn values(&self) -> Vec<f64> {
         let verbs = &self.duty.verbs;
         let rates: Vec<f64> = verbs.iter().map(|v| v.asked.rate(self.now, 8 * CALM) + FEW).collect();
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -18,7 +18,7 @@
     pub at: Duration,
 }
 
-/// To a third in `over`, to nothing in 32 of it: an exponential but for its far end, at a fraction of the CPU.
+/// To a third in `over`, to nothing in 32 of it: an exponential but for its far end, at less CPU.
 pub fn fade(now: Duration, since: Duration, over: Duration) -> f64 {
     let spans = now.saturating_sub(since).as_secs_f64() / over.as_secs_f64();
     (1.0 - spans / 32.0).max(0.0).powi(32)
@@ -273,7 +273,7 @@
         }
     }
 
-    /// What the list comes to: sizes, the cold ones, and the warm ones as a table to draw from by base weight.
+    /// What the list comes to: sizes, the cold ones, the warm ones as a table to draw from by base weight.
     pub(crate) fn survey(&mut self) {
         let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
         let (sum, count) = ratings.fold((0.0, 0.0), |(s, n): (f64, f64), r| (s + r, n + 1.0));
