--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -455,8 +455,8 @@
     }
 
     /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends follows its ramp
-    /// and the own rate to warm ones of like size: each arrival draws whether there is a pass for one send, and
-    /// for which. Unused it is soon lost, so that hundreds of sidecars never hold a burst in hand.
+    /// and the own rate to warm ones of like size: each arrival draws whether there is a pass for one send,
+    /// and for which. Unused it is soon lost, so that hundreds of sidecars never hold a burst in hand.
     fn draw_pass(&mut self) {
         let since = self.now.saturating_sub(std::mem::replace(&mut self.pass_at, self.now));
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -35,7 +35,7 @@
     assert!((b.load(&b.endpoints[0], 1.0) - 1.0).abs() < 1e-3);
 }
 
-// sfax-trajets at its later size, big-1: a third of relays went to endpoints not heard of, beside one known idle.
+// sfax-trajets at its later size: a third of relays went to endpoints not heard of, beside an idle one.
 #[rstest]
 fn a_crowd_of_unheard_endpoints_does_not_outweigh_an_idle_one() {
     let mut b = sidecar(Effect::Pure, 60);
@@ -134,7 +134,7 @@
     assert_eq!(w[0] > 1.3 * w[1], preferred, "{w:?}");
 }
 
-// All three deployments at their later size: with few reports in a large fleet the usual load seemed near nought.
+// All three deployments at their later size: with few reports the usual load seemed near nought.
 #[rstest]
 fn one_fresh_report_of_many_tells_the_usual_load() {
     let mut b = sidecar(Effect::Pure, 80);
@@ -212,7 +212,7 @@
     assert!(out.iter().any(|a| matches!(a, Action::Alarm { token: ALARM_QUEUE, .. })), "{out:?}");
 }
 
-// Fresh day of sahel-ambulances, burst and pauses: each alarm of the queue set another, 290 thousand in a day.
+// Fresh day of sahel-ambulances: each alarm of the queue set another, 290 thousand in a day.
 #[rstest]
 fn an_alarm_set_for_the_next_tick_is_not_set_again() {
     let mut b = sidecar(Effect::Pure, 1);
@@ -241,8 +241,8 @@
     assert_eq!(b.weigh(&b.met, None, &|_| true), [0.0]);
 }
 
-// Overloaded days drawn for the rules, tunis-transport at its later size: unused allowances of 150 sidecars went to
-// one cold endpoint at once and pushed it over.
+// An overloaded day of tunis-transport at its later size: unused allowances of 150 sidecars went to one cold
+// endpoint at once and pushed it over.
 #[rstest]
 #[case(Duration::from_millis(100), 1)]
 #[case(Duration::from_millis(600), 0)]
@@ -321,7 +321,7 @@
     assert_eq!(b.endpoints[0].limit, 7.0);
 }
 
-// sahel-ambulances at its later size: limits stayed at two, endpoints of two cores stood half idle in a burst.
+// sahel-ambulances at its later size: limits stayed at two for want of answers from each endpoint.
 #[rstest]
 fn a_limit_learnt_at_one_endpoint_serves_the_others() {
     let mut b = sidecar(Effect::Pure, 2);
