--- a/crates/passroad-wirehost/src/orders.rs
+++ b/crates/passroad-orders/src/lib.rs
@@ -1,4 +1,4 @@
-//! Reads the settings of a `HELLO` into standing orders. Unknown keys are passed over.
+//! Reads the settings object into standing orders, for the adapter and the sidecar. Unknown keys are passed over.
 
 use passroad_choice::{CompanyOrder, Effect, Group, ReportsHow, StandingOrders, VerbOrder};
 use serde_json::Value;
@@ -87,13 +87,22 @@
     })
 }
 
-/// The orders in a settings text, and the names of zones and kinds in their order.
+/// The orders in a settings text.
 pub fn read(seed: u64, text: &str) -> Result<StandingOrders, String> {
-    let value: Value = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    from_value(seed, &serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?)
+}
+
+/// How long an endpoint may take to accept a connection.
+pub fn connect_within(value: &Value) -> Result<Duration, String> {
+    At(value).span("/allowed/connect_timeout", Duration::from_millis(250))
+}
+
+/// The orders in a settings object.
+pub fn from_value(seed: u64, value: &Value) -> Result<StandingOrders, String> {
     if !value.is_object() {
         return Err("settings: not an object".into());
     }
-    let at = At(&value);
+    let at = At(value);
     let verbs = at.items("/verbs")?.iter().map(verb).collect::<Result<Vec<_>, _>>()?;
     if verbs.is_empty() {
         return Err("settings: no verbs".into());
--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -1,6 +1,6 @@
 //! Hosts instances of the decision module: events in, actions out, nothing shared between instances.
 
-use crate::{line::Line, orders};
+use crate::line::Line;
 use base64::{Engine, prelude::BASE64_STANDARD};
 use passroad_choice::choice::Balancer;
 use passroad_choice::door::Door;
@@ -234,7 +234,7 @@
                 self.filling = (lines > 0).then_some((list, lines));
             }
             "HELLO" => {
-                let orders = orders::read(line.whole("prng")?, line.need("config")?)?;
+                let orders = passroad_orders::read(line.whole("prng")?, line.need("config")?)?;
                 self.instances.insert(line.whole("i")?, Instance::new(orders));
             }
             "DETACH" => {
--- a/crates/passroad-wirehost/src/main.rs
+++ b/crates/passroad-wirehost/src/main.rs
@@ -3,7 +3,6 @@
 
 mod host;
 mod line;
-mod orders;
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/crates/passroad/src/command.rs
@@ -0,0 +1,97 @@
+//! The life of one command, top to bottom; the module decides at each turn.
+
+use crate::desk::{Desk, Order};
+use crate::relay::{self, Cargo, Ended};
+use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use hyper::Response;
+use passroad_choice::{Arrival, Outcome};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+/// The one final answer to a command.
+pub enum Answer {
+    Answered(Response<Bytes>),
+    Declined { not_before: Option<Duration> },
+    Terminated,
+    OutOfTime,
+}
+
+/// What the decisions need of a command.
+pub struct Need {
+    pub verb: usize,
+    pub company: Option<usize>,
+    pub budget: Duration,
+    pub again: bool,
+}
+
+pub async fn run(desk: Arc<Desk>, need: Need, cargo: Cargo, front: oneshot::Sender<Answer>) {
+    let (cargo, mut front) = (Arc::new(cargo), Some(front));
+    let mut limit = std::pin::pin!(sleep(need.budget));
+    let mut seat = desk.admit(|cmd| Arrival {
+        cmd,
+        verb: need.verb,
+        company: need.company,
+        key: None,
+        budget: need.budget,
+        work: None,
+        again: need.again,
+        write: false,
+    });
+    let (mut relays, mut recalls) = (FuturesUnordered::new(), Vec::new());
+    loop {
+        tokio::select! {
+            biased;
+            order = seat.order() => match order {
+                // Its module has forgotten the command: nothing of it is out any more.
+                None => return,
+                Some(Order::Relay { link, within }) => {
+                    let (recall, recalled) = oneshot::channel();
+                    recalls.push(Some(recall));
+                    let (n, began, cargo) = (seat.newest(), Instant::now(), Arc::clone(&cargo));
+                    relays.push(async move {
+                        (n, relay::run(link, cargo, within, recalled).await, began.elapsed())
+                    });
+                }
+                Some(Order::Recall { relay }) => {
+                    // The relay's future sees it and closes its connection.
+                    recalls.get_mut(relay).and_then(Option::take);
+                }
+                Some(Order::Decline { not_before }) => answer(&mut front, Answer::Declined { not_before }),
+                Some(Order::Terminate) => answer(&mut front, Answer::Terminated),
+            },
+            Some((n, ended, spent)) = relays.next() => {
+                let won = front.is_some() && ended.outcome == Outcome::Answered;
+                seat.finished(n, &ended, spent, won || front.is_none());
+                if let (true, Ended { answer: Some(body), .. }) = (won, ended) {
+                    answer(&mut front, Answer::Answered(body));
+                }
+            }
+            () = gone(&mut front), if front.is_some() => {
+                front = None;
+                seat.lapsed();
+            }
+            // Guards against a command without an answer in time, whatever else went wrong.
+            () = &mut limit, if front.is_some() => {
+                answer(&mut front, Answer::OutOfTime);
+                seat.lapsed();
+            }
+        }
+    }
+}
+
+fn answer(front: &mut Option<oneshot::Sender<Answer>>, answer: Answer) {
+    if let Some(front) = front.take() {
+        let _ = front.send(answer);
+    }
+}
+
+/// Ends when the client has closed its connection.
+async fn gone(front: &mut Option<oneshot::Sender<Answer>>) {
+    match front {
+        Some(front) => front.closed().await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/passroad/src/desk.rs
@@ -0,0 +1,236 @@
+//! Owns the decision module, its clock and the doors where outside names become indices. Each event goes in
+//! here, and each action goes from here to its owner: commands, links, discovery, timers.
+
+use crate::list::{Call, List};
+use crate::relay::{Dialer, Link};
+use crate::{probe, relay};
+use passroad_choice::choice::Balancer;
+use passroad_choice::door::Door;
+use passroad_choice::{
+    Action, Arrival, CmdIx, EndpointIx, Event, ListKind, Listing, Mode, ReportsHow, StandingOrders,
+};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// What the module decides about one command.
+pub enum Order {
+    Relay { link: Link, within: Duration },
+    Recall { relay: usize },
+    Decline { not_before: Option<Duration> },
+    Terminate,
+}
+
+pub struct Desk {
+    began: Instant,
+    /// The module's clock is Unix time as read once at the start, so that lists' times fit it.
+    epoch: Duration,
+    dialer: Dialer,
+    calls: UnboundedSender<Call>,
+    reports: ReportsHow,
+    probe_within: Duration,
+    held: Mutex<Held>,
+}
+
+struct Held {
+    balancer: Balancer,
+    commands: Door<u64>,
+    admitted: u64,
+    seats: Vec<Option<UnboundedSender<Order>>>,
+    endpoints: Door<String>,
+    links: Vec<Option<Link>>,
+    zones: Door<String>,
+    kinds: Door<String>,
+}
+
+impl Desk {
+    pub fn new(orders: StandingOrders, dialer: Dialer, calls: UnboundedSender<Call>) -> Arc<Self> {
+        let mut zones = Door::new();
+        orders.zones.iter().for_each(|zone| {
+            zones.admit(zone);
+        });
+        Arc::new(Desk {
+            began: Instant::now(),
+            epoch: SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default(),
+            calls,
+            reports: orders.reports,
+            probe_within: dialer.probe_within(),
+            dialer,
+            held: Mutex::new(Held {
+                balancer: Balancer::new(orders),
+                commands: Door::new(),
+                admitted: 0,
+                seats: Vec::new(),
+                endpoints: Door::new(),
+                links: Vec::new(),
+                zones,
+                kinds: Door::new(),
+            }),
+        })
+    }
+
+    fn now(&self) -> Duration {
+        self.epoch + self.began.elapsed()
+    }
+
+    /// A panic elsewhere must not end every later command: what is held stays in use.
+    fn held(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn tell(self: &Arc<Self>, event: Event) {
+        self.decide(&mut self.held(), event);
+    }
+
+    /// Takes a command in. Orders about it come until the module has forgotten it; then they end.
+    pub fn admit(self: &Arc<Self>, arrival: impl FnOnce(CmdIx) -> Arrival) -> Seat {
+        let (tell, orders) = unbounded_channel();
+        let mut held = self.held();
+        held.admitted += 1;
+        let serial = held.admitted;
+        let cmd = held.commands.admit(&serial);
+        let len = held.seats.len().max(cmd + 1);
+        held.seats.resize_with(len, || None);
+        held.seats[cmd] = Some(tell);
+        self.decide(&mut held, Event::Arrived(arrival(cmd)));
+        Seat { desk: Arc::clone(self), cmd, orders, out: Vec::new() }
+    }
+
+    pub fn listed(self: &Arc<Self>, kind: ListKind, list: &List) {
+        let mut held = self.held();
+        let mut entries = Vec::with_capacity(list.members.len());
+        for member in &list.members {
+            let endpoint = held.endpoints.admit(&member.id);
+            let len = held.links.len().max(endpoint + 1);
+            held.links.resize_with(len, || None);
+            let link = &mut held.links[endpoint];
+            let address = member.host_port.filter(|_| member.mode() != Mode::Deleted);
+            if link.as_ref().map(|l| l.address) != address {
+                *link = address.map(|address| Link { address, client: self.dialer.client() });
+            }
+            entries.push(Listing {
+                endpoint,
+                zone: held.zones.admit(&member.locality),
+                cell: member.cell,
+                kind: held.kinds.admit(&member.flavor),
+                rating: member.size,
+                started: Duration::from_millis(member.up_since_ms),
+                mode: member.mode(),
+            });
+        }
+        self.decide(&mut held, Event::Listed { kind, entries });
+    }
+
+    fn decide(self: &Arc<Self>, held: &mut Held, event: Event) {
+        for action in held.balancer.decide(self.now(), event) {
+            match action {
+                Action::Relay { cmd, endpoint, within } => match held.link(endpoint) {
+                    Some(link) => held.order(cmd, Order::Relay { link, within }),
+                    None => log::error!("a relay to endpoint {endpoint}, which has no address"),
+                },
+                Action::Recall { cmd, relay } => held.order(cmd, Order::Recall { relay }),
+                Action::Decline { cmd, not_before } => held.order(cmd, Order::Decline { not_before }),
+                Action::Terminate { cmd } => held.order(cmd, Order::Terminate),
+                Action::Forget { cmd } => {
+                    held.commands.release(cmd);
+                    held.seats[cmd] = None;
+                }
+                Action::Probe { endpoint } => {
+                    let link = held.link(endpoint);
+                    tokio::spawn(Arc::clone(self).probe(endpoint, link));
+                }
+                Action::Disconnect { endpoint } => {
+                    if let Some(link) = held.links.get_mut(endpoint).and_then(Option::as_mut) {
+                        link.client = self.dialer.client();
+                    }
+                }
+                Action::Listen { active } => drop(self.calls.send(Call::Watch(active))),
+                Action::AskList => drop(self.calls.send(Call::Whole)),
+                Action::Tell { .. } => log::error!("the module has a message for peers; it can't be sent"),
+                Action::Alarm { after, token } => {
+                    let desk = Arc::clone(self);
+                    tokio::spawn(async move {
+                        tokio::time::sleep(after).await;
+                        desk.tell(Event::Due { token });
+                    });
+                }
+                Action::Log(line) => log::info!("{line}"),
+            }
+        }
+    }
+
+    async fn probe(self: Arc<Self>, endpoint: EndpointIx, link: Option<Link>) {
+        let began = Instant::now();
+        let ended = match link {
+            Some(link) => probe::run(link, self.reports, self.probe_within).await,
+            None => relay::Ended::from(passroad_choice::Outcome::NoConnection),
+        };
+        let spent = began.elapsed();
+        log::debug!("probe of endpoint {endpoint}: {:?} in {spent:.1?}, {:?}", ended.outcome, ended.report);
+        self.tell(Event::Checked { endpoint, outcome: ended.outcome, spent, report: ended.report });
+    }
+}
+
+impl Held {
+    fn link(&self, endpoint: EndpointIx) -> Option<Link> {
+        self.links.get(endpoint).cloned().flatten()
+    }
+
+    fn order(&self, cmd: CmdIx, order: Order) {
+        if let Some(seat) = self.seats.get(cmd).and_then(Option::as_ref) {
+            let _ = seat.send(order);
+        }
+    }
+}
+
+/// A command's place at the desk. Dropped early, it lapses and its relays count as recalled.
+pub struct Seat {
+    desk: Arc<Desk>,
+    cmd: CmdIx,
+    orders: UnboundedReceiver<Order>,
+    out: Vec<bool>, // relays that have not ended
+}
+
+impl Seat {
+    /// The next order; none once the command is forgotten.
+    pub async fn order(&mut self) -> Option<Order> {
+        let order = self.orders.recv().await;
+        if let Some(Order::Relay { .. }) = order {
+            self.out.push(true);
+        }
+        order
+    }
+
+    /// The number of the relay ordered last.
+    pub fn newest(&self) -> usize {
+        self.out.len() - 1
+    }
+
+    pub fn lapsed(&self) {
+        self.desk.tell(Event::Lapsed { cmd: self.cmd });
+    }
+
+    pub fn finished(&mut self, relay: usize, ended: &relay::Ended, spent: Duration, concluded: bool) {
+        self.out[relay] = false;
+        let (outcome, report) = (ended.outcome, ended.report);
+        self.desk.tell(Event::Finished { cmd: self.cmd, relay, outcome, spent, concluded, report });
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if self.orders.is_closed() {
+            return;
+        }
+        self.lapsed();
+        while let Ok(order) = self.orders.try_recv() {
+            self.out.extend(matches!(order, Order::Relay { .. }).then_some(true));
+        }
+        let recalled = relay::Ended::from(passroad_choice::Outcome::Recalled);
+        for relay in 0..self.out.len() {
+            if self.out[relay] {
+                self.finished(relay, &recalled, Duration::ZERO, true);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/passroad/src/main.rs
@@ -0,0 +1,54 @@
+//! The sidecar. A command comes in at `front`, lives in `command`, goes out by `relay`; `probe` and `list` tell
+//! how the endpoints are; `desk` holds the decision module and hands what it decides to its owners.
+
+mod command;
+mod desk;
+mod front;
+mod list;
+mod probe;
+mod relay;
+mod start;
+mod stop;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// Descriptors that are neither a client's nor an endpoint's: standard streams, the runtime, discovery.
+const OTHER_SOCKETS: usize = 32;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let started = start::read().and_then(|start| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.map_err(|e| format!("runtime: {e}"))?.block_on(run(start))
+    });
+    match started {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("passroad: {}", fault.replace('\n', " "));
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn run(start: start::Start) -> Result<(), String> {
+    let most = (start.sockets.saturating_sub(OTHER_SOCKETS) / 2).max(8);
+    let listener = front::listen(start.listen)?;
+    let stages = stop::Stage::on_sigterm()?;
+    log::info!("{} listens on {}, at most {most} connections each way", start.name, start.listen);
+    let verbs = start.orders.verbs.iter().map(|v| v.name.clone()).collect();
+    let companies = start.orders.companies.iter().map(|c| c.name.clone()).collect();
+    let longest = start.orders.verbs.iter().map(|v| v.limit).max().unwrap_or_default();
+    let (calls, called) = tokio::sync::mpsc::unbounded_channel();
+    let hold = start.orders.ask_every;
+    let dialer = relay::Dialer::new(start.connect_within, start.orders.idle_close, most);
+    let desk = desk::Desk::new(start.orders, dialer, calls);
+    let revision = start.known.as_ref().map(|list| list.revision);
+    if let Some(known) = &start.known {
+        desk.listed(passroad_choice::ListKind::Remembered, known);
+    }
+    tokio::spawn(list::follow(Arc::clone(&desk), start.discovery, hold, revision, called));
+    let front = front::Front::new(desk, verbs, companies, most, stages);
+    front::serve(listener, front, longest).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/passroad/src/probe.rs
@@ -0,0 +1,43 @@
+//! One probe of one endpoint.
+
+use crate::relay::{Client, Ended, Link, exchange, read_load};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::connect::capture_connection;
+use passroad_choice::{Outcome, ReportsHow};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// An answer that comes later tells nothing, but reading it keeps its connection.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Asks an endpoint how it is; where it has reports, the answer is one.
+pub async fn run(link: Link, reports: ReportsHow, within: Duration) -> Ended {
+    let (tell, told) = oneshot::channel();
+    tokio::spawn(async move {
+        let ended = timeout(LINGER, ask(&link.client, link.address, reports)).await;
+        let _ = tell.send(ended.unwrap_or(Outcome::TimedOut.into()));
+    });
+    match timeout(within, told).await {
+        Ok(Ok(ended)) => ended,
+        _ => Outcome::TimedOut.into(),
+    }
+}
+
+async fn ask(client: &Client, at: std::net::SocketAddr, reports: ReportsHow) -> Ended {
+    let path = if reports == ReportsHow::Silent { "/healthz" } else { "/load" };
+    let Ok(mut request) = Request::get(format!("http://{at}{path}")).body(Full::default()) else {
+        return Outcome::Moot.into();
+    };
+    let way = capture_connection(&mut request);
+    let mut ended = exchange(client, request, &way, path.len()).await;
+    let body = ended.answer.take().map(Response::into_body).unwrap_or_default();
+    ended.report = ended.report.or_else(|| body_load(&body));
+    ended
+}
+
+fn body_load(body: &Bytes) -> Option<passroad_choice::Report> {
+    std::str::from_utf8(body).ok().and_then(read_load)
+}
