Quiet connections are given up while other clients wait to get in

Seen in an integration test: 60 clients that stop in the middle of a head held every place, and a healthy one got no answer for 75 s. Checked: descriptors stayed under their limit, so the limit itself works; ruled out the relays, none was out. At fault: the accept loop in front.rs waits for room and nothing makes any. Now a connection that has been quiet for 0.3 s is closed while others wait; never one with a command in hand. A head is also read into 64 KiB at most. With it come the integration tests: 55 cases that start the program between stand-ins.

--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -14,11 +14,11 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 use tower_service::Service;
 
@@ -26,6 +26,8 @@
 const HEAD_WITHIN: Duration = Duration::from_secs(75); // also how long an idle connection is kept
 const BODY_WITHIN: Duration = Duration::from_secs(10);
 const MARGIN: Duration = Duration::from_millis(10); // of a time limit, at most a twentieth
+const QUIET_IN_CROWD: Duration = Duration::from_millis(300);
+const LAST_WORDS: Duration = Duration::from_millis(500);
 const TRIES_APART: Duration = Duration::from_millis(20); // to accept, after a failure
 
 pub struct Front {
@@ -34,6 +36,7 @@
     companies: Vec<String>,
     most: usize, // connections of clients
     open: AtomicUsize,
+    crowd: Notify, // others wait to get in
     stages: Stages,
 }
 
@@ -55,7 +58,15 @@
         most: usize,
         stages: Stages,
     ) -> Arc<Self> {
-        Arc::new(Front { desk, verbs, companies, most, open: AtomicUsize::new(0), stages })
+        Arc::new(Front {
+            desk,
+            verbs,
+            companies,
+            most,
+            open: AtomicUsize::new(0),
+            crowd: Notify::new(),
+            stages,
+        })
     }
 
     fn stage(&self) -> Stage {
@@ -78,7 +89,7 @@
                     sleep(TRIES_APART).await;
                 }
             },
-            () = sleep(TRIES_APART), if !room => {}
+            () = sleep(TRIES_APART), if !room => front.crowd.notify_waiters(),
             () = reached(&mut stages, Stage::Closed) => break,
         }
     }
@@ -114,38 +125,70 @@
     }
 }
 
+/// What is known of a connection's client.
+struct Talk {
+    spoke: AtomicBool,             // it has sent a whole request
+    quiet: Mutex<Option<Instant>>, // since when there is nothing to answer; none while there is
+}
+
+impl Talk {
+    fn quiet_for(&self, span: Duration) -> bool {
+        self.quiet.lock().is_ok_and(|since| since.is_some_and(|at| at.elapsed() >= span))
+    }
+
+    fn set_quiet(&self, since: Option<Instant>) {
+        self.quiet.lock().iter_mut().for_each(|quiet| **quiet = since);
+    }
+}
+
 fn open(stream: TcpStream, router: &Router, front: &Arc<Front>) {
     let (place, router) = (Place::take(front), router.clone());
     let _ = stream.set_nodelay(true);
     tokio::spawn(async move {
-        let mut stages = place.0.stages.clone();
-        let used = Arc::new(AtomicBool::new(false));
-        let service = {
-            let (used, router) = (Arc::clone(&used), router);
-            hyper::service::service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
-                used.store(true, Relaxed);
-                router.clone().call(request)
-            })
-        };
+        let (front, mut stages) = (&place.0, place.0.stages.clone());
+        let talk = Talk { spoke: AtomicBool::new(false), quiet: Mutex::new(Some(Instant::now())) };
+        let service = hyper::service::service_fn(|request: hyper::Request<hyper::body::Incoming>| {
+            talk.spoke.store(true, Relaxed);
+            talk.set_quiet(None);
+            router.clone().call(request).inspect(|_| talk.set_quiet(Some(Instant::now())))
+        });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WITHIN)
+            .max_buf_size(LONGEST_BODY)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
-        // One that has sent nothing yet may have its first command on the way.
-        for stage in [Stage::Leaving, Stage::Ending] {
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                () = reached(&mut stages, stage) => {}
-            }
-            if used.load(Relaxed) || stage == Stage::Ending {
-                connection.as_mut().graceful_shutdown();
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = crowded_out(front, &talk) => {}
+            () = reached(&mut stages, Stage::Leaving) => {
+                // One that has sent nothing yet may have its first command on the way.
+                if talk.spoke.load(Relaxed) {
+                    connection.as_mut().graceful_shutdown();
+                }
+                tokio::select! {
+                    _ = connection.as_mut() => return,
+                    () = reached(&mut stages, Stage::Ending) => {}
+                }
             }
         }
-        let _ = connection.await;
+        connection.as_mut().graceful_shutdown();
+        // Only a client that is quiet in the middle of a request, or does not read, is cut off.
+        while timeout(LAST_WORDS, connection.as_mut()).await.is_err() && !talk.quiet_for(LAST_WORDS) {}
     });
 }
 
+/// Guards against slow or forgotten clients that hold all there is: while others wait to get in, a connection
+/// that has been quiet for a while is given up.
+async fn crowded_out(front: &Front, talk: &Talk) {
+    loop {
+        front.crowd.notified().await;
+        if talk.quiet_for(QUIET_IN_CROWD) {
+            return;
+        }
+    }
+}
+
 async fn ready(State(front): State<Arc<Front>>) -> Response {
     let status =
         if front.stage() == Stage::Serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- /dev/null
+++ b/crates/passroad/tests/sidecar.rs
@@ -0,0 +1,380 @@
+//! The program on loopback sockets, between stand-ins for clients, endpoints and discovery.
+
+mod stand_ins;
+
+use rstest::rstest;
+use stand_ins::*;
+use std::io::{Read, Write};
+use std::net::Shutdown;
+use std::sync::atomic::Ordering::SeqCst;
+use std::thread::sleep;
+use std::time::Instant;
+
+// ---- a command and its answer ----
+
+#[rstest]
+fn what_goes_on_unchanged_arrives_unchanged() {
+    let endpoint = willing("free: 3");
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let mut client = sidecar.client();
+    let answers = [look("a1"), book("a2")].map(|command| ask(&mut client, &command).unwrap());
+    assert_eq!(answers.each_ref().map(|a| (a.word(), &a.body[..])), [("200", &b"free: 3"[..]); 2]);
+    let seen = endpoint.seen.lock().unwrap();
+    assert!(seen[0].head.starts_with("GET /look/7?x=%20y HTTP/1.1\r\n"), "{}", seen[0].head);
+    assert!(seen[1].head.starts_with("POST /book HTTP/1.1\r\n"), "{}", seen[1].head);
+    assert_eq!((seen[1].header("req-id").as_deref(), &seen[1].body[..]), (Some("a2"), &b"seat"[..]));
+    let left: u64 = seen[1].header("req-deadline-ms").unwrap().parse().unwrap();
+    assert!((500..900).contains(&left), "{left} ms");
+}
+
+#[rstest]
+#[case::no_id("GET /look HTTP/1.1\r\nHost: b\r\nReq-Deadline-Ms: 900\r\n\r\n", "400")]
+#[case::two_ids(
+    "GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Id: 2\r\nReq-Deadline-Ms: 900\r\n\r\n",
+    "400"
+)]
+#[case::no_limit("GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\n\r\n", "400")]
+#[case::odd_limit("GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: soon\r\n\r\n", "400")]
+#[case::no_time("GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 0\r\n\r\n", "400")]
+#[case::odd_retry(
+    "GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 9\r\nReq-Retry: x\r\n\r\n",
+    "400"
+)]
+#[case::no_http("LOOK\r\n\r\n", "400")]
+#[case::odd_header("GET /look HTTP/1.1\r\nHost b\r\n\r\n", "400")]
+#[case::strange("GET /lock HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\n\r\n", "404")]
+#[case::long(
+    "POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 65537\r\n\r\n",
+    "413"
+)]
+fn bad_input_is_answered_and_goes_nowhere(#[case] request: &str, #[case] status: &str) {
+    let endpoint = willing("ok");
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    assert_eq!(sidecar.ask(request).word(), status);
+    assert_eq!((sidecar.ask(&look("next")).word(), endpoint.count()), ("200", 1));
+}
+
+#[rstest]
+#[case(65_536, "200")]
+#[case(65_537, "413")]
+fn the_longest_body_holds_without_a_stated_length_too(#[case] length: usize, #[case] status: &str) {
+    let endpoint = stand_in(|command, to| {
+        // Chunks or not, the sidecar states the length of what it sends on.
+        answer(to, "200 OK", "", format!("{}", command.body.len()).as_bytes());
+        true
+    });
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let head = "POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let answer = sidecar.ask(&format!("{head}{length:x}\r\n{}\r\n0\r\n\r\n", "x".repeat(length)));
+    assert_eq!(answer.word(), status);
+    assert!(status != "200" || answer.body == length.to_string().as_bytes());
+}
+
+#[rstest]
+#[case::missing(None, "LB_CONFIG is not set")]
+#[case::no_json(Some("{".to_string()), "EOF")]
+#[case::no_seed(Some(r#"{"settings":{}}"#.to_string()), "missing field `seed`")]
+#[case::no_verbs(Some(told(nowhere(), nowhere(), "", "{}")), "no verbs")]
+#[case::odd_verb(Some(told(nowhere(), nowhere(), "", &SETTINGS.replace("read_like", "odd"))), "unknown effect 'odd'")]
+#[case::odd_phase(Some(told(nowhere(), nowhere(), &member("s", nowhere(), "odd"), SETTINGS)), "unknown variant `odd`")]
+#[case::far_address(Some(told("192.0.2.1:1".parse().unwrap(), nowhere(), "", SETTINGS)), "listen on 192.0.2.1:1")]
+fn a_faulty_configuration_is_named_in_one_line(#[case] text: Option<String>, #[case] fault: &str) {
+    let (mut command, folder) = program(text.as_deref().unwrap_or_default());
+    if text.is_none() {
+        command.env_remove("LB_CONFIG");
+    }
+    let output = command.output().unwrap();
+    std::fs::remove_dir_all(folder).unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+    assert!(said.starts_with("passroad: ") && said.contains(fault), "{said}");
+}
+
+// ---- endpoints in trouble ----
+
+/// What an endpoint does with a command, and what the client is told of an effectful one.
+#[rstest]
+#[case::error("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", "502", 1)]
+#[case::not_full("HTTP/1.1 503 Oh\r\nContent-Length: 0\r\n\r\n", "502", 1)]
+#[case::other_success("HTTP/1.1 204 Oh\r\n\r\n", "502", 1)]
+#[case::breaks_at_once("", "502", 1)]
+#[case::breaks_in_head("HTTP/1.1 200 OK\r\nConte", "502", 1)]
+#[case::breaks_in_body("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfree", "502", 1)]
+#[case::too_long("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\nfree", "502", 1)]
+#[case::no_http("SSH-2.0\r\n\r\n", "502", 1)]
+fn what_may_have_run_is_sent_once_and_terminated(
+    #[case] back: &'static str,
+    #[case] status: &str,
+    #[case] sent: usize,
+) {
+    let act = move |_: &Message, to: &mut std::net::TcpStream| {
+        to.write_all(back.as_bytes()).unwrap();
+        to.shutdown(Shutdown::Both).unwrap();
+        false
+    };
+    let endpoints = [stand_in(act), stand_in(act)];
+    let list = endpoints.iter().map(|e| member(&e.address.to_string(), e.address, "up"));
+    let sidecar = sidecar(&list.collect::<Vec<_>>().join(","));
+    assert_eq!(sidecar.ask(&book("a")).word(), status);
+    sleep(50 * MS);
+    assert_eq!(endpoints.iter().map(StandIn::count).sum::<usize>(), sent);
+}
+
+#[rstest]
+#[case::full(false)]
+#[case::nobody_there(true)]
+fn what_never_ran_goes_to_another_endpoint(#[case] dead: bool) {
+    let full = stand_in(|_, to| {
+        answer(to, "503 Full", "Srv-Declined: 1\r\n", b"");
+        true
+    });
+    let well = willing("booked");
+    let first = if dead { nowhere() } else { full.address };
+    let sidecar = sidecar(&format!("{},{}", member("s-1", first, "up"), member("s-2", well.address, "up")));
+    let answers = (0..20).map(|n| sidecar.ask(&book(&n.to_string())).body);
+    assert!(answers.into_iter().all(|body| body == b"booked"));
+    assert_eq!(well.count(), 20);
+    assert!(dead || full.count() > 0);
+}
+
+#[rstest]
+fn where_all_are_full_the_answer_is_a_prompt_decline_that_says_when_to_return() {
+    let full = stand_in(|_, to| {
+        answer(to, "503 Full", "Srv-Declined: 1\r\n", b"");
+        true
+    });
+    let sidecar = sidecar(&member("s-1", full.address, "up"));
+    let (began, answer) = (Instant::now(), sidecar.ask(&book("a")));
+    assert_eq!((answer.word(), began.elapsed() < 450 * MS), ("503", true));
+    assert!(answer.header("retry-after").unwrap().parse::<f64>().unwrap() > 0.0);
+}
+
+#[rstest]
+#[case(look("a"), "503")]
+#[case(book("a"), "502")]
+fn an_endpoint_that_says_nothing_costs_no_command_its_answer(#[case] command: String, #[case] status: &str) {
+    let silent = stand_in(|_, _| true);
+    let sidecar = sidecar(&member("s-1", silent.address, "up"));
+    let (began, answer) = (Instant::now(), sidecar.ask(&command));
+    assert_eq!(answer.word(), status);
+    assert!(began.elapsed() < 900 * MS, "{:?}", began.elapsed());
+    // Giving it up closed its connection.
+    until(|| silent.open.load(SeqCst) <= 1 && !silent.closed.lock().unwrap().is_empty());
+}
+
+#[rstest]
+fn a_kept_connection_that_the_endpoint_closed_costs_no_command() {
+    let endpoint = stand_in(|_, to| {
+        answer(to, "200 OK", "", b"booked");
+        false
+    });
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    for n in 0..10 {
+        assert_eq!(sidecar.ask(&book(&n.to_string())).word(), "200");
+        sleep(10 * MS);
+    }
+    assert_eq!(endpoint.count(), 10);
+}
+
+#[rstest]
+fn idle_connections_close_well_before_the_endpoint_closes_them() {
+    let endpoint = willing("ok");
+    let settings = SETTINGS.replace("60000000000", "1000000000");
+    let sidecar = sidecar_with(&member("s-1", endpoint.address, "up"), nowhere(), &settings);
+    let (began, answer) = (Instant::now(), sidecar.ask(&look("a")));
+    assert_eq!(answer.word(), "200");
+    until(|| endpoint.open.load(SeqCst) == 0);
+    assert!(began.elapsed() < 950 * MS, "{:?}", began.elapsed());
+}
+
+#[rstest]
+#[case("TEXT inflight=many")]
+#[case("TEXT inflight=-1")]
+#[case("inflight=1")]
+#[case("TEXT inflight=1, queue")]
+#[case("\u{e9}")]
+fn a_malformed_load_report_does_not_touch_its_answer(#[case] load: &'static str) {
+    let endpoint = stand_in(move |_, to| {
+        answer(to, "200 OK", &format!("Srv-Load: {load}\r\n"), b"free");
+        true
+    });
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    assert_eq!(sidecar.ask(&look("a")).body, b"free");
+}
+
+// ---- clients ----
+
+#[rstest]
+fn a_client_that_leaves_frees_all_that_its_command_held() {
+    let silent = stand_in(|_, _| true);
+    let sidecar = sidecar(&member("s-1", silent.address, "up"));
+    let before = sidecar.descriptors();
+    let mut client = sidecar.client();
+    client.get_mut().write_all(book("a").as_bytes()).unwrap();
+    until(|| silent.count() == 1);
+    drop(client);
+    let left = Instant::now();
+    until(|| !silent.closed.lock().unwrap().is_empty());
+    assert!(left.elapsed() < 300 * MS, "{:?}", left.elapsed());
+    // A connection for probes may stay.
+    until(|| sidecar.descriptors() <= before + 1);
+}
+
+#[rstest]
+fn many_slow_clients_do_not_shut_out_the_others() {
+    let endpoint = willing("ok");
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let slow: Vec<_> = (0..60)
+        .map(|_| {
+            let mut client = sidecar.client();
+            client.get_mut().write_all(b"GET /look HTTP/1.1\r\nReq-").unwrap();
+            client
+        })
+        .collect();
+    assert!(sidecar.descriptors() <= 64);
+    assert_eq!(sidecar.ask(&look("a")).word(), "200");
+    drop(slow);
+    assert_eq!(sidecar.ask(&look("b")).word(), "200");
+}
+
+// ---- discovery ----
+
+#[rstest]
+#[case("draining")]
+#[case("removed")]
+fn nothing_goes_to_an_endpoint_after_the_list_says_so(#[case] phase: &str) {
+    let (first, second) = (willing("first"), willing("second"));
+    let both =
+        |phase| format!("{},{}", member("s-1", first.address, phase), member("s-2", second.address, "up"));
+    let discovery = discovery(&both("up"));
+    let sidecar = sidecar_with(&both("up"), discovery.stand_in.address, SETTINGS);
+    until(|| discovery.stand_in.count() > 0);
+    until(|| sidecar.ask(&look("a")).body == b"first");
+    *discovery.list.lock().unwrap() = (2, both(phase));
+    sleep(100 * MS);
+    let before = first.count();
+    assert!((0..30).all(|n| sidecar.ask(&look(&n.to_string())).body == b"second"));
+    assert_eq!(first.count(), before);
+}
+
+#[rstest]
+fn a_watch_is_renewed_at_once_from_the_newest_revision() {
+    let endpoint = willing("ok");
+    let list = member("s-1", endpoint.address, "up");
+    let discovery = discovery(&list);
+    let _sidecar = sidecar_with(&list, discovery.stand_in.address, SETTINGS);
+    until(|| discovery.stand_in.count() == 1);
+    discovery.list.lock().unwrap().0 = 7;
+    let changed = Instant::now();
+    until(|| discovery.stand_in.count() == 2);
+    let seen = discovery.stand_in.seen.lock().unwrap();
+    assert!(seen[0].word().starts_with("/v1/servers?from=1&hold_ms="), "{}", seen[0].head);
+    assert!(seen[1].word().starts_with("/v1/servers?from=7&hold_ms="), "{}", seen[1].head);
+    assert!(seen[1].at - changed < 100 * MS, "{:?}", seen[1].at - changed);
+}
+
+#[rstest]
+#[case::down("")]
+#[case::unavailable("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")]
+#[case::no_json("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlist")]
+#[case::no_address(
+    "HTTP/1.1 200 OK\r\nContent-Length: 79\r\n\r\n{\"revision\":2,\"complete\":true,\"members\":[{\"id\":\"s-1\",\"phase\":\"up\",\"cell\":0}]}  "
+)]
+#[case::cut_off("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"revision\":2")]
+fn while_discovery_is_in_trouble_the_last_list_serves(#[case] back: &'static str) {
+    let endpoint = willing("ok");
+    let trouble = stand_in(move |_, to| {
+        let _ = to.write_all(back.as_bytes());
+        false
+    });
+    let sidecar = sidecar_with(&member("s-1", endpoint.address, "up"), trouble.address, SETTINGS);
+    until(|| trouble.count() >= 3);
+    assert_eq!(sidecar.ask(&look("a")).word(), "200");
+    // Asked again later each time, not in a rush.
+    let seen = trouble.seen.lock().unwrap();
+    assert!(seen[2].at - seen[0].at > 50 * MS, "{:?}", seen[2].at - seen[0].at);
+}
+
+#[rstest]
+fn an_old_list_is_outgrown_once_discovery_is_back() {
+    let endpoint = willing("ok");
+    let discovery = discovery(&member("s-1", nowhere(), "up"));
+    *discovery.list.lock().unwrap() = (9, member("s-9", endpoint.address, "up"));
+    let sidecar = sidecar_with(&member("s-1", nowhere(), "up"), discovery.stand_in.address, SETTINGS);
+    until(|| sidecar.ask(&look("a")).word() == "200");
+}
+
+#[rstest]
+fn an_endpoint_that_moves_is_found_at_its_new_address() {
+    let (old, new) = (willing("old"), willing("new"));
+    let discovery = discovery(&member("s-1", old.address, "up"));
+    let known = member("s-1", old.address, "up");
+    let sidecar = sidecar_with(&known, discovery.stand_in.address, SETTINGS);
+    assert_eq!(sidecar.ask(&look("a")).body, b"old");
+    *discovery.list.lock().unwrap() = (2, member("s-1", new.address, "up"));
+    until(|| sidecar.ask(&look("b")).body == b"new");
+    until(|| old.open.load(SeqCst) == 0);
+}
+
+// ---- the stop ----
+
+#[rstest]
+fn after_sigterm_all_that_comes_is_answered_and_the_exit_is_clean() {
+    let endpoint = stand_in(|_, to| {
+        sleep(200 * MS);
+        answer(to, "200 OK", "", b"ok");
+        true
+    });
+    let mut sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let (mut busy, mut idle) = (sidecar.client(), sidecar.client());
+    assert_eq!(ask(&mut idle, &look("a")).unwrap().word(), "200");
+    busy.get_mut().write_all(book("b").as_bytes()).unwrap();
+    sleep(30 * MS);
+    sidecar.signal("TERM");
+    // An idle connection ends at once, a busy one with its answer.
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0);
+    let answer = Message::read(&mut busy).unwrap();
+    assert_eq!((answer.word(), answer.header("connection").as_deref()), ("200", Some("close")));
+    // New connections come for a while; the command on this one is late.
+    sleep(150 * MS);
+    let mut late = sidecar.client();
+    sleep(100 * MS);
+    let answer = ask(&mut late, &look("c")).unwrap();
+    assert_eq!((answer.word(), answer.header("connection").as_deref()), ("200", Some("close")));
+    let status = sidecar.child.wait().unwrap();
+    assert_eq!(status.code(), Some(0));
+}
+
+#[rstest]
+fn what_the_backlog_holds_at_the_stop_is_answered() {
+    let endpoint = willing("ok");
+    let mut sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    // Stopped for a moment, the program takes nothing; the system still accepts for it.
+    sidecar.signal("STOP");
+    sidecar.signal("TERM");
+    let mut clients: Vec<_> = (0..20).map(|_| sidecar.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.get_mut().write_all(look(&n.to_string()).as_bytes()).unwrap();
+    }
+    sidecar.signal("CONT");
+    let words: Vec<_> = clients.iter_mut().map(|c| Message::read(c).unwrap().word().to_string()).collect();
+    assert!(words.iter().all(|w| w == "200" || w == "503") && words.contains(&"200".into()), "{words:?}");
+    assert_eq!(sidecar.child.wait().unwrap().code(), Some(0));
+}
+
+#[rstest]
+fn after_a_kill_the_sidecar_starts_from_nothing_at_the_same_address() {
+    let endpoint = willing("ok");
+    let (address, known) = (nowhere(), member("s-1", endpoint.address, "up"));
+    let (mut command, folder) = program(&told(address, nowhere(), &known, SETTINGS));
+    for _ in 0..2 {
+        let mut child = command.spawn().unwrap();
+        until(|| std::net::TcpStream::connect(address).is_ok());
+        let mut client = std::io::BufReader::new(std::net::TcpStream::connect(address).unwrap());
+        assert_eq!(ask(&mut client, &look("a")).unwrap().word(), "200");
+        child.kill().unwrap();
+        child.wait().unwrap();
+        assert_eq!(client.read(&mut [0]).unwrap_or(0), 0);
+    }
+    std::fs::remove_dir_all(folder).unwrap();
+}
