Watches end before the stated time to ask; pushed lists are watched from the start

Read in PROTOCOL.md: a sidecar that neither watches nor asks for the stated time counts as told. A watch held as long as that, plus the grace, notices a silently dead connection too late; it now ends the grace earlier (main.rs). Where the settings say that changes are pushed the module never asks, so nothing watched; a test failed without the fix.

--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 const LONGEST_LIST: usize = 8 << 20; // bytes
-const GRACE: Duration = Duration::from_secs(2); // on top of the wait that a watch asks for
+pub const GRACE: Duration = Duration::from_secs(2); // on top of the wait that a watch asks for
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
 const BREATH: Duration = Duration::from_millis(50); // between calls that bring nothing and don't wait
 
--- a/crates/passroad/src/main.rs
+++ b/crates/passroad/src/main.rs
@@ -40,7 +40,12 @@
     let companies = start.orders.companies.iter().map(|c| c.name.clone()).collect();
     let longest = start.orders.verbs.iter().map(|v| v.limit).max().unwrap_or_default();
     let (calls, called) = tokio::sync::mpsc::unbounded_channel();
-    let hold = start.orders.ask_every;
+    // A watch that is silently dead is noticed before the module would have to ask anew.
+    let hold = start.orders.ask_every.saturating_sub(list::GRACE);
+    if !start.orders.list_on_request {
+        // The module takes it that changes come by themselves.
+        let _ = calls.send(list::Call::Watch(true));
+    }
     let dialer = relay::Dialer::new(start.connect_within, start.orders.idle_close, most);
     let desk = desk::Desk::new(start.orders, dialer, calls);
     let revision = start.known.as_ref().map(|list| list.revision);
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -282,6 +282,16 @@
     assert_eq!(first.count(), before);
 }
 
+#[rstest]
+fn where_changes_come_unasked_the_sidecar_watches_from_the_start() {
+    let endpoint = willing("ok");
+    let discovery = discovery(&member("s-1", endpoint.address, "up"));
+    let settings = SETTINGS.replace("on_request", "pushed");
+    let sidecar = sidecar_with("", discovery.stand_in.address, &settings);
+    discovery.list.lock().unwrap().0 = 2;
+    until(|| sidecar.ask(&look("a")).word() == "200");
+}
+
 #[rstest]
 fn a_watch_is_renewed_at_once_from_the_newest_revision() {
     let endpoint = willing("ok");
