Watches wait four times as long as between calls; the log names endpoints

The wait is now four times ask_every, 60 s at most. The log says which endpoint has which number, and the module is told how long connections are kept here.

--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -115,6 +115,10 @@
             let address = member.host_port.filter(|_| member.mode() != Mode::Deleted);
             if link.as_ref().map(|l| l.address) != address {
                 *link = address.map(|address| Link::new(address, &self.dialer));
+                match address {
+                    Some(address) => log::info!("endpoint {endpoint} is {} at {address}", member.id),
+                    None => log::info!("endpoint {endpoint} ({}) has left the list", member.id),
+                }
             }
             entries.push(Listing {
                 endpoint,
@@ -197,8 +201,11 @@
     /// What a whole list leaves out is gone.
     fn leave_out(&mut self, list: &List) {
         let stay: Vec<_> = list.members.iter().filter_map(|m| self.endpoints.find(&m.id)).collect();
-        for (_, link) in self.links.iter_mut().enumerate().filter(|(at, _)| !stay.contains(at)) {
-            *link = None;
+        for (at, link) in self.links.iter_mut().enumerate().filter(|(at, _)| !stay.contains(at)) {
+            if link.take().is_some() {
+                let id = self.endpoints.name(at).map_or("?", String::as_str);
+                log::info!("endpoint {at} ({id}) has left the list");
+            }
         }
     }
 
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -13,8 +13,8 @@
 use tokio::time::{sleep, timeout};
 
 const LONGEST_LIST: usize = 8 << 20; // bytes
-pub const GRACE: Duration = Duration::from_secs(2); // on top of the wait that a watch asks for
-const LONGEST_HOLD: Duration = Duration::from_secs(60);
+const GRACE: Duration = Duration::from_secs(2); // on top of the wait that a watch asks for
+const LONGEST_HOLD: Duration = Duration::from_secs(60); // that a watch may ask for
 const BREATH: Duration = Duration::from_millis(50); // between calls that bring nothing and don't wait
 
 #[derive(Deserialize, Debug)]
--- a/crates/passroad/src/main.rs
+++ b/crates/passroad/src/main.rs
@@ -31,7 +31,7 @@
     }
 }
 
-async fn run(start: start::Start) -> Result<(), String> {
+async fn run(mut start: start::Start) -> Result<(), String> {
     let most = (start.sockets.saturating_sub(OTHER_SOCKETS) / 2).max(8);
     let listener = front::listen(start.listen)?;
     let stages = stop::Stage::on_sigterm()?;
@@ -40,13 +40,16 @@
     let companies = start.orders.companies.iter().map(|c| c.name.clone()).collect();
     let longest = start.orders.verbs.iter().map(|v| v.limit).max().unwrap_or_default();
     let (calls, called) = tokio::sync::mpsc::unbounded_channel();
-    // A watch that is silently dead is noticed before the module would have to ask anew.
-    let hold = start.orders.ask_every.saturating_sub(list::GRACE);
+    // What a waiting call has to tell counts as told only when its wait is over: a stall or a cut shorter than that
+    // breaks no rule. Four times as long as between calls is what the rules allow after a failed one, too.
+    let hold = 4 * start.orders.ask_every;
     if !start.orders.list_on_request {
         // The module takes it that changes come by themselves.
         let _ = calls.send(list::Call::Watch(true));
     }
     let dialer = relay::Dialer::new(start.connect_within, start.orders.idle_close, most);
+    // The module is to count on a connection only as long as it is kept here.
+    start.orders.idle_close = dialer.idle();
     let desk = desk::Desk::new(start.orders, dialer, calls);
     let revision = start.known.as_ref().map(|list| list.revision);
     if let Some(known) = &start.known {
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -303,8 +303,8 @@
     let changed = Instant::now();
     until(|| discovery.stand_in.count() == 2);
     let seen = discovery.stand_in.seen.lock().unwrap();
-    assert!(seen[0].word().starts_with("/v1/servers?from=1&hold_ms="), "{}", seen[0].head);
-    assert!(seen[1].word().starts_with("/v1/servers?from=7&hold_ms="), "{}", seen[1].head);
+    assert!(seen[0].word().starts_with("/v1/servers?from=1&hold_ms=1600 "), "{}", seen[0].head);
+    assert!(seen[1].word().starts_with("/v1/servers?from=7&hold_ms=1600 "), "{}", seen[1].head);
     assert!(seen[1].at - changed < 100 * MS, "{:?}", seen[1].at - changed);
 }
 
@@ -330,6 +330,18 @@
     assert!(seen[2].at - seen[0].at > 50 * MS, "{:?}", seen[2].at - seen[0].at);
 }
 
+#[rstest]
+fn a_discovery_that_says_nothing_holds_no_command_up() {
+    let endpoint = willing("ok");
+    let silent = stand_in(|_, _| true);
+    let sidecar = sidecar_with(&member("s-1", endpoint.address, "up"), silent.address, SETTINGS);
+    until(|| silent.count() == 1);
+    let (began, answer) = (Instant::now(), sidecar.ask(&look("a")));
+    assert_eq!((answer.word(), began.elapsed() < 200 * MS), ("200", true));
+    // Given up once its wait and the grace are over, then asked again.
+    until(|| silent.count() == 2);
+}
+
 #[rstest]
 fn an_old_list_is_outgrown_once_discovery_is_back() {
     let endpoint = willing("ok");
