--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -303,8 +303,8 @@
     let changed = Instant::now();
     until(|| discovery.stand_in.count() == 2);
     let seen = discovery.stand_in.seen.lock().unwrap();
-    assert!(seen[0].word().starts_with("/v1/servers?from=1&hold_ms=1600 "), "{}", seen[0].head);
-    assert!(seen[1].word().starts_with("/v1/servers?from=7&hold_ms=1600 "), "{}", seen[1].head);
+    assert!(seen[0].word() == "/v1/servers?from=1&hold_ms=1600", "{}", seen[0].head);
+    assert!(seen[1].word() == "/v1/servers?from=7&hold_ms=1600", "{}", seen[1].head);
     assert!(seen[1].at - changed < 100 * MS, "{:?}", seen[1].at - changed);
 }
 
