What waited while the process stood still is given up in time; three more guards

Integration tests, each failing before: - Stopped for 300 ms, the sidecar relayed an effectful command whose client's 200 ms were over and answered 200. Checked: the time is counted from reading (front.rs, read), which is late after a stall; ruled out timers, they ran. A beat now notices stalls, and what is read right after one has its length taken off. - Clients that stop in the middle of a body held all places for 10 s (front.rs: a command was in hand from its head on). - Changes older than the list were taken for new (list.rs); now all is asked for. A relay looks at its time and its recall before it writes (relay.rs, run): a connection that came up during a stall would have sent. By reading, not measured.

--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -13,6 +13,10 @@
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+const BEAT: Duration = Duration::from_millis(10);
+/// A beat later than this means that the process stood still; what is read so soon after came meanwhile.
+const STALL: Duration = Duration::from_millis(30);
+
 /// How often the log says that connections run out.
 const USED_UP_AGAIN: Duration = Duration::from_secs(10);
 
@@ -32,9 +36,17 @@
     calls: UnboundedSender<Call>,
     reports: ReportsHow,
     probe_within: Duration,
+    pulse: Mutex<Pulse>,
     held: Mutex<Held>,
 }
 
+/// Beats while the process runs.
+struct Pulse {
+    last: Instant,
+    stood: Duration, // the last stall and its end
+    since: Instant,
+}
+
 struct Held {
     balancer: Balancer,
     commands: Door<u64>,
@@ -60,6 +72,7 @@
             reports: orders.reports,
             probe_within: dialer.probe_within(),
             dialer,
+            pulse: Mutex::new(Pulse { last: Instant::now(), stood: Duration::ZERO, since: Instant::now() }),
             held: Mutex::new(Held {
                 balancer: Balancer::new(orders),
                 commands: Door::new(),
@@ -78,6 +91,28 @@
         self.epoch + self.began.elapsed()
     }
 
+    /// Beats for as long as the sidecar runs.
+    pub async fn beat(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(BEAT).await;
+            let mut pulse = self.pulse.lock().unwrap_or_else(PoisonError::into_inner);
+            let (now, gap) = (Instant::now(), pulse.last.elapsed());
+            if gap > STALL {
+                (pulse.stood, pulse.since) = (gap, now);
+                log::warn!("stood still for {gap:.1?}");
+            }
+            pulse.last = now;
+        }
+    }
+
+    /// How long what is read now may have waited. Guards against relays that go out past their limit after a
+    /// machine stood still: the time of a command that came meanwhile has run on.
+    pub fn may_have_waited(&self) -> Duration {
+        let pulse = self.pulse.lock().unwrap_or_else(PoisonError::into_inner);
+        let gap = Some(pulse.last.elapsed()).filter(|gap| *gap > STALL);
+        gap.or((pulse.since.elapsed() < STALL).then_some(pulse.stood)).unwrap_or_default()
+    }
+
     /// A panic elsewhere must not end every later command: what is held stays in use.
     fn held(&self) -> MutexGuard<'_, Held> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -6,7 +6,7 @@
 use crate::stop::{Stage, Stages, reached};
 use axum::Router;
 use axum::body::{Body, to_bytes};
-use axum::extract::{Request, State};
+use axum::extract::{Extension, Request, State};
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
@@ -127,8 +127,8 @@
 
 /// What is known of a connection's client.
 struct Talk {
-    spoke: AtomicBool,             // it has sent a whole request
-    quiet: Mutex<Option<Instant>>, // since when there is nothing to answer; none while there is
+    spoke: AtomicBool,             // it has sent a request's head
+    quiet: Mutex<Option<Instant>>, // since when there is nothing to answer; none while a command is in hand
 }
 
 impl Talk {
@@ -146,10 +146,10 @@
     let _ = stream.set_nodelay(true);
     tokio::spawn(async move {
         let (front, mut stages) = (&place.0, place.0.stages.clone());
-        let talk = Talk { spoke: AtomicBool::new(false), quiet: Mutex::new(Some(Instant::now())) };
-        let service = hyper::service::service_fn(|request: hyper::Request<hyper::body::Incoming>| {
+        let talk = Arc::new(Talk { spoke: AtomicBool::new(false), quiet: Mutex::new(Some(Instant::now())) });
+        let service = hyper::service::service_fn(|mut request: hyper::Request<hyper::body::Incoming>| {
             talk.spoke.store(true, Relaxed);
-            talk.set_quiet(None);
+            request.extensions_mut().insert(Arc::clone(&talk));
             router.clone().call(request).inspect(|_| talk.set_quiet(Some(Instant::now())))
         });
         let connection = http1::Builder::new()
@@ -195,9 +195,15 @@
     front.last(status.into_response())
 }
 
-async fn take(State(front): State<Arc<Front>>, request: Request) -> Response {
+async fn take(
+    State(front): State<Arc<Front>>,
+    Extension(talk): Extension<Arc<Talk>>,
+    request: Request,
+) -> Response {
     let answer = match front.read(request).await {
+        Ok((need, _)) if need.budget.is_zero() => word(Answer::OutOfTime),
         Ok((need, cargo)) => {
+            talk.set_quiet(None);
             let (tell, told) = oneshot::channel();
             tokio::spawn(command::run(Arc::clone(&front.desk), need, cargo, tell));
             // Dropped with its connection, this tells the command that its client is gone.
@@ -221,7 +227,7 @@
         let (parts, body) = request.into_parts();
         let class = parts.uri.path().split('/').nth(1).unwrap_or_default();
         let verb = self.verbs.iter().position(|v| v == class).ok_or(StatusCode::NOT_FOUND)?;
-        let need = self.need(verb, &parts.headers).ok_or(StatusCode::BAD_REQUEST)?;
+        let mut need = self.need(verb, &parts.headers).ok_or(StatusCode::BAD_REQUEST)?;
         let length = parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok());
         if length.and_then(|n| n.parse().ok()).is_some_and(|n: u64| n > LONGEST_BODY as u64) {
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
@@ -232,6 +238,9 @@
                 std::error::Error::source(&fault).is_some_and(|s| s.is::<http_body_util::LengthLimitError>());
             if long { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST }
         })?;
+        let waited = self.desk.may_have_waited();
+        need.budget = need.budget.saturating_sub(waited);
+        need.last = need.last.saturating_sub(waited);
         Ok((need, Cargo::of(parts, body)))
     }
 
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -106,7 +106,15 @@
             answer = ask(&client, discovery, from), if watching || whole => answer,
         };
         whole = false;
+        // Guards against old news taken for new: from where it belongs is not known, so all is asked for next.
+        let older = |list: &List| !list.complete && revision.is_some_and(|held| list.revision < held);
+        let old = answer.as_ref().is_ok_and(older);
         match answer {
+            Ok(_) if old => {
+                revision = None;
+                watching = false;
+                refused(&desk, "changes older than the list");
+            }
             Ok(list) => {
                 let kind = if list.complete { ListKind::All } else { ListKind::Changes };
                 revision = Some(list.revision);
@@ -119,14 +127,19 @@
                 }
             }
             Err(fault) => {
-                log::warn!("discovery: {fault}; the list before stays in force");
                 watching = false;
-                desk.tell(Event::Listed { kind: ListKind::Refused, entries: Vec::new() });
+                refused(&desk, &fault);
             }
         }
     }
 }
 
+/// The module says when to call again.
+fn refused(desk: &Arc<Desk>, fault: &str) {
+    log::warn!("discovery: {fault}; the list before stays in force");
+    desk.tell(Event::Listed { kind: ListKind::Refused, entries: Vec::new() });
+}
+
 async fn ask(client: &Client, at: SocketAddr, from: Option<(u64, Duration)>) -> Result<List, String> {
     let (query, wait) = match from {
         Some((from, hold)) => (format!("?from={from}&hold_ms={}", hold.as_millis()), hold),
--- a/crates/passroad/src/main.rs
+++ b/crates/passroad/src/main.rs
@@ -55,6 +55,7 @@
     if let Some(known) = &start.known {
         desk.listed(passroad_choice::ListKind::Remembered, known);
     }
+    tokio::spawn(Arc::clone(&desk).beat());
     tokio::spawn(list::follow(Arc::clone(&desk), start.discovery, hold, revision, called));
     let front = front::Front::new(desk, verbs, companies, most, stages);
     front::serve(listener, front, longest).await;
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -122,10 +122,11 @@
     let Some(mut request) = cargo.request(link.address, within) else { return Outcome::Moot.into() };
     let way = capture_connection(&mut request);
     tokio::select! {
+        // Guards against a connection that comes up while the process stands still: past the time nothing goes out.
         biased;
-        ended = exchange(&link.client, request, &way, cargo.target.len() + cargo.body.len()) => ended,
         _ = recall => Outcome::Recalled.into(),
         () = tokio::time::sleep(within) => Outcome::TimedOut.into(),
+        ended = exchange(&link.client, request, &way, cargo.target.len() + cargo.body.len()) => ended,
     }
 }
 
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -246,13 +246,17 @@
 }
 
 #[rstest]
-fn many_slow_clients_do_not_shut_out_the_others() {
+#[case::in_the_head("GET /look HTTP/1.1\r\nReq-")]
+#[case::in_the_body(
+    "POST /book HTTP/1.1\r\nReq-Id: s\r\nReq-Deadline-Ms: 900\r\nContent-Length: 4\r\n\r\nse"
+)]
+fn many_slow_clients_do_not_shut_out_the_others(#[case] part: &str) {
     let endpoint = willing("ok");
     let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
     let slow: Vec<_> = (0..60)
         .map(|_| {
             let mut client = sidecar.client();
-            client.get_mut().write_all(b"GET /look HTTP/1.1\r\nReq-").unwrap();
+            client.get_mut().write_all(part.as_bytes()).unwrap();
             client
         })
         .collect();
@@ -262,6 +266,21 @@
     assert_eq!(sidecar.ask(&look("b")).word(), "200");
 }
 
+// A machine may stand still for a while: what came meanwhile has waited as long.
+#[rstest]
+fn what_waited_past_its_limit_is_not_sent() {
+    let endpoint = willing("ok");
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let mut client = sidecar.client();
+    assert_eq!(ask(&mut client, &look("a")).unwrap().word(), "200");
+    sidecar.signal("STOP");
+    client.get_mut().write_all(book("b").replace("900", "200").as_bytes()).unwrap();
+    sleep(300 * MS);
+    sidecar.signal("CONT");
+    assert_eq!(Message::read(&mut client).unwrap().word(), "504");
+    assert_eq!((ask(&mut client, &book("c")).unwrap().word(), endpoint.count()), ("200", 2));
+}
+
 // ---- discovery ----
 
 #[rstest]
@@ -330,6 +349,26 @@
     assert!(seen[2].at - seen[0].at > 50 * MS, "{:?}", seen[2].at - seen[0].at);
 }
 
+#[rstest]
+fn changes_older_than_the_list_are_passed_over_and_the_whole_list_is_asked_for() {
+    let endpoint = willing("ok");
+    let list = member("s-1", endpoint.address, "up");
+    let gone = list.replace("\"up\"", "\"removed\"");
+    let whole = format!(r#"{{"revision":4,"complete":true,"members":[{list}]}}"#);
+    let older = format!(r#"{{"revision":0,"complete":false,"members":[{gone}]}}"#);
+    let discovery = stand_in(move |message, to| {
+        let body = if message.word().contains("from=1&") { &older } else { &whole };
+        sleep(if message.word().contains("from=4&") { 900 * MS } else { MS });
+        answer(to, "200 OK", "", body.as_bytes());
+        true
+    });
+    let sidecar = sidecar_with(&list, discovery.address, SETTINGS);
+    until(|| discovery.count() >= 3);
+    let words: Vec<_> = discovery.seen.lock().unwrap().iter().map(|m| m.word().to_string()).collect();
+    assert_eq!(words[1], "/v1/servers");
+    assert_eq!(sidecar.ask(&look("a")).word(), "200");
+}
+
 #[rstest]
 fn a_discovery_that_says_nothing_holds_no_command_up() {
     let endpoint = willing("ok");
