Starts without a known list, and while the process before still has the address

Integration tests, each failing before: without a known list the module was never told of one, so it never called discovery (main.rs); an address in use ended the start with exit code 2, which after a planned restart would be a crash (front.rs, listen). An incomplete known list is taken as it is: it may be wrong and is outgrown.

--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -13,6 +13,7 @@
 use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -26,6 +27,7 @@
 const HEAD_WITHIN: Duration = Duration::from_secs(75); // also how long an idle connection is kept
 const BODY_WITHIN: Duration = Duration::from_secs(10);
 const MARGIN: Duration = Duration::from_millis(10); // of a time limit, at most a twentieth
+const ADDRESS_WITHIN: Duration = Duration::from_secs(3); // a process before this one may be ending
 const QUIET_IN_CROWD: Duration = Duration::from_millis(300);
 const LAST_WORDS: Duration = Duration::from_millis(500);
 const TRIES_APART: Duration = Duration::from_millis(20); // to accept, after a failure
@@ -40,14 +42,23 @@
     stages: Stages,
 }
 
-pub fn listen(at: SocketAddr) -> Result<TcpListener, String> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
-    let bound = socket.and_then(|socket| {
-        socket.set_reuseaddr(true)?;
-        socket.bind(at)?;
-        socket.listen(BACKLOG)
-    });
-    bound.map_err(|e| format!("listen on {at}: {e}"))
+/// Listens; waits a little for a process that still has the address.
+pub async fn listen(at: SocketAddr) -> Result<TcpListener, String> {
+    let began = Instant::now();
+    loop {
+        let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        let bound = socket.and_then(|socket| {
+            socket.set_reuseaddr(true)?;
+            socket.bind(at)?;
+            socket.listen(BACKLOG)
+        });
+        match bound {
+            Err(fault) if fault.kind() == ErrorKind::AddrInUse && began.elapsed() < ADDRESS_WITHIN => {
+                sleep(TRIES_APART).await;
+            }
+            bound => return bound.map_err(|e| format!("listen on {at}: {e}")),
+        }
+    }
 }
 
 impl Front {
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -17,7 +17,7 @@
 const LONGEST_HOLD: Duration = Duration::from_secs(60); // that a watch may ask for
 const BREATH: Duration = Duration::from_millis(50); // between calls that bring nothing and don't wait
 
-#[derive(Deserialize, Debug)]
+#[derive(Deserialize, Debug, Default)]
 pub struct List {
     pub revision: u64,
     pub complete: bool,
--- a/crates/passroad/src/main.rs
+++ b/crates/passroad/src/main.rs
@@ -33,7 +33,7 @@
 
 async fn run(mut start: start::Start) -> Result<(), String> {
     let most = (start.sockets.saturating_sub(OTHER_SOCKETS) / 2).max(8);
-    let listener = front::listen(start.listen)?;
+    let listener = front::listen(start.listen).await?;
     let stages = stop::Stage::on_sigterm()?;
     log::info!("{} listens on {}, at most {most} connections each way", start.name, start.listen);
     let verbs = start.orders.verbs.iter().map(|v| v.name.clone()).collect();
@@ -52,9 +52,8 @@
     start.orders.idle_close = dialer.idle();
     let desk = desk::Desk::new(start.orders, dialer, calls);
     let revision = start.known.as_ref().map(|list| list.revision);
-    if let Some(known) = &start.known {
-        desk.listed(passroad_choice::ListKind::Remembered, known);
-    }
+    // An empty one, too: the module calls discovery from there on.
+    desk.listed(passroad_choice::ListKind::Remembered, &start.known.unwrap_or_default());
     tokio::spawn(Arc::clone(&desk).beat());
     tokio::spawn(list::follow(Arc::clone(&desk), start.discovery, hold, revision, called));
     let front = front::Front::new(desk, verbs, companies, most, stages);
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -55,9 +55,6 @@
         (None, Some(text)) => text.parse().map_err(|e| format!("{name}: {e}")),
         (None, None) => Err(format!("no address: {name} is not set either")),
     };
-    if told.known.as_ref().is_some_and(|list| !list.complete) {
-        return Err("known: not a complete list".into());
-    }
     Ok(Start {
         listen: address(told.listen, "LB_LISTEN")?,
         discovery: address(told.discovery, "LB_DISCOVERY")?,
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -390,6 +390,17 @@
     until(|| sidecar.ask(&look("a")).word() == "200");
 }
 
+#[rstest]
+fn without_a_known_list_the_whole_one_is_asked_for() {
+    let endpoint = willing("ok");
+    let discovery = discovery(&member("s-1", endpoint.address, "up"));
+    let address = nowhere();
+    let text = told(address, discovery.stand_in.address, "", SETTINGS).replace("\"known\":", "\"unknown\":");
+    let sidecar = Sidecar::start(address, &text);
+    until(|| sidecar.ask(&look("a")).word() == "200");
+    assert_eq!(discovery.stand_in.seen.lock().unwrap()[0].word(), "/v1/servers");
+}
+
 #[rstest]
 fn an_endpoint_that_moves_is_found_at_its_new_address() {
     let (old, new) = (willing("old"), willing("new"));
@@ -459,6 +470,21 @@
     assert_eq!(sidecar.child.wait().unwrap().code(), Some(0));
 }
 
+#[rstest]
+fn an_address_that_is_still_held_is_waited_for() {
+    let holder = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = holder.local_addr().unwrap();
+    let release = std::thread::spawn(move || {
+        sleep(300 * MS);
+        drop(holder);
+    });
+    let endpoint = willing("ok");
+    let sidecar =
+        Sidecar::start(address, &told(address, nowhere(), &member("s-1", endpoint.address, "up"), SETTINGS));
+    release.join().unwrap();
+    assert_eq!(sidecar.ask(&look("a")).word(), "200");
+}
+
 #[rstest]
 fn after_a_kill_the_sidecar_starts_from_nothing_at_the_same_address() {
     let endpoint = willing("ok");
