Slow clients neither shut out nor delay others; what was let in late is given up in time

Integration tests, each failing before: with 16 places and 60 slow clients a healthy one waited 2.5 s (front.rs: quiet connections went only at the limit, after 0.3 s, and were then given 0.5 s more); with 40 commands at silent endpoints the last answers came after 1.08 s of 0.9 s, since their time counted from when they were let in. Ruled out: relays and the module, which gave each its answer at the response goal. Buffers for endpoints' heads are bounded, too.

--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -29,6 +29,7 @@
 const MARGIN: Duration = Duration::from_millis(10); // of a time limit, at most a twentieth
 const ADDRESS_WITHIN: Duration = Duration::from_secs(3); // a process before this one may be ending
 const QUIET_IN_CROWD: Duration = Duration::from_millis(300);
+const AT_ONCE: Duration = Duration::from_millis(20);
 const LAST_WORDS: Duration = Duration::from_millis(500);
 const TRIES_APART: Duration = Duration::from_millis(20); // to accept, after a failure
 
@@ -89,23 +90,29 @@
 pub async fn serve(listener: TcpListener, front: Arc<Front>, longest: Duration) {
     let router = Router::new().route("/healthz", get(ready)).fallback(take).with_state(Arc::clone(&front));
     let mut stages = front.stages.clone();
+    let mut full = None; // since when some may wait in the backlog
     loop {
+        let count = front.open.load(Relaxed);
         // Guards against running out of descriptors: past the limit new connections wait in the backlog.
-        let room = front.open.load(Relaxed) < front.most;
+        let room = count < front.most;
+        full = full.or((!room).then(Instant::now));
         tokio::select! {
+            biased;
+            () = reached(&mut stages, Stage::Closed) => break,
             accepted = listener.accept(), if room => match accepted {
-                Ok((stream, _)) => open(stream, &router, &front),
+                Ok((stream, _)) => open(stream, &router, &front, full),
                 Err(fault) => {
                     log::warn!("accept: {fault}");
                     sleep(TRIES_APART).await;
                 }
             },
-            () = sleep(TRIES_APART), if !room => front.crowd.notify_waiters(),
-            () = reached(&mut stages, Stage::Closed) => break,
+            // Whoever waited is in.
+            () = std::future::ready(()), if room && full.is_some() => full = None,
+            () = sleep(TRIES_APART), if count >= front.most / 4 * 3 => front.crowd.notify_waiters(),
         }
     }
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        open(stream, &router, &front);
+        open(stream, &router, &front, full);
     }
     drop(listener);
     // Whoever is left has an answer by the longest limit.
@@ -138,7 +145,9 @@
 
 /// What is known of a connection's client.
 struct Talk {
-    spoke: AtomicBool,             // it has sent a request's head
+    came: Instant,
+    waited: Duration,              // outside, at most
+    answered: AtomicBool,          // once at least
     quiet: Mutex<Option<Instant>>, // since when there is nothing to answer; none while a command is in hand
 }
 
@@ -150,18 +159,30 @@
     fn set_quiet(&self, since: Option<Instant>) {
         self.quiet.lock().iter_mut().for_each(|quiet| **quiet = since);
     }
+
+    /// How long a command read now may have waited for its connection to be let in.
+    fn may_have_waited(&self) -> Duration {
+        if self.came.elapsed() < AT_ONCE { self.waited } else { Duration::ZERO }
+    }
 }
 
-fn open(stream: TcpStream, router: &Router, front: &Arc<Front>) {
+fn open(stream: TcpStream, router: &Router, front: &Arc<Front>, full: Option<Instant>) {
     let (place, router) = (Place::take(front), router.clone());
     let _ = stream.set_nodelay(true);
     tokio::spawn(async move {
-        let (front, mut stages) = (&place.0, place.0.stages.clone());
-        let talk = Arc::new(Talk { spoke: AtomicBool::new(false), quiet: Mutex::new(Some(Instant::now())) });
+        let (front, mut stages, came) = (&place.0, place.0.stages.clone(), Instant::now());
+        let talk = Arc::new(Talk {
+            came,
+            waited: full.map_or(Duration::ZERO, |since| since.elapsed()),
+            answered: AtomicBool::new(false),
+            quiet: Mutex::new(Some(came)),
+        });
         let service = hyper::service::service_fn(|mut request: hyper::Request<hyper::body::Incoming>| {
-            talk.spoke.store(true, Relaxed);
             request.extensions_mut().insert(Arc::clone(&talk));
-            router.clone().call(request).inspect(|_| talk.set_quiet(Some(Instant::now())))
+            router.clone().call(request).inspect(|_| {
+                talk.answered.store(true, Relaxed);
+                talk.set_quiet(Some(Instant::now()));
+            })
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -173,8 +194,8 @@
             _ = connection.as_mut() => return,
             () = crowded_out(front, &talk) => {}
             () = reached(&mut stages, Stage::Leaving) => {
-                // One that has sent nothing yet may have its first command on the way.
-                if talk.spoke.load(Relaxed) {
+                // One that was never answered may have its first command on the way.
+                if talk.answered.load(Relaxed) {
                     connection.as_mut().graceful_shutdown();
                 }
                 tokio::select! {
@@ -184,17 +205,19 @@
             }
         }
         connection.as_mut().graceful_shutdown();
-        // Only a client that is quiet in the middle of a request, or does not read, is cut off.
-        while timeout(LAST_WORDS, connection.as_mut()).await.is_err() && !talk.quiet_for(LAST_WORDS) {}
+        // Only a client that is quiet in the middle of a request, or does not read its answer, is cut off.
+        let patience = if talk.answered.load(Relaxed) { LAST_WORDS } else { AT_ONCE };
+        while timeout(patience, connection.as_mut()).await.is_err() && !talk.quiet_for(patience) {}
     });
 }
 
-/// Guards against slow or forgotten clients that hold all there is: while others wait to get in, a connection
-/// that has been quiet for a while is given up.
+/// Guards against slow or forgotten clients that hold all there is: where places run short a connection that
+/// has been quiet for a while is given up, and where there are none even one quiet for a moment.
 async fn crowded_out(front: &Front, talk: &Talk) {
     loop {
         front.crowd.notified().await;
-        if talk.quiet_for(QUIET_IN_CROWD) {
+        let none_left = front.open.load(Relaxed) >= front.most;
+        if talk.quiet_for(if none_left { AT_ONCE } else { QUIET_IN_CROWD }) {
             return;
         }
     }
@@ -211,7 +234,7 @@
     Extension(talk): Extension<Arc<Talk>>,
     request: Request,
 ) -> Response {
-    let answer = match front.read(request).await {
+    let answer = match front.read(request, &talk).await {
         Ok((need, _)) if need.budget.is_zero() => word(Answer::OutOfTime),
         Ok((need, cargo)) => {
             talk.set_quiet(None);
@@ -234,7 +257,7 @@
         answer
     }
 
-    async fn read(&self, request: Request) -> Result<(Need, Cargo), StatusCode> {
+    async fn read(&self, request: Request, talk: &Talk) -> Result<(Need, Cargo), StatusCode> {
         let (parts, body) = request.into_parts();
         let class = parts.uri.path().split('/').nth(1).unwrap_or_default();
         let verb = self.verbs.iter().position(|v| v == class).ok_or(StatusCode::NOT_FOUND)?;
@@ -249,7 +272,7 @@
                 std::error::Error::source(&fault).is_some_and(|s| s.is::<http_body_util::LengthLimitError>());
             if long { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST }
         })?;
-        let waited = self.desk.may_have_waited();
+        let waited = self.desk.may_have_waited().max(talk.may_have_waited());
         need.budget = need.budget.saturating_sub(waited);
         need.last = need.last.saturating_sub(waited);
         Ok((need, Cargo::of(parts, body)))
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -234,6 +234,7 @@
             .pool_idle_timeout(self.idle)
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(MOST_IDLE)
+            .http1_max_buf_size(2 * LONGEST_BODY)
             .build(self.clone())
     }
 }
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -260,12 +260,29 @@
             client
         })
         .collect();
-    assert!(sidecar.descriptors() <= 64);
+    let began = Instant::now();
     assert_eq!(sidecar.ask(&look("a")).word(), "200");
+    assert!(began.elapsed() < 300 * MS && sidecar.descriptors() <= 64, "{:?}", began.elapsed());
     drop(slow);
     assert_eq!(sidecar.ask(&look("b")).word(), "200");
 }
 
+// More than there are places for: what waits outside has its answer in time, too.
+#[rstest]
+fn commands_at_silent_endpoints_end_in_time_however_many_there_are() {
+    let silent = stand_in(|_, _| true);
+    let sidecar = sidecar(&member("s-1", silent.address, "up"));
+    let mut clients: Vec<_> = (0..40).map(|_| sidecar.client()).collect();
+    let began = Instant::now();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.get_mut().write_all(book(&n.to_string()).as_bytes()).unwrap();
+    }
+    for client in &mut clients {
+        assert!(["502", "503", "504"].contains(&Message::read(client).unwrap().word()));
+    }
+    assert!(began.elapsed() < 900 * MS && sidecar.descriptors() <= 64, "{:?}", began.elapsed());
+}
+
 // A machine may stand still for a while: what came meanwhile has waited as long.
 #[rstest]
 fn what_waited_past_its_limit_is_not_sent() {
