--- a/crates/passroad/tests/stand_ins/mod.rs
+++ b/crates/passroad/tests/stand_ins/mod.rs
@@ -143,6 +143,18 @@
     TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
 }
 
+/// An endpoint to which no connection comes up: its backlog is full and nobody accepts.
+pub fn deaf() -> (SocketAddr, TcpListener, Vec<TcpStream>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let _inside = runtime.enter();
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap().into_std().unwrap();
+    let address = listener.local_addr().unwrap();
+    let full = std::iter::from_fn(|| TcpStream::connect_timeout(&address, 100 * MS).ok()).collect();
+    (address, listener, full)
+}
+
 pub struct Sidecar {
     pub address: SocketAddr,
     pub child: Child,
