--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -259,8 +259,8 @@
 
     async fn read(&self, request: Request, talk: &Talk) -> Result<(Need, Cargo), StatusCode> {
         let (parts, body) = request.into_parts();
-        let class = parts.uri.path().split('/').nth(1).unwrap_or_default();
-        let verb = self.verbs.iter().position(|v| v == class).ok_or(StatusCode::NOT_FOUND)?;
+        let name = parts.uri.path().split('/').nth(1).unwrap_or_default();
+        let verb = self.verbs.iter().position(|v| v == name).ok_or(StatusCode::NOT_FOUND)?;
         let mut need = self.need(verb, &parts.headers).ok_or(StatusCode::BAD_REQUEST)?;
         let length = parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok());
         if length.and_then(|n| n.parse().ok()).is_some_and(|n: u64| n > LONGEST_BODY as u64) {
