Connecting is given up after a quarter of its allowance, in time for another endpoint

Seen in an integration test with an endpoint to which no connection comes up: a command declined after 250 ms, past the module's last call of 100 ms, with another endpoint idle. Ruled out: the module, which sends elsewhere where there is time. At fault: relay.rs, Dialer::new, which waited the whole allowance. Now 20 of 20 are answered.

--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -60,7 +60,12 @@
 }
 
 impl Desk {
-    pub fn new(orders: StandingOrders, dialer: Dialer, calls: UnboundedSender<Call>) -> Arc<Self> {
+    pub fn new(
+        orders: StandingOrders,
+        dialer: Dialer,
+        probe_within: Duration,
+        calls: UnboundedSender<Call>,
+    ) -> Arc<Self> {
         let mut zones = Door::new();
         orders.zones.iter().for_each(|zone| {
             zones.admit(zone);
@@ -70,7 +75,7 @@
             epoch: SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default(),
             calls,
             reports: orders.reports,
-            probe_within: dialer.probe_within(),
+            probe_within,
             dialer,
             pulse: Mutex::new(Pulse { last: Instant::now(), stood: Duration::ZERO, since: Instant::now() }),
             held: Mutex::new(Held {
--- a/crates/passroad/src/main.rs
+++ b/crates/passroad/src/main.rs
@@ -50,7 +50,7 @@
     let dialer = relay::Dialer::new(start.connect_within, start.orders.idle_close, most);
     // The module is to count on a connection only as long as it is kept here.
     start.orders.idle_close = dialer.idle();
-    let desk = desk::Desk::new(start.orders, dialer, calls);
+    let desk = desk::Desk::new(start.orders, dialer, start.connect_within / 5, calls);
     let revision = start.known.as_ref().map(|list| list.revision);
     // An empty one, too: the module calls discovery from there on.
     desk.listed(passroad_choice::ListKind::Remembered, &start.known.unwrap_or_default());
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -205,19 +205,16 @@
 }
 
 impl Dialer {
-    /// `idle_close` is when endpoints close an idle connection; here it goes well before.
-    pub fn new(within: Duration, idle_close: Duration, most: usize) -> Self {
+    /// A connection that is to come up does so in a fraction of the time it may take; one that does not leaves
+    /// time for another endpoint. `idle_close` is when endpoints close an idle connection; here it goes well before.
+    pub fn new(allowed: Duration, idle_close: Duration, most: usize) -> Self {
+        let within = allowed / 4;
         let mut http = HttpConnector::new();
         http.set_nodelay(true);
         http.set_connect_timeout(Some(within));
         Dialer { http, within, idle: idle_close.mul_f64(IDLE_SHARE), permits: Arc::new(Semaphore::new(most)) }
     }
 
-    /// How long a probe may take: where a connection is open, a fraction of what a new one may.
-    pub fn probe_within(&self) -> Duration {
-        self.within / 5
-    }
-
     /// How long an idle connection is kept at least.
     pub fn idle(&self) -> Duration {
         self.idle
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -136,17 +136,14 @@
     assert_eq!(well.count(), 40);
 }
 
-// Connecting takes so long that there may be no time for another relay; the command has never run, though.
 #[rstest]
-fn where_no_connection_comes_up_a_command_is_answered_elsewhere_or_declined() {
+fn where_no_connection_comes_up_there_is_time_for_another_endpoint() {
     let (deaf, _listener, _filling) = deaf();
     let well = willing("booked");
     let list = format!("{},{}", member("s-1", deaf, "up"), member("s-2", well.address, "up"));
     let sidecar = sidecar(&list);
-    let answers: Vec<_> = (0..20).map(|n| sidecar.ask(&book(&n.to_string())).word().to_string()).collect();
-    let answered = answers.iter().filter(|word| *word == "200").count();
-    assert!(answers.iter().all(|word| word == "200" || word == "503") && answered >= 15, "{answers:?}");
-    assert_eq!(well.count(), answered);
+    let words: Vec<_> = (0..20).map(|n| sidecar.ask(&book(&n.to_string())).word().to_string()).collect();
+    assert_eq!((words, well.count()), (vec!["200".to_string(); 20], 20));
 }
 
 #[rstest]
