The first watch is short: a known list of a revision yet to come is outgrown soon

Seen in an integration test: known at revision 1, discovery at 0, so the first watch waited its whole 40 s (list.rs, follow) while every command went to an address of yesterday. Ruled out: asking for the whole list at each start, which at a start of all sidecars costs discovery a second call each. Renewals belong to the same watch and cost nothing.

--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -14,6 +14,8 @@
 
 const LONGEST_LIST: usize = 8 << 20; // bytes
 const GRACE: Duration = Duration::from_secs(2); // on top of the wait that a watch asks for
+/// Guards against a known list of a revision that discovery has not come to: the first wait soon tells.
+const FIRST_HOLD: Duration = Duration::from_secs(1);
 const LONGEST_HOLD: Duration = Duration::from_secs(60); // that a watch may ask for
 const BREATH: Duration = Duration::from_millis(50); // between calls that bring nothing and don't wait
 
@@ -88,10 +90,11 @@
 ) {
     let client = Dialer::new(GRACE, LONGEST_HOLD, 4).client();
     let hold = hold.clamp(Duration::from_secs(1), LONGEST_HOLD);
-    let (mut watching, mut whole) = (false, false);
+    let (mut watching, mut whole, mut sure) = (false, false, false);
     loop {
         // Without a list there is nothing to watch from.
-        let from = revision.filter(|_| !whole).map(|from| (from, hold));
+        let wait = if sure { hold } else { FIRST_HOLD };
+        let from = revision.filter(|_| !whole).map(|from| (from, wait));
         let began = tokio::time::Instant::now();
         let answer = tokio::select! {
             biased;
@@ -106,6 +109,7 @@
             answer = ask(&client, discovery, from), if watching || whole => answer,
         };
         whole = false;
+        sure = answer.is_ok();
         // Guards against old news taken for new: from where it belongs is not known, so all is asked for next.
         let older = |list: &List| !list.complete && revision.is_some_and(|held| list.revision < held);
         let old = answer.as_ref().is_ok_and(older);
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -380,7 +380,7 @@
     let changed = Instant::now();
     until(|| discovery.stand_in.count() == 2);
     let seen = discovery.stand_in.seen.lock().unwrap();
-    assert!(seen[0].word() == "/v1/servers?from=1&hold_ms=1600", "{}", seen[0].head);
+    assert!(seen[0].word() == "/v1/servers?from=1&hold_ms=1000", "{}", seen[0].head);
     assert!(seen[1].word() == "/v1/servers?from=7&hold_ms=1600", "{}", seen[1].head);
     assert!(seen[1].at - changed < 100 * MS, "{:?}", seen[1].at - changed);
 }
@@ -427,6 +427,19 @@
     assert_eq!(sidecar.ask(&look("a")).word(), "200");
 }
 
+// ask_every is long here: only a short first wait can tell in time.
+#[rstest]
+fn a_known_list_of_a_revision_yet_to_come_is_outgrown_soon() {
+    let endpoint = willing("ok");
+    let discovery = discovery(&member("s-9", endpoint.address, "up"));
+    discovery.list.lock().unwrap().0 = 0;
+    let settings = SETTINGS.replace("\"ask_every\":400000000", "\"ask_every\":2000000000");
+    let sidecar = sidecar_with(&member("s-1", nowhere(), "up"), discovery.stand_in.address, &settings);
+    let began = Instant::now();
+    until(|| sidecar.ask(&look("a")).word() == "200");
+    assert!(began.elapsed() < 3000 * MS, "{:?}", began.elapsed());
+}
+
 #[rstest]
 fn a_discovery_that_says_nothing_holds_no_command_up() {
     let endpoint = willing("ok");
