SIGHUP reads the configuration again and follows discovery to its new address

Checked: the exit code is the system's default for the signal, the log ends there; nothing in main.rs or start.rs installs a handler, so it is neither the file nor discovery. Now it is caught before the sidecar says that it is ready, the file read whole, and list.rs gives up call and connection and asks for the whole list, as revisions at the new address may be any. A faulty file leaves all as it was and is named in one line. Only discovery takes effect without a restart.

--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 const LONGEST_LIST: usize = 8 << 20; // bytes
@@ -83,19 +84,20 @@
 /// Serves the module's calls for as long as the sidecar runs.
 pub async fn follow(
     desk: Arc<Desk>,
-    discovery: SocketAddr,
+    mut at: watch::Receiver<SocketAddr>,
     hold: Duration,
     mut revision: Option<u64>,
     mut calls: UnboundedReceiver<Call>,
 ) {
-    let client = Dialer::new(GRACE, LONGEST_HOLD, 4).client();
+    let dialer = Dialer::new(GRACE, LONGEST_HOLD, 4);
+    let mut client = dialer.client();
     let hold = hold.clamp(Duration::from_secs(1), LONGEST_HOLD);
     let (mut watching, mut whole, mut sure) = (false, false, false);
     loop {
         // Without a list there is nothing to watch from.
         let wait = if sure { hold } else { FIRST_HOLD };
         let from = revision.filter(|_| !whole).map(|from| (from, wait));
-        let began = tokio::time::Instant::now();
+        let (began, discovery) = (tokio::time::Instant::now(), *at.borrow_and_update());
         let answer = tokio::select! {
             biased;
             call = calls.recv() => {
@@ -106,6 +108,13 @@
                 }
                 continue;
             }
+            // Guards against a list that stays behind where discovery has moved: its revisions there may be any, and
+            // neither the call that is out nor the connection it is on has anything more to tell.
+            Ok(()) = at.changed() => {
+                client = dialer.client();
+                (watching, whole, sure, revision) = (true, true, false, None);
+                continue;
+            }
             answer = ask(&client, discovery, from), if watching || whole => answer,
         };
         whole = false;
--- a/crates/passroad/src/main.rs
+++ b/crates/passroad/src/main.rs
@@ -32,6 +32,7 @@
 }
 
 async fn run(mut start: start::Start) -> Result<(), String> {
+    let hangups = start::sighup()?;
     let most = (start.sockets.saturating_sub(OTHER_SOCKETS) / 2).max(8);
     let listener = front::listen(start.listen).await?;
     let stages = stop::Stage::on_sigterm()?;
@@ -50,12 +51,15 @@
     let dialer = relay::Dialer::new(start.connect_within, start.orders.idle_close, most);
     // The module is to count on a connection only as long as it is kept here.
     start.orders.idle_close = dialer.idle();
+    let kept = start::Kept::of(&start);
+    let (moves, at) = tokio::sync::watch::channel(start.discovery);
     let desk = desk::Desk::new(start.orders, dialer, start.connect_within / 5, calls);
     let revision = start.known.as_ref().map(|list| list.revision);
     // An empty one, too: the module calls discovery from there on.
     desk.listed(passroad_choice::ListKind::Remembered, &start.known.unwrap_or_default());
     tokio::spawn(Arc::clone(&desk).beat());
-    tokio::spawn(list::follow(Arc::clone(&desk), start.discovery, hold, revision, called));
+    tokio::spawn(list::follow(Arc::clone(&desk), at, hold, revision, called));
+    tokio::spawn(start::read_again(hangups, kept, moves));
     let front = front::Front::new(desk, verbs, companies, most, stages);
     front::serve(listener, front, longest).await;
     Ok(())
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -1,10 +1,12 @@
-//! What a sidecar is told at its start.
+//! What a sidecar is told at its start, and anew on SIGHUP.
 
 use crate::list::List;
 use passroad_choice::StandingOrders;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 
 pub struct Start {
     pub name: String,
@@ -14,6 +16,7 @@
     pub known: Option<List>,
     pub orders: StandingOrders,
     pub connect_within: Duration,
+    settings: serde_json::Value,
 }
 
 #[derive(Deserialize)]
@@ -46,6 +49,60 @@
     parse(&bytes, |name| std::env::var(name).ok()).map_err(|fault| format!("{path}: {fault}"))
 }
 
+/// Caught from before the sidecar says that it is ready: by default the signal would end it.
+pub fn sighup() -> Result<Signal, String> {
+    signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))
+}
+
+/// Reads the file again on each SIGHUP. A new address of discovery is followed at once; the rest of the file waits
+/// for the next start, since what is in hand was taken under it. A faulty file leaves all as it was.
+pub async fn read_again(mut hangups: Signal, before: Kept, discovery: watch::Sender<SocketAddr>) {
+    while hangups.recv().await.is_some() {
+        match read() {
+            Ok(now) => {
+                let moved =
+                    discovery.send_if_modified(|at| std::mem::replace(at, now.discovery) != now.discovery);
+                let waiting = before.differs(&now);
+                let rest = if waiting.is_empty() { "nothing".into() } else { waiting.join(", ") };
+                let word = if moved { "now" } else { "still" };
+                log::info!(
+                    "configuration read again: discovery is {word} at {}; for the next start: {rest}",
+                    now.discovery
+                );
+            }
+            Err(fault) => log::warn!(
+                "configuration not taken, the one before stays in force: {}",
+                fault.replace('\n', " ")
+            ),
+        }
+    }
+}
+
+/// What of the configuration stays in force until the process ends.
+pub struct Kept {
+    name: String,
+    listen: SocketAddr,
+    sockets: usize,
+    settings: serde_json::Value,
+}
+
+impl Kept {
+    pub fn of(start: &Start) -> Self {
+        let (name, settings) = (start.name.clone(), start.settings.clone());
+        Kept { name, listen: start.listen, sockets: start.sockets, settings }
+    }
+
+    fn differs(&self, now: &Start) -> Vec<&'static str> {
+        let parts = [
+            ("name", self.name != now.name),
+            ("listen", self.listen != now.listen),
+            ("limits", self.sockets != now.sockets),
+            ("settings", self.settings != now.settings),
+        ];
+        parts.into_iter().filter(|(_, differs)| *differs).map(|(part, _)| part).collect()
+    }
+}
+
 fn parse(bytes: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
     let told: Told = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
     let seed = u64::from_str_radix(&told.seed, 16).map_err(|e| format!("seed: {e}"))?;
@@ -62,6 +119,7 @@
         connect_within: passroad_orders::connect_within(&told.settings)?,
         orders: passroad_orders::from_value(seed, &told.settings)?,
         name: told.name.or_else(|| variable("LB_NAME")).unwrap_or_else(|| "passroad".into()),
+        settings: told.settings,
     })
 }
 
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -495,6 +495,51 @@
     assert_eq!(sidecar.ask(&look("b")).body, b"new");
 }
 
+// ---- a new configuration ----
+
+// Revisions at the new address are of its own; what is in hand goes on.
+#[rstest]
+#[case::lower(0)]
+#[case::higher(9)]
+fn on_sighup_discovery_is_followed_to_its_new_address(#[case] revision: u64) {
+    let old = stand_in(|_, to| {
+        sleep(300 * MS);
+        answer(to, "200 OK", "", b"old");
+        true
+    });
+    let new = willing("new");
+    let known = member("s-1", old.address, "up");
+    let [before, after] = [discovery(&known), discovery(&member("s-2", new.address, "up"))];
+    after.list.lock().unwrap().0 = revision;
+    let address = nowhere();
+    let text = |discovery| told(address, discovery, &known, SETTINGS);
+    let sidecar = Sidecar::start(address, &text(before.stand_in.address));
+    until(|| before.stand_in.count() > 0);
+    let mut busy = sidecar.client();
+    busy.get_mut().write_all(book("a").as_bytes()).unwrap();
+    until(|| old.count() == 1);
+    sidecar.reload("{");
+    sidecar.reload(&text(after.stand_in.address));
+    until(|| before.stand_in.open.load(SeqCst) == 0);
+    until(|| after.stand_in.count() > 1);
+    assert_eq!(after.stand_in.seen.lock().unwrap()[0].word(), "/v1/servers");
+    assert_eq!(sidecar.ask(&look("b")).body, b"new");
+    assert_eq!(Message::read(&mut busy).unwrap().body, b"old");
+}
+
+#[rstest]
+#[case::no_json("{")]
+#[case::other_address(&told(nowhere(), nowhere(), "", SETTINGS).replace("127.", "nowhere."))]
+fn a_faulty_file_at_sighup_leaves_all_as_it_was(#[case] text: &str) {
+    let endpoint = willing("ok");
+    let discovery = discovery(&member("s-1", endpoint.address, "up"));
+    let sidecar = sidecar_with(&member("s-1", endpoint.address, "up"), discovery.stand_in.address, SETTINGS);
+    until(|| discovery.stand_in.count() > 0);
+    sidecar.reload(text);
+    sleep(50 * MS);
+    assert_eq!((sidecar.ask(&look("a")).word(), discovery.stand_in.open.load(SeqCst)), ("200", 1));
+}
+
 // ---- the stop ----
 
 #[rstest]
--- a/crates/passroad/tests/stand_ins/mod.rs
+++ b/crates/passroad/tests/stand_ins/mod.rs
@@ -234,6 +234,14 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
+    /// Replaces the file of the configuration, then says so.
+    pub fn reload(&self, text: &str) {
+        let (new, file) = (self.folder.join("new.json"), self.folder.join("config.json"));
+        std::fs::write(&new, text).unwrap();
+        std::fs::rename(new, file).unwrap();
+        self.signal("HUP");
+    }
+
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
