Endpoints that have left give their slots back, in the module, the desk and the adapter

At fault: read_list in choice.rs only cleared 'listed', desk.rs never released. Now survey gives a slot back once the endpoint is gone for good (not merely draining), nothing is out on it and no command held speaks of it; a reused slot starts unknown.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -201,15 +201,15 @@
             _ => {}
         }
         if kind != ListKind::Changes {
-            self.endpoints.iter_mut().for_each(|e| e.listed = false);
+            self.endpoints.iter_mut().for_each(|e| (e.listed, e.gone) = (false, e.known));
         }
         for entry in &entries {
             let (now, len) = (self.now, self.endpoints.len().max(entry.endpoint + 1));
             self.endpoints.resize_with(len, Endpoint::unknown);
             let e = &mut self.endpoints[entry.endpoint];
-            (e.zone, e.cell) = (entry.zone, entry.cell);
+            (e.zone, e.cell, e.known) = (entry.zone, entry.cell, true);
             e.rating = if self.duty.live_weights { 1.0 } else { entry.rating.clamp(0.01, 1e6) };
-            e.listed = entry.mode == Mode::Running;
+            (e.listed, e.gone) = (entry.mode == Mode::Running, entry.mode == Mode::Deleted);
             let young = !entry.started.is_zero() && now.saturating_sub(entry.started) < self.duty.warm_within;
             if young && e.up_since.is_none_or(|at| entry.started > at) {
                 e.start_cold(entry.started);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -238,7 +238,7 @@
     let mut b = sidecar(Effect::Pure, 1);
     let entry = Listing { mode, ..listing(0, Duration::ZERO) };
     b.read_list(ListKind::Changes, vec![entry]);
-    assert_eq!(b.weigh(&b.met, None, &|_| true), [0.0]);
+    assert_eq!(b.weigh(&[0], None, &|_| true), [0.0]);
 }
 
 // An overloaded day of tunis-transport at its later size: unused allowances of 150 sidecars went to one cold
@@ -465,6 +465,44 @@
     assert_eq!(b.held(0).unwrap().due, NOW + Duration::from_millis(left));
 }
 
+// Day churn+long: the list changes all day; slots, and with them memory and walks, grew with every id there ever was.
+#[rstest]
+#[case::nothing_out(false, false, 1)]
+#[case::a_relay_out(true, false, 0)]
+#[case::a_probe_out(false, true, 0)]
+fn an_endpoint_that_left_gives_its_slot_back(#[case] relay: bool, #[case] probe: bool, #[case] freed: usize) {
+    let mut b = with_relay(Effect::Effectful, 3);
+    b.commands[0].as_mut().unwrap().relays[0].endpoint = if relay { 1 } else { 0 };
+    b.endpoints[1].probing = probe.then_some(NOW);
+    (b.endpoints[1].pace.mean, b.endpoints[1].misses) = (9.0, 3);
+    let entries = vec![Listing { mode: Mode::Deleted, ..listing(1, Duration::ZERO) }];
+    let out = b.decide(NOW, Event::Listed { kind: ListKind::Changes, entries });
+    let released = out.iter().filter(|a| matches!(a, Action::Release { endpoint: 1 })).count();
+    let e = &b.endpoints[1];
+    assert_eq!(
+        (released, e.known, e.misses, b.met.len()),
+        (freed, freed == 0, 3 * (1 - freed as u32), 3 - freed)
+    );
+    // Once: a free slot is not given back again.
+    let out = b.decide(NOW, Event::Listed { kind: ListKind::Changes, entries: vec![] });
+    assert!(!out.iter().any(|a| matches!(a, Action::Release { .. })));
+}
+
+#[rstest]
+#[case::draining(ListKind::Changes, vec![Listing { mode: Mode::Stopping, ..listing(0, Duration::ZERO) }], vec![])]
+#[case::left_out(ListKind::All, vec![listing(1, Duration::ZERO)], vec![0])]
+fn only_what_is_gone_for_good_gives_its_slot_back(
+    #[case] kind: ListKind,
+    #[case] entries: Vec<Listing>,
+    #[case] freed: Vec<usize>,
+) {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.endpoints.iter_mut().for_each(|e| e.known = true);
+    let out = b.decide(NOW, Event::Listed { kind, entries });
+    let slot = |a: &Action| if let Action::Release { endpoint } = a { Some(*endpoint) } else { None };
+    assert_eq!(out.iter().filter_map(slot).collect::<Vec<_>>(), freed);
+}
+
 // ---- helpers ----
 
 fn verb(effect: Effect) -> VerbOrder {
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-/// Index of an endpoint, for the life of the instance.
+/// Slot of an endpoint; may be given out anew after [`Action::Release`].
 pub type EndpointIx = usize;
 /// Slot of a command; may be given out anew after [`Action::Forget`].
 pub type CmdIx = usize;
@@ -215,6 +215,10 @@
     Forget {
         cmd: CmdIx,
     },
+    /// The endpoint has left, and the module holds nothing more on it; its slot may be given out anew.
+    Release {
+        endpoint: EndpointIx,
+    },
     Probe {
         endpoint: EndpointIx,
     },
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -116,8 +116,10 @@
     pub zone: usize,
     pub cell: usize,
     pub rating: f64,
-    pub size: f64, // rating against the mean of the listed
+    pub size: f64,   // rating against the mean of the listed
+    pub known: bool, // its slot is given out
     pub listed: bool,
+    pub gone: bool,                 // for good; a draining one is not listed either
     pub met: bool,                  // it is in view
     pub up_since: Option<Duration>, // cold from here, if it started lately
     pub pass_until: Duration,       // a cold one may get one send until then
@@ -147,7 +149,9 @@
             cell: 0,
             rating: 1.0,
             size: 1.0,
+            known: false,
             listed: false,
+            gone: false,
             met: false,
             up_since: None,
             pass_until: Duration::ZERO,
@@ -273,11 +277,36 @@
         }
     }
 
+    /// Gives back the slots of endpoints that have left, once nothing is out on them and no command speaks of them.
+    /// Guards against a list that changes all day: what is held would grow with every id that ever was.
+    fn part(&mut self) -> bool {
+        let mut wait = false;
+        for at in 0..self.endpoints.len() {
+            let e = &self.endpoints[at];
+            if !e.gone || e.listed {
+                continue;
+            }
+            let tried = |c: &Command| c.relays.iter().any(|r| r.endpoint == at);
+            if e.out.is_empty() && e.probing.is_none() && !self.commands.iter().flatten().any(tried) {
+                self.endpoints[at] = Endpoint::unknown();
+                self.met.retain(|met| *met != at);
+                self.out.push(Action::Release { endpoint: at });
+            } else {
+                wait = true;
+            }
+        }
+        wait
+    }
+
     /// What the list comes to: sizes, the cold ones, the warm ones as a table to draw from by base weight.
     pub(crate) fn survey(&mut self) {
+        let wait = self.part();
         let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
         let (sum, count) = ratings.fold((0.0, 0.0), |(s, n): (f64, f64), r| (s + r, n + 1.0));
         (self.listed, self.warm, self.next_survey) = (f64::max(count, 1.0), 0.0, Duration::MAX);
+        if wait {
+            self.next_survey = self.now;
+        }
         (self.table, self.colds) = (Vec::new(), Vec::new());
         let mut mass = 0.0;
         for at in 0..self.endpoints.len() {
--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -162,6 +162,10 @@
                 cmds.release(*cmd);
                 Ok(())
             }
+            Action::Release { endpoint } => {
+                self.endpoints.release(*endpoint);
+                Ok(())
+            }
             Action::Probe { endpoint } => {
                 writeln!(reply, "HEALTH_CHECK i={i} endpoint={}", points.name(*endpoint)?)
             }
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module, its clock and the doors where outside names become indices. Each event goes in
 //! here, and each action goes from here to its owner: commands, links, discovery, timers.
 
-use crate::list::{Call, List};
+use crate::list::{Call, List, Member};
 use crate::relay::{Dialer, Link};
 use crate::{probe, relay};
 use passroad_choice::choice::Balancer;
@@ -147,7 +147,12 @@
             held.leave_out(list);
         }
         let mut entries = Vec::with_capacity(list.members.len());
+        let strange =
+            |held: &Held, m: &Member| m.mode() == Mode::Deleted && held.endpoints.find(&m.id).is_none();
         for member in &list.members {
+            if strange(&held, member) {
+                continue;
+            }
             let endpoint = held.endpoints.admit(&member.id);
             let len = held.links.len().max(endpoint + 1);
             held.links.resize_with(len, || None);
@@ -187,6 +192,10 @@
                     held.commands.release(cmd);
                     held.seats[cmd] = None;
                 }
+                Action::Release { endpoint } => {
+                    held.endpoints.release(endpoint);
+                    held.links[endpoint] = None;
+                }
                 Action::Probe { endpoint } => {
                     let link = held.link(endpoint, &self.dialer);
                     tokio::spawn(Arc::clone(self).probe(endpoint, link));
