Harm counts as commands ahead, five times as much where a command can't be tried again

At fault: weigh in choice.rs. An endpoint that fails fast is empty, so it sets the mark of least load and the busy others fall to the score's floor, below its own weight. Now the share of failures that may have run, among the last few outcomes, counts as commands ahead, more for effectful commands, and fades with time.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -30,6 +30,7 @@
 const GROWTH: f64 = 0.3; // of one, for a round of answers well in time
 const LIMIT_SPREAD: f64 = 0.5; // of a change at one endpoint, what goes to the usual limit
 const CUT: f64 = 0.7; // what a limit keeps when it is cut
+const RISK: f64 = 2.0; // a sure failure, as commands ahead; five times that where it is the last word
 const ROUNDS: u32 = 1; // of heartbeats after the first, for one command
 const SMALL: usize = 32; // endpoints; so few are all in view
 const LEAST_GAIN: f64 = 0.02; // of a sample, however many came before
@@ -51,7 +52,7 @@
     }
 
     fn forget(&mut self) {
-        (self.good, self.seen, self.ailing, self.pace) = (!0, 0, false, Pace::default());
+        (self.good, self.seen, self.harm, self.ailing, self.pace) = (!0, 0, 0, false, Pace::default());
         (self.misses, self.try_at, self.tried, self.met) = (0, Duration::ZERO, Duration::ZERO, false);
     }
 }
@@ -79,12 +80,11 @@
     pub fn new(orders: StandingOrders) -> Self {
         let goals = orders.verbs.iter().map(|v| v.goal).min().unwrap_or_default();
         let goal = goals.clamp(Duration::from_millis(1), Duration::from_secs(60));
-        let verbs = orders.verbs.iter().map(|v| VerbDuty::of(v, v.goal / 4));
         // Heartbeats may cost most of a hundredth of the service; no probes or no reports, no heartbeats.
         let asks = orders.probes && orders.reports != ReportsHow::Silent;
         let heartbeats = (0.007 / orders.probe_price.max(1e-4)).clamp(1.0, 4.0) as usize;
         let duty = DutySheet {
-            verbs: verbs.collect(),
+            verbs: orders.verbs.iter().map(|v| VerbDuty::of(v, v.goal / 4)).collect(),
             goal_whole: orders.goal_whole,
             goal_verb: orders.goal_worst_verb,
             portions: orders.companies.iter().map(|c| c.portion).collect(),
@@ -316,10 +316,9 @@
         }
     }
 
-    fn judge(&mut self, at: EndpointIx, good: bool) {
-        let e = &mut self.endpoints[at];
-        e.good = e.good << 1 | u32::from(good);
-        e.seen = (e.seen + 1).min(OUTCOMES);
+    fn judge(&mut self, at: EndpointIx, outcome: Outcome) {
+        let (now, e) = (self.now, &mut self.endpoints[at]);
+        e.note(now, outcome, OUTCOMES);
         let health = e.health();
         if e.ailing != (health < if e.ailing { 0.75 } else { 0.5 }) {
             e.ailing = !e.ailing;
@@ -371,22 +370,24 @@
         self.duty.cold_from + (1.0 - self.duty.cold_from) * age.min(1.0)
     }
 
-    /// Weights for one command; zero where it may not go. `value` is what it adds against the verb that adds
-    /// most; without one, limits do not count.
-    fn weigh(&self, ats: &[EndpointIx], value: Option<f64>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
-        let usual = self.usual_load();
+    /// Weights for one command, zero where it may not go. Without `need` (value, risk) limits do not count.
+    fn weigh(&self, ats: &[usize], need: Option<(f64, f64)>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
+        let (usual, risk) = (self.usual_load(), need.map_or(RISK, |(_, risk)| risk));
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
-        // Guards against a crowd of unheard ones, each a little likely, that outweighs one known to be idle.
+        // Guards against a crowd of unheard ones, each a little likely, that outweighs one known to be idle, and
+        // against one that fails fast: it looks idle, and draws what it then fails.
         let doubt = if self.duty.heartbeats > 0 { (1.0 - usual).max(0.0) } else { 0.0 };
         let link = |e: &Endpoint| if self.linked(e) || self.cold(e) { 0.0 } else { self.duty.new_link };
-        let new = |e: &Endpoint| link(e) + doubt * (1.0 - self.trust(e));
+        let new = |e: &Endpoint| {
+            link(e) + doubt * (1.0 - self.trust(e)) + risk * e.harm(self.now, OUTCOMES, 4 * CALM)
+        };
         let load = |e: &Endpoint| if ready(e) { self.load(e, usual) / e.size } else { f64::INFINITY };
         let loads: Vec<f64> = ats.iter().map(|at| load(&self.endpoints[*at])).collect();
         let all = || ats.iter().map(|at| &self.endpoints[*at]).zip(&loads);
         let least = all().map(|(e, load)| load / self.ramp(e) + new(e)).fold(f64::INFINITY, f64::min);
         let tail_of_all = self.usual.mean + 2.0 * self.usual.spread;
         let weight = |(e, &load): (&Endpoint, &f64)| {
-            if load.is_infinite() || value.is_some_and(|v| load >= self.limit_of(e) * (0.6 + 0.4 * v)) {
+            if load.is_infinite() || need.is_some_and(|(v, _)| load >= self.limit_of(e) * (0.6 + 0.4 * v)) {
                 return 0.0;
             }
             let (mean, tail) = e.pace.read(self.now, 2 * CALM, &self.usual);
@@ -654,7 +655,8 @@
         // A second copy is a luxury: it goes only where there is room for the least worth.
         let value = if copy { 0.0 } else { (c.value / c.best).clamp(0.0, 1.0) };
         let ats = if home.is_none() { self.met.clone() } else { (0..self.endpoints.len()).collect() };
-        let mut weights = self.weigh(&ats, Some(value), &may);
+        let risk = if v.effect == Effect::Effectful { 5.0 * RISK } else { RISK };
+        let mut weights = self.weigh(&ats, Some((value, risk)), &may);
         let tried = |at: &EndpointIx| c.relays.iter().any(|r| r.endpoint == *at);
         for (_, w) in ats.iter().zip(&mut weights).filter(|(at, _)| tried(at)) {
             *w *= if copy { 0.0 } else { 0.01 };
@@ -757,7 +759,7 @@
                 }
                 self.credit(at, if pace > 3.0 * self.usual.mean { -0.1 } else { 0.0 });
                 self.reached(at);
-                self.judge(at, true);
+                self.judge(at, outcome);
             }
             Outcome::Moot | Outcome::Recalled => {}
             Outcome::Full => {
@@ -765,10 +767,10 @@
                 self.credit(at, if r.ahead < FIRST_LIMIT { -0.25 } else { 0.0 });
             }
             Outcome::TimedOut => self.slow_answer(&r, verb, spent),
-            Outcome::Error => self.judge(at, false),
+            Outcome::Error => self.judge(at, outcome),
             Outcome::NoConnection | Outcome::Broken => {
                 self.endpoints[at].used = None;
-                self.judge(at, false);
+                self.judge(at, outcome);
                 self.missed(at);
             }
         }
@@ -781,7 +783,7 @@
         self.endpoints[r.endpoint].pace.note(self.now, pace, 2 * CALM);
         self.credit(r.endpoint, if pace > 2.0 * self.usual.mean { -0.1 } else { 0.0 });
         // Guards against an endpoint that lets work hang while its probes are fine.
-        self.judge(r.endpoint, false);
+        self.judge(r.endpoint, Outcome::TimedOut);
         self.cut(r.endpoint);
     }
 
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -440,7 +440,7 @@
     let mut b = sidecar(Effect::Pure, 1);
     let e = &mut b.endpoints[0];
     (e.good, e.seen, e.ailing) = ((1 << (good - 1)) - 1, OUTCOMES, true);
-    b.judge(0, true);
+    b.judge(0, Outcome::Answered);
     assert_eq!(b.endpoints[0].ailing, ailing);
 }
 
@@ -465,6 +465,33 @@
     assert_eq!(b.held(0).unwrap().due, NOW + Duration::from_millis(left));
 }
 
+// Days reload and churn: an endpoint that failed half of what it got, at once, looked idle beside busy ones and drew
+// a twelfth of all commands, effectful ones as well.
+#[rstest]
+#[case::last_word(Effect::Effectful, 0.01)]
+#[case::can_go_on(Effect::Pure, 0.5)]
+fn an_endpoint_that_fails_fast_draws_little(#[case] effect: Effect, #[case] most: f64) {
+    let mut b = sidecar(effect, 4);
+    b.endpoints.iter_mut().for_each(|e| (e.holds, e.seen) = (1.0, OUTCOMES));
+    (b.endpoints[0].holds, b.endpoints[0].harm, b.endpoints[0].harmed) = (0.0, 0b0101_0101, NOW);
+    b.commands = (0..400).map(|_| Some(command())).collect();
+    let drawn = (0..400).filter(|cmd| b.pick(*cmd, false) == Some(0)).count();
+    assert!(drawn as f64 <= 400.0 * most, "{drawn}");
+}
+
+// What never ran costs an effectful command nothing, and a slow answer is no harm either.
+#[rstest]
+#[case(Outcome::Error, 1)]
+#[case(Outcome::Broken, 1)]
+#[case(Outcome::NoConnection, 0)]
+#[case(Outcome::TimedOut, 0)]
+#[case(Outcome::Answered, 0)]
+fn only_what_failed_and_may_have_run_is_harm(#[case] outcome: Outcome, #[case] harm: u32) {
+    let mut b = with_relay(Effect::Effectful, 1);
+    b.decide(NOW, finished(0, outcome));
+    assert_eq!(b.endpoints[0].harm, harm);
+}
+
 // Day churn+long: the list changes all day; slots, and with them memory and walks, grew with every id there ever was.
 #[rstest]
 #[case::nothing_out(false, false, 1)]
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -132,6 +132,8 @@
     pub pace: Pace,
     pub good: u32, // the last outcomes, one bit each
     pub seen: u32,
+    pub harm: u32, // of the last outcomes, those that failed though they may have run
+    pub harmed: Duration,
     pub ailing: bool, // told of as failing, and its reports as not fitting
     pub doubted: bool,
     pub limit: f64, // as it was when last changed
@@ -164,6 +166,8 @@
             pace: Pace::default(),
             good: !0,
             seen: 0,
+            harm: 0,
+            harmed: Duration::ZERO,
             ailing: false,
             doubted: false,
             limit: 1.0,
@@ -176,6 +180,23 @@
     }
 }
 
+impl Endpoint {
+    /// One more outcome among the last few.
+    pub fn note(&mut self, now: Duration, outcome: Outcome, few: u32) {
+        let harm = matches!(outcome, Outcome::Error | Outcome::Broken);
+        self.good = self.good << 1 | u32::from(outcome == Outcome::Answered);
+        self.harm = self.harm << 1 | u32::from(harm);
+        self.seen = (self.seen + 1).min(few);
+        self.harmed = if harm { now } else { self.harmed };
+    }
+
+    /// Share of harm among the last few outcomes; it fades, as what is avoided has no more of them.
+    pub fn harm(&self, now: Duration, few: u32, over: Duration) -> f64 {
+        let count = (self.harm & ((1 << few) - 1)).count_ones();
+        f64::from(count) / f64::from(self.seen.max(few / 2)) * fade(now, self.harmed, over)
+    }
+}
+
 /// For the life of the instance: one sidecar's decisions, which stand in `choice.rs`.
 #[derive(Default)]
 pub struct Balancer {
