--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -374,8 +374,8 @@
     fn weigh(&self, ats: &[usize], need: Option<(f64, f64)>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
         let (usual, risk) = (self.usual_load(), need.map_or(RISK, |(_, risk)| risk));
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
-        // Guards against a crowd of unheard ones, each a little likely, that outweighs one known to be idle, and
-        // against one that fails fast: it looks idle, and draws what it then fails.
+        // Guards against a crowd of unheard ones, each a little likely, that outweighs one known to be idle,
+        // and against one that fails fast: it looks idle, and draws what it then fails.
         let doubt = if self.duty.heartbeats > 0 { (1.0 - usual).max(0.0) } else { 0.0 };
         let link = |e: &Endpoint| if self.linked(e) || self.cold(e) { 0.0 } else { self.duty.new_link };
         let new = |e: &Endpoint| {
@@ -761,7 +761,7 @@
                 self.reached(at);
                 self.judge(at, outcome);
             }
-            Outcome::Moot | Outcome::Recalled => {}
+            Outcome::Moot | Outcome::Recalled | Outcome::Unfit => {}
             Outcome::Full => {
                 self.cut(at);
                 self.credit(at, if r.ahead < FIRST_LIMIT { -0.25 } else { 0.0 });
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -492,6 +492,14 @@
     assert_eq!(b.endpoints[0].harm, harm);
 }
 
+#[rstest]
+fn an_endpoint_that_turns_a_command_itself_away_is_not_judged_by_it() {
+    let mut b = with_relay(Effect::Effectful, 1);
+    let out = b.decide(NOW, finished(0, Outcome::Unfit));
+    assert_eq!((b.endpoints[0].seen, b.endpoints[0].misses), (0, 0));
+    assert!(out.contains(&Action::Terminate { cmd: 0 }));
+}
+
 // Day churn+long: the list changes all day; slots, and with them memory and walks, grew with every id there ever was.
 #[rstest]
 #[case::nothing_out(false, false, 1)]
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -109,6 +109,8 @@
     Broken,
     Recalled,
     Moot,
+    /// The endpoint turns the command itself away; that says nothing of how it is.
+    Unfit,
 }
 
 impl Outcome {
--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -54,7 +54,7 @@
                     let (n, began, cargo) = (seat.newest(), Instant::now(), Arc::clone(&cargo));
                     let within = within.min(limit.deadline().saturating_duration_since(began.into()));
                     relays.push(async move {
-                        (n, relay::run(link, cargo, within, recalled).await, began.elapsed())
+                        (n, relay::run(*link, cargo, within, recalled).await, began.elapsed())
                     });
                 }
                 Some(Order::Recall { relay }) => {
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -22,7 +22,7 @@
 
 /// What the module decides about one command.
 pub enum Order {
-    Relay { link: Link, within: Duration },
+    Relay { link: Box<Link>, within: Duration },
     Recall { relay: usize },
     Decline { not_before: Option<Duration> },
     Terminate,
@@ -182,7 +182,7 @@
         for action in held.balancer.decide(self.now(), event) {
             match action {
                 Action::Relay { cmd, endpoint, within } => match held.link(endpoint, &self.dialer) {
-                    Some(link) => held.order(cmd, Order::Relay { link, within }),
+                    Some(link) => held.order(cmd, Order::Relay { link: Box::new(link), within }),
                     None => log::error!("a relay to endpoint {endpoint}, which has no address"),
                 },
                 Action::Recall { cmd, relay } => held.order(cmd, Order::Recall { relay }),
--- /dev/null
+++ b/crates/passroad/src/frame.rs
@@ -0,0 +1,198 @@
+//! A client's connection as its bytes come. The HTTP library tells what it made of a head and hides the rest; where a
+//! request ends must not be open to two readings, here and at an endpoint, so it is looked at here as well.
+
+use crate::front::Talk;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+pub const LONGEST_HEAD: usize = 16 << 10;
+const MOST_HEADERS: usize = 100;
+
+/// Where in a request the next byte belongs.
+enum Part {
+    Head(Vec<u8>),
+    Body(u64),
+    Chunks, // only the library finds its end
+    Over,   // nothing is due before the answer
+}
+
+struct Reading {
+    part: Part,
+    two_lengths: bool,
+    ahead: bool, // something came where nothing was due
+}
+
+/// How far a connection's present request has come.
+pub struct Frame {
+    reading: Mutex<Reading>,
+    comes: Notify,
+}
+
+impl Default for Frame {
+    fn default() -> Self {
+        let reading = Reading { part: Part::Head(Vec::new()), two_lengths: false, ahead: false };
+        Frame { reading: Mutex::new(reading), comes: Notify::new() }
+    }
+}
+
+impl Frame {
+    fn reading(&self) -> MutexGuard<'_, Reading> {
+        self.reading.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn saw(&self, bytes: &[u8]) {
+        let mut reading = self.reading();
+        reading.saw(bytes);
+        if reading.ahead {
+            self.comes.notify_one();
+        }
+    }
+
+    /// Whether the length is stated more than once, or beside chunks.
+    pub fn two_lengths(&self) -> bool {
+        self.reading().two_lengths
+    }
+
+    /// Whether part of a head has come, and no more.
+    pub fn in_head(&self) -> bool {
+        matches!(&self.reading().part, Part::Head(head) if !head.is_empty())
+    }
+
+    /// Whether the request said that more would come.
+    pub fn unread(&self) -> bool {
+        matches!(&self.reading().part, Part::Body(_) | Part::Chunks)
+    }
+
+    /// Whether nothing that comes after the present request may be taken for the next.
+    pub fn ends_here(&self) -> bool {
+        let reading = self.reading();
+        reading.ahead || !matches!(reading.part, Part::Over)
+    }
+
+    pub fn came_ahead(&self) -> bool {
+        self.reading().ahead
+    }
+
+    /// Ends when something comes where nothing is due.
+    pub async fn ahead(&self) {
+        while !self.reading().ahead {
+            self.comes.notified().await;
+        }
+    }
+
+    /// The answer is there: what comes now is the next head.
+    pub fn answered(&self) {
+        let mut reading = self.reading();
+        if matches!(reading.part, Part::Over) && !reading.ahead {
+            reading.part = Part::Head(Vec::new());
+        }
+    }
+}
+
+impl Reading {
+    fn saw(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            match &mut self.part {
+                Part::Head(head) => {
+                    let before = head.len();
+                    head.extend_from_slice(bytes);
+                    let (size, part, two) = match heads_end(head) {
+                        Some(read) => read,
+                        None if head.len() <= LONGEST_HEAD => return,
+                        // The library turns it away.
+                        None => (head.len(), Part::Over, false),
+                    };
+                    (self.part, self.two_lengths) = (part, two);
+                    bytes = &bytes[size.saturating_sub(before).min(bytes.len())..];
+                }
+                Part::Body(left) => {
+                    let taken = (bytes.len() as u64).min(*left);
+                    *left -= taken;
+                    bytes = &bytes[taken as usize..];
+                    if *left == 0 {
+                        self.part = Part::Over;
+                    }
+                }
+                Part::Chunks => return,
+                Part::Over => {
+                    self.ahead = true;
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Length of a head, what follows it, and whether that is told twice; none where it goes on.
+fn heads_end(head: &[u8]) -> Option<(usize, Part, bool)> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let size = match request.parse(head) {
+        Ok(httparse::Status::Complete(size)) => size,
+        Ok(httparse::Status::Partial) => return None,
+        Err(_) => return Some((head.len(), Part::Over, false)),
+    };
+    let named = |name: &'static str| {
+        request.headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
+    };
+    let chunks = named("transfer-encoding").next().is_some();
+    let two = named("content-length").count() + usize::from(chunks) > 1;
+    let length =
+        named("content-length").next().and_then(|v| std::str::from_utf8(v).ok()?.trim().parse().ok());
+    let part = match (chunks, length) {
+        (true, _) => Part::Chunks,
+        (false, None | Some(0)) => Part::Over,
+        (false, Some(length)) => Part::Body(length),
+    };
+    Some((size, part, two))
+}
+
+/// A client's stream, each byte shown to its frame.
+pub struct Watched {
+    pub stream: TcpStream,
+    pub talk: Arc<Talk>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.talk.frame.saw(&buf.filled()[before..]);
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -1,45 +1,47 @@
-//! A command in, its answer out.
+//! The connections of clients: let in, watched, given back. What comes over them is read in `intake`.
 
-use crate::command::{self, Answer, Need};
-use crate::desk::Desk;
-use crate::relay::{Cargo, LONGEST_BODY};
+use crate::frame::{Frame, LONGEST_HEAD, Watched};
+use crate::intake::{Intake, ready, take};
 use crate::stop::{Stage, Stages, reached};
 use axum::Router;
-use axum::body::{Body, to_bytes};
-use axum::extract::{Extension, Request, State};
-use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
-use axum::response::{IntoResponse, Response};
+use axum::http::{HeaderValue, header};
 use axum::routing::get;
 use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 use tower_service::Service;
 
 const BACKLOG: u32 = 1024;
-const HEAD_WITHIN: Duration = Duration::from_secs(75); // also how long an idle connection is kept
-const BODY_WITHIN: Duration = Duration::from_secs(10);
-const MARGIN: Duration = Duration::from_millis(10); // of a time limit, at most a twentieth
+/// From when a connection is open or its last answer went out until the next head is there: also how long one with
+/// nothing open is kept.
+const HEAD_WITHIN: Duration = Duration::from_millis(2200);
+/// The same for a whole request, but the body of a late head has a moment.
+const WHOLE_WITHIN: Duration = Duration::from_millis(2800);
+const BODY_AT_LEAST: Duration = Duration::from_millis(500);
+const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+const LINGER: Duration = Duration::from_millis(50); // for a last answer to be read before what still comes is refused
 const ADDRESS_WITHIN: Duration = Duration::from_secs(3); // a process before this one may be ending
-const QUIET_IN_CROWD: Duration = Duration::from_millis(300);
+const QUIET_IN_CROWD: Duration = Duration::from_millis(100);
+const KEPT_IN_CROWD: Duration = Duration::from_millis(500);
 const AT_ONCE: Duration = Duration::from_millis(20);
 const LAST_WORDS: Duration = Duration::from_millis(500);
+const CROWD_EVERY: Duration = Duration::from_millis(10);
 const TRIES_APART: Duration = Duration::from_millis(20); // to accept, after a failure
 
 pub struct Front {
-    desk: Arc<Desk>,
-    verbs: Vec<String>,
-    companies: Vec<String>,
     most: usize, // connections of clients
     open: AtomicUsize,
     crowd: Notify, // others wait to get in
+    left: Notify,  // a place is free again
     stages: Stages,
 }
 
@@ -63,22 +65,8 @@
 }
 
 impl Front {
-    pub fn new(
-        desk: Arc<Desk>,
-        verbs: Vec<String>,
-        companies: Vec<String>,
-        most: usize,
-        stages: Stages,
-    ) -> Arc<Self> {
-        Arc::new(Front {
-            desk,
-            verbs,
-            companies,
-            most,
-            open: AtomicUsize::new(0),
-            crowd: Notify::new(),
-            stages,
-        })
+    pub fn new(most: usize, stages: Stages) -> Arc<Self> {
+        Arc::new(Front { most, open: AtomicUsize::new(0), crowd: Notify::new(), left: Notify::new(), stages })
     }
 
     fn stage(&self) -> Stage {
@@ -87,8 +75,8 @@
 }
 
 /// Accepts and serves until the stop is through.
-pub async fn serve(listener: TcpListener, front: Arc<Front>, longest: Duration) {
-    let router = Router::new().route("/healthz", get(ready)).fallback(take).with_state(Arc::clone(&front));
+pub async fn serve(listener: TcpListener, front: Arc<Front>, intake: Intake, longest: Duration) {
+    let router = Router::new().route("/healthz", get(ready)).fallback(take).with_state(Arc::new(intake));
     let mut stages = front.stages.clone();
     let mut full = None; // since when some may wait in the backlog
     loop {
@@ -108,7 +96,8 @@
             },
             // Whoever waited is in.
             () = std::future::ready(()), if room && full.is_some() => full = None,
-            () = sleep(TRIES_APART), if count >= front.most / 4 * 3 => front.crowd.notify_waiters(),
+            () = front.left.notified(), if !room => {}
+            () = sleep(CROWD_EVERY), if count >= front.most / 4 * 3 => front.crowd.notify_waiters(),
         }
     }
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
@@ -140,14 +129,16 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.0.open.fetch_sub(1, Relaxed);
+        self.0.left.notify_one();
     }
 }
 
 /// What is known of a connection's client.
-struct Talk {
+pub struct Talk {
+    pub frame: Frame,
     came: Instant,
     waited: Duration,              // outside, at most
-    answered: AtomicBool,          // once at least
+    answered: AtomicBool,          // once at least, and not for something that can't be used
     quiet: Mutex<Option<Instant>>, // since when there is nothing to answer; none while a command is in hand
 }
 
@@ -156,14 +147,20 @@
         self.quiet.lock().is_ok_and(|since| since.is_some_and(|at| at.elapsed() >= span))
     }
 
-    fn set_quiet(&self, since: Option<Instant>) {
+    pub fn set_quiet(&self, since: Option<Instant>) {
         self.quiet.lock().iter_mut().for_each(|quiet| **quiet = since);
     }
 
     /// How long a command read now may have waited for its connection to be let in.
-    fn may_have_waited(&self) -> Duration {
+    pub fn may_have_waited(&self) -> Duration {
         if self.came.elapsed() < AT_ONCE { self.waited } else { Duration::ZERO }
     }
+
+    /// How long the rest of a request may still take.
+    pub fn patience(&self) -> Duration {
+        let since = self.quiet.lock().ok().and_then(|since| *since);
+        since.map_or(BODY_AT_LEAST, |at| WHOLE_WITHIN.saturating_sub(at.elapsed()).max(BODY_AT_LEAST))
+    }
 }
 
 fn open(stream: TcpStream, router: &Router, front: &Arc<Front>, full: Option<Instant>) {
@@ -172,6 +169,7 @@
     tokio::spawn(async move {
         let (front, mut stages, came) = (&place.0, place.0.stages.clone(), Instant::now());
         let talk = Arc::new(Talk {
+            frame: Frame::default(),
             came,
             waited: full.map_or(Duration::ZERO, |since| since.elapsed()),
             answered: AtomicBool::new(false),
@@ -179,152 +177,72 @@
         });
         let service = hyper::service::service_fn(|mut request: hyper::Request<hyper::body::Incoming>| {
             request.extensions_mut().insert(Arc::clone(&talk));
-            router.clone().call(request).inspect(|_| {
-                talk.answered.store(true, Relaxed);
+            let (answer, talk) = (router.clone().call(request), &talk);
+            async move {
+                let mut answer = answer.await?;
+                // Guards against what is hidden behind a request that can't be used, or comes before its turn: the
+                // connection ends with this answer, and nothing more is read from it. So it does while the
+                // sidecar stops.
+                let usable = !answer.status().is_client_error();
+                if !usable || talk.frame.ends_here() || front.stage() != Stage::Serving {
+                    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                talk.answered.fetch_or(usable, Relaxed);
                 talk.set_quiet(Some(Instant::now()));
-            })
+                talk.frame.answered();
+                Ok::<_, std::convert::Infallible>(answer)
+            }
         });
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WITHIN)
-            .max_buf_size(LONGEST_BODY)
-            .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = crowded_out(front, &talk) => {}
+            .max_buf_size(LONGEST_HEAD)
+            .serve_connection(TokioIo::new(Watched { stream, talk: Arc::clone(&talk) }), service);
+        let ended = tokio::select! {
+            ended = &mut connection => Some(ended),
+            () = crowded_out(front, &talk) => None,
             () = reached(&mut stages, Stage::Leaving) => {
                 // One that was never answered may have its first command on the way.
                 if talk.answered.load(Relaxed) {
-                    connection.as_mut().graceful_shutdown();
+                    Pin::new(&mut connection).graceful_shutdown();
                 }
                 tokio::select! {
-                    _ = connection.as_mut() => return,
-                    () = reached(&mut stages, Stage::Ending) => {}
+                    ended = &mut connection => Some(ended),
+                    () = reached(&mut stages, Stage::Ending) => None,
                 }
             }
+        };
+        if ended.is_none() {
+            Pin::new(&mut connection).graceful_shutdown();
+            // Only a client that is quiet in the middle of a request, or does not read its answer, is cut off.
+            let patience = if talk.answered.load(Relaxed) { LAST_WORDS } else { AT_ONCE };
+            while timeout(patience, &mut connection).await.is_err() && !talk.quiet_for(patience) {}
+        }
+        let stream = connection.into_parts().io.into_inner().stream;
+        match ended {
+            Some(Err(fault)) if fault.is_timeout() && talk.frame.in_head() => {
+                drop(stream.try_write(TOO_SLOW))
+            }
+            Some(Ok(())) if talk.frame.unread() => sleep(LINGER).await,
+            _ => {}
         }
-        connection.as_mut().graceful_shutdown();
-        // Only a client that is quiet in the middle of a request, or does not read its answer, is cut off.
-        let patience = if talk.answered.load(Relaxed) { LAST_WORDS } else { AT_ONCE };
-        while timeout(patience, connection.as_mut()).await.is_err() && !talk.quiet_for(patience) {}
     });
 }
 
-/// Guards against slow or forgotten clients that hold all there is: where places run short a connection that
-/// has been quiet for a while is given up, and where there are none even one quiet for a moment.
+/// Guards against slow or forgotten clients that hold all there is: where places run short a connection that has
+/// been quiet for a while is given up, where there are none after a moment; one on which nothing useful ever came
+/// goes sooner than one that has had an answer.
 async fn crowded_out(front: &Front, talk: &Talk) {
     loop {
         front.crowd.notified().await;
         let none_left = front.open.load(Relaxed) >= front.most;
-        if talk.quiet_for(if none_left { AT_ONCE } else { QUIET_IN_CROWD }) {
-            return;
-        }
-    }
-}
-
-async fn ready(State(front): State<Arc<Front>>) -> Response {
-    let status =
-        if front.stage() == Stage::Serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    front.last(status.into_response())
-}
-
-async fn take(
-    State(front): State<Arc<Front>>,
-    Extension(talk): Extension<Arc<Talk>>,
-    request: Request,
-) -> Response {
-    let answer = match front.read(request, &talk).await {
-        Ok((need, _)) if need.last.is_zero() => word(Answer::OutOfTime),
-        Ok((need, cargo)) => {
-            talk.set_quiet(None);
-            let (tell, told) = oneshot::channel();
-            tokio::spawn(command::run(Arc::clone(&front.desk), need, cargo, tell));
-            // Dropped with its connection, this tells the command that its client is gone.
-            word(told.await.unwrap_or(Answer::Terminated))
-        }
-        Err(status) => status.into_response(),
-    };
-    front.last(answer)
-}
-
-impl Front {
-    /// While the sidecar stops, each connection ends with its answer.
-    fn last(&self, mut answer: Response) -> Response {
-        if self.stage() != Stage::Serving {
-            answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
-        answer
-    }
-
-    async fn read(&self, request: Request, talk: &Talk) -> Result<(Need, Cargo), StatusCode> {
-        let (parts, body) = request.into_parts();
-        let name = parts.uri.path().split('/').nth(1).unwrap_or_default();
-        let verb = self.verbs.iter().position(|v| v == name).ok_or(StatusCode::NOT_FOUND)?;
-        let mut need = self.need(verb, &parts.headers).ok_or(StatusCode::BAD_REQUEST)?;
-        let length = parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok());
-        if length.and_then(|n| n.parse().ok()).is_some_and(|n: u64| n > LONGEST_BODY as u64) {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        let body = timeout(BODY_WITHIN, to_bytes(body, LONGEST_BODY)).await;
-        let body = body.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map_err(|fault| {
-            let long =
-                std::error::Error::source(&fault).is_some_and(|s| s.is::<http_body_util::LengthLimitError>());
-            if long { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST }
-        })?;
-        let waited = self.desk.may_have_waited().max(talk.may_have_waited());
-        if !waited.is_zero() {
-            // Only here: to the module an odd budget tells that a client's earlier tries have spent the rest.
-            need.last = need.budget.saturating_sub(waited);
-        }
-        Ok((need, Cargo::of(parts, body)))
-    }
-
-    /// The fields that decisions need; none if one is malformed.
-    fn need(&self, verb: usize, headers: &HeaderMap) -> Option<Need> {
-        let id = single(headers, "req-id")??;
-        let limit: u64 = single(headers, "req-deadline-ms")??.parse().ok()?;
-        let limit = Duration::from_millis(limit);
-        let company = single(headers, "req-owner")?;
-        let again = match single(headers, "req-retry")? {
-            None | Some("0") => false,
-            Some("1") => true,
-            Some(_) => return None,
+        let span = match (none_left, talk.answered.load(Relaxed)) {
+            (true, false) => AT_ONCE,
+            (true, true) | (false, false) => QUIET_IN_CROWD,
+            (false, true) => KEPT_IN_CROWD,
         };
-        let margin = MARGIN.min(limit / 20);
-        (!id.is_empty() && !limit.is_zero()).then(|| Need {
-            verb,
-            company: company.and_then(|c| self.companies.iter().position(|known| known == c)),
-            budget: limit - margin,
-            last: limit - margin / 2,
-            again,
-        })
-    }
-}
-
-/// A header that may come once; the outer none stands for a malformed one.
-fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<Option<&'a str>> {
-    let mut all = headers.get_all(name).iter();
-    match (all.next(), all.next()) {
-        (None, _) => Some(None),
-        (Some(value), None) => value.to_str().ok().map(|text| Some(text.trim())),
-        _ => None,
-    }
-}
-
-/// The answer as the client reads it.
-fn word(answer: Answer) -> Response {
-    match answer {
-        Answer::Answered(answer) => answer.map(Body::from),
-        Answer::Declined { not_before } => {
-            let mut answer = StatusCode::SERVICE_UNAVAILABLE.into_response();
-            let after = not_before.map(|wait| format!("{:.3}", wait.as_secs_f64()));
-            if let Some(after) = after.and_then(|text| HeaderValue::from_str(&text).ok()) {
-                answer.headers_mut().insert(header::RETRY_AFTER, after);
-            }
-            answer
+        if talk.quiet_for(span) {
+            return;
         }
-        Answer::Terminated => StatusCode::BAD_GATEWAY.into_response(),
-        Answer::OutOfTime => StatusCode::GATEWAY_TIMEOUT.into_response(),
     }
 }
--- /dev/null
+++ b/crates/passroad/src/intake.rs
@@ -0,0 +1,200 @@
+//! One command off its connection and its answer back: what can't be used is turned away here.
+
+use crate::command::{self, Answer, Need};
+use crate::desk::Desk;
+use crate::front::Talk;
+use crate::relay::{Cargo, LONGEST_BODY};
+use crate::stop::{Stage, Stages};
+use axum::body::{Body, HttpBody};
+use axum::extract::{Extension, Request, State};
+use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use passroad_choice::{Effect, StandingOrders, VerbOrder};
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::time::timeout;
+
+const MARGIN: Duration = Duration::from_millis(10); // of a time limit, at most a twentieth
+const MOST_DIGITS: usize = 9; // of a time limit
+const SMALL_BODY: usize = 4 << 10; // needs no room of its own
+const BODIES_SHARE: usize = 8; // of the memory, for bodies that are not small
+
+pub struct Intake {
+    desk: Arc<Desk>,
+    verbs: Vec<VerbOrder>,
+    companies: Vec<String>,
+    stages: Stages,
+    bodies: Arc<Semaphore>,
+    open: Arc<Mutex<HashSet<HeaderValue>>>, // ids of commands in hand
+}
+
+pub async fn ready(State(intake): State<Arc<Intake>>) -> StatusCode {
+    if intake.serving() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+}
+
+pub async fn take(
+    State(intake): State<Arc<Intake>>,
+    Extension(talk): Extension<Arc<Talk>>,
+    request: Request,
+) -> Response {
+    let (need, cargo) = match intake.read(request, &talk).await {
+        Ok(read) => read,
+        Err(status) => return status.into_response(),
+    };
+    // Guards against the id of another client's open command: the two would be one to an endpoint.
+    let Some(_claim) = Claim::on(&cargo.id, &intake.open) else {
+        return StatusCode::CONFLICT.into_response();
+    };
+    if need.last.is_zero() {
+        return word(Answer::OutOfTime);
+    }
+    talk.set_quiet(None);
+    let (tell, told) = oneshot::channel();
+    tokio::spawn(command::run(Arc::clone(&intake.desk), need, cargo, tell));
+    tokio::select! {
+        biased;
+        // Dropped with its connection, this tells the command that its client is gone.
+        answer = told => word(answer.unwrap_or(Answer::Terminated)),
+        // Guards against a request hidden behind another: clients send one at a time.
+        () = talk.frame.ahead() => StatusCode::BAD_REQUEST.into_response(),
+    }
+}
+
+/// An id for as long as its command is open.
+struct Claim(HeaderValue, Arc<Mutex<HashSet<HeaderValue>>>);
+
+impl Claim {
+    fn on(id: &HeaderValue, open: &Arc<Mutex<HashSet<HeaderValue>>>) -> Option<Claim> {
+        let new = open.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        new.then(|| Claim(id.clone(), Arc::clone(open)))
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.1.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.0);
+    }
+}
+
+impl Intake {
+    /// `memory` in bytes, of which a share may hold bodies.
+    pub fn new(desk: Arc<Desk>, orders: &StandingOrders, memory: usize, stages: Stages) -> Self {
+        let (verbs, companies) =
+            (orders.verbs.clone(), orders.companies.iter().map(|c| c.name.clone()).collect());
+        let bodies = (memory / BODIES_SHARE / LONGEST_BODY).max(2);
+        Intake {
+            desk,
+            verbs,
+            companies,
+            stages,
+            bodies: Arc::new(Semaphore::new(bodies)),
+            open: Arc::default(),
+        }
+    }
+
+    fn serving(&self) -> bool {
+        *self.stages.borrow() == Stage::Serving
+    }
+
+    async fn read(&self, request: Request, talk: &Talk) -> Result<(Need, Cargo), StatusCode> {
+        let (parts, body) = request.into_parts();
+        let name = parts.uri.path().split('/').nth(1).unwrap_or_default();
+        let verb = self.verbs.iter().position(|v| v.name == name).ok_or(StatusCode::NOT_FOUND)?;
+        let length = body.size_hint();
+        if length.lower() > LONGEST_BODY as u64 {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        // Guards against a request that an endpoint may read in another way.
+        let carries = match self.verbs[verb].effect {
+            Effect::Pure => parts.method == Method::GET && length.exact() == Some(0),
+            Effect::Effectful => parts.method == Method::POST,
+            Effect::Receipted => parts.method == Method::POST || parts.method == Method::PUT,
+        };
+        let need = self.need(verb, &parts.headers).filter(|_| carries && !talk.frame.two_lengths());
+        let mut need = need.ok_or(StatusCode::BAD_REQUEST)?;
+        let body = timeout(talk.patience(), self.whole(body)).await;
+        let (body, room) = body.map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
+        if talk.frame.came_ahead() {
+            return Err(StatusCode::BAD_REQUEST);
+        }
+        let waited = self.desk.may_have_waited().max(talk.may_have_waited());
+        if !waited.is_zero() {
+            // Only here: to the module an odd budget tells that a client's earlier tries have spent the rest.
+            need.last = need.budget.saturating_sub(waited);
+        }
+        let cargo = Cargo::of(parts, body, room).ok_or(StatusCode::BAD_REQUEST)?;
+        Ok((need, cargo))
+    }
+
+    /// A body and, if it is more than small, its room. Guards against many long ones that fill the
+    /// memory: past a share of it they are declined.
+    async fn whole(&self, mut body: Body) -> Result<(Bytes, Option<OwnedSemaphorePermit>), StatusCode> {
+        let (mut whole, mut room) = (BytesMut::new(), None);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
+            if whole.len() + data.len() > LONGEST_BODY {
+                return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            if whole.len() + data.len() > SMALL_BODY && room.is_none() {
+                let taken = Arc::clone(&self.bodies).try_acquire_owned();
+                room = Some(taken.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?);
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok((whole.freeze(), room))
+    }
+
+    /// The fields that decisions need; none if one is malformed.
+    fn need(&self, verb: usize, headers: &HeaderMap) -> Option<Need> {
+        let id = single(headers, "req-id")??;
+        let limit = single(headers, "req-deadline-ms")??;
+        let digits = limit.len() <= MOST_DIGITS && limit.bytes().all(|b| b.is_ascii_digit());
+        // A longer one than the settings know holds no place for longer.
+        let limit = Duration::from_millis(limit.parse().ok().filter(|_| digits)?).min(self.verbs[verb].limit);
+        let company = single(headers, "req-owner")?;
+        let again = match single(headers, "req-retry")? {
+            None | Some("0") => false,
+            Some("1") => true,
+            Some(_) => return None,
+        };
+        let margin = MARGIN.min(limit / 20);
+        (!id.is_empty() && !limit.is_zero()).then(|| Need {
+            verb,
+            company: company.and_then(|c| self.companies.iter().position(|known| known == c)),
+            budget: limit - margin,
+            last: limit - margin / 2,
+            again,
+        })
+    }
+}
+
+/// A header that may come once; the outer none stands for a malformed one.
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<Option<&'a str>> {
+    let mut all = headers.get_all(name).iter();
+    match (all.next(), all.next()) {
+        (None, _) => Some(None),
+        (Some(value), None) => value.to_str().ok().map(|text| Some(text.trim())),
+        _ => None,
+    }
+}
+
+/// The answer as the client reads it.
+fn word(answer: Answer) -> Response {
+    match answer {
+        Answer::Answered(answer) => answer.map(Body::from),
+        Answer::Declined { not_before } => {
+            let mut answer = StatusCode::SERVICE_UNAVAILABLE.into_response();
+            let after = not_before.map(|wait| format!("{:.3}", wait.as_secs_f64()));
+            if let Some(after) = after.and_then(|text| HeaderValue::from_str(&text).ok()) {
+                answer.headers_mut().insert(header::RETRY_AFTER, after);
+            }
+            answer
+        }
+        Answer::Terminated => StatusCode::BAD_GATEWAY.into_response(),
+        Answer::OutOfTime => StatusCode::GATEWAY_TIMEOUT.into_response(),
+    }
+}
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -89,7 +89,7 @@
     mut revision: Option<u64>,
     mut calls: UnboundedReceiver<Call>,
 ) {
-    let dialer = Dialer::new(GRACE, LONGEST_HOLD, 4);
+    let dialer = Dialer::new(GRACE, LONGEST_HOLD, 4).unbounded();
     let mut client = dialer.client();
     let hold = hold.clamp(Duration::from_secs(1), LONGEST_HOLD);
     let (mut watching, mut whole, mut sure) = (false, false, false);
--- a/crates/passroad/src/main.rs
+++ b/crates/passroad/src/main.rs
@@ -3,7 +3,9 @@
 
 mod command;
 mod desk;
+mod frame;
 mod front;
+mod intake;
 mod list;
 mod probe;
 mod relay;
@@ -33,12 +35,13 @@
 
 async fn run(mut start: start::Start) -> Result<(), String> {
     let hangups = start::sighup()?;
-    let most = (start.sockets.saturating_sub(OTHER_SOCKETS) / 2).max(8);
+    // Commands hold a third of all at most, and each needs a connection to an endpoint; the rest is for clients, who
+    // may come in crowds.
+    let sockets = start.sockets.saturating_sub(OTHER_SOCKETS).max(16);
+    let (most_out, most) = (sockets * 2 / 5, sockets - sockets * 2 / 5);
     let listener = front::listen(start.listen).await?;
     let stages = stop::Stage::on_sigterm()?;
-    log::info!("{} listens on {}, at most {most} connections each way", start.name, start.listen);
-    let verbs = start.orders.verbs.iter().map(|v| v.name.clone()).collect();
-    let companies = start.orders.companies.iter().map(|c| c.name.clone()).collect();
+    log::info!("{} listens on {}, at most {most} connections in, {most_out} out", start.name, start.listen);
     let longest = start.orders.verbs.iter().map(|v| v.limit).max().unwrap_or_default();
     let (calls, called) = tokio::sync::mpsc::unbounded_channel();
     // What a waiting call has to tell counts as told only when its wait is over: a stall or a cut shorter than that
@@ -48,11 +51,12 @@
         // The module takes it that changes come by themselves.
         let _ = calls.send(list::Call::Watch(true));
     }
-    let dialer = relay::Dialer::new(start.connect_within, start.orders.idle_close, most);
+    let dialer = relay::Dialer::new(start.connect_within, start.orders.idle_close, most_out);
     // The module is to count on a connection only as long as it is kept here.
     start.orders.idle_close = dialer.idle();
     let kept = start::Kept::of(&start);
     let (moves, at) = tokio::sync::watch::channel(start.discovery);
+    let orders = start.orders.clone();
     let desk = desk::Desk::new(start.orders, dialer, start.connect_within / 5, calls);
     let revision = start.known.as_ref().map(|list| list.revision);
     // An empty one, too: the module calls discovery from there on.
@@ -60,7 +64,7 @@
     tokio::spawn(Arc::clone(&desk).beat());
     tokio::spawn(list::follow(Arc::clone(&desk), at, hold, revision, called));
     tokio::spawn(start::read_again(hangups, kept, moves));
-    let front = front::Front::new(desk, verbs, companies, most, stages);
-    front::serve(listener, front, longest).await;
+    let intake = intake::Intake::new(desk, &orders, start.memory, stages.clone());
+    front::serve(listener, front::Front::new(most, stages), intake, longest).await;
     Ok(())
 }
--- a/crates/passroad/src/probe.rs
+++ b/crates/passroad/src/probe.rs
@@ -4,7 +4,6 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
-use hyper_util::client::legacy::connect::capture_connection;
 use passroad_choice::{Outcome, ReportsHow};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -28,11 +27,10 @@
 
 async fn ask(client: &Client, at: std::net::SocketAddr, reports: ReportsHow) -> Ended {
     let path = if reports == ReportsHow::Silent { "/healthz" } else { "/load" };
-    let Ok(mut request) = Request::get(format!("http://{at}{path}")).body(Full::default()) else {
+    let Ok(request) = Request::get(format!("http://{at}{path}")).body(Full::default()) else {
         return Outcome::Moot.into();
     };
-    let way = capture_connection(&mut request);
-    let mut ended = exchange(client, request, &way, path.len()).await;
+    let mut ended = exchange(client, request, path.len()).await;
     let body = ended.answer.take().map(Response::into_body).unwrap_or_default();
     ended.report = ended.report.or_else(|| body_load(&body));
     ended
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{Uri, request};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::{CaptureConnection, Connected, Connection, HttpConnector};
@@ -14,19 +14,27 @@
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::task::{Context, Poll};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::time::Sleep;
 
 pub const LONGEST_BODY: usize = 64 << 10;
 const MOST_IDLE: usize = 16; // connections kept to one endpoint
 /// Of the time after which endpoints close: the pool looks once in so long, so none stays for twice that.
 const IDLE_SHARE: f64 = 0.45;
-const MARK: &str = "req-deadline-ms";
+const LONGEST_HEAD: usize = 32 << 10; // of an answer, and what is buffered at once
+const LONGEST_ANSWER: usize = LONGEST_BODY + 2 * LONGEST_HEAD; // with all that comes ahead of it
+/// An endpoint writes an answer at once: one that stops halfway for so long is spoilt.
+const STALL: Duration = Duration::from_millis(100);
+/// A connection rests behind an answer, so that what does not belong there shows before the next command is sent.
+const REST: Duration = Duration::from_millis(1);
+const ID: HeaderName = HeaderName::from_static("req-id");
+const MARK: HeaderName = HeaderName::from_static("req-deadline-ms");
 const LOAD: &str = "srv-load";
 const NEVER_RAN: &str = "srv-declined";
 
@@ -65,18 +73,21 @@
     }
 }
 
-/// The parts of a command that go on to an endpoint, as they came.
+/// The parts of a command that go on to an endpoint, as they came. No other header does: an odd one could spoil a
+/// connection that others use.
 pub struct Cargo {
-    pub method: hyper::Method,
-    pub target: String,
-    pub headers: HeaderMap,
-    pub body: Bytes,
+    method: hyper::Method,
+    target: String,
+    pub id: HeaderValue,
+    body: Bytes,
+    _room: Option<OwnedSemaphorePermit>, // of a long body
 }
 
 impl Cargo {
-    pub fn of(parts: request::Parts, body: Bytes) -> Self {
+    pub fn of(parts: request::Parts, body: Bytes, room: Option<OwnedSemaphorePermit>) -> Option<Self> {
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_string();
-        Cargo { method: parts.method, target, headers: end_to_end(parts.headers), body }
+        let id = parts.headers.get(ID)?.clone();
+        Some(Cargo { method: parts.method, target, id, body, _room: room })
     }
 
     fn request(&self, to: SocketAddr, within: Duration) -> Option<Request<Full<Bytes>>> {
@@ -84,9 +95,9 @@
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = uri;
-        *request.headers_mut() = self.headers.clone();
         let left = (within.as_millis() as u64).max(1);
-        request.headers_mut().insert(HeaderName::from_static(MARK), left.into());
+        request.headers_mut().insert(ID, self.id.clone());
+        request.headers_mut().insert(MARK, left.into());
         Some(request)
     }
 }
@@ -119,19 +130,42 @@
 /// Sends a command to an endpoint and waits for its whole answer. Ends early on recall: what it holds is
 /// dropped, and that closes its connection.
 pub async fn run(link: Link, cargo: Arc<Cargo>, within: Duration, recall: oneshot::Receiver<()>) -> Ended {
-    let Some(mut request) = cargo.request(link.address, within) else { return Outcome::Moot.into() };
-    let way = capture_connection(&mut request);
+    let exchanged = async {
+        // A kept connection that turns out to be of no use has taken nothing: the next one, or a new one, does.
+        loop {
+            let Some(request) = cargo.request(link.address, within) else { return Outcome::Moot.into() };
+            let ended = exchange(&link.client, request, cargo.target.len() + cargo.body.len()).await;
+            if ended.outcome != Outcome::Moot {
+                return ended;
+            }
+        }
+    };
     tokio::select! {
         // Guards against a connection that comes up while the process stands still: past the time nothing goes out.
         biased;
         _ = recall => Outcome::Recalled.into(),
         () = tokio::time::sleep(within) => Outcome::TimedOut.into(),
-        ended = exchange(&link.client, request, &way, cargo.target.len() + cargo.body.len()) => ended,
+        ended = exchanged => ended,
     }
 }
 
 /// One request and its whole answer. `least` is a length that the request surely has on the wire.
-pub async fn exchange(
+pub async fn exchange(client: &Client, mut request: Request<Full<Bytes>>, least: usize) -> Ended {
+    let way = capture_connection(&mut request);
+    let ahead = Arc::new(Mutex::new(None));
+    let told = Arc::clone(&ahead);
+    // What is said ahead of an answer is not its beginning.
+    hyper::ext::on_informational(&mut request, move |_| {
+        told.lock().iter_mut().for_each(|at| **at = Some(Instant::now()));
+    });
+    tokio::select! {
+        biased;
+        ended = whole(client, request, &way, least) => ended,
+        () = stalled(&way, &ahead) => spoilt("it stops halfway"),
+    }
+}
+
+async fn whole(
     client: &Client,
     request: Request<Full<Bytes>>,
     way: &CaptureConnection,
@@ -139,39 +173,72 @@
 ) -> Ended {
     let (parts, body) = match client.request(request).await {
         Ok(answer) => answer.into_parts(),
-        Err(fault) if never_written(&fault, way, least) => return Outcome::NoConnection.into(),
-        Err(fault) => {
-            log::debug!("relay broke: {fault:?}");
-            return Outcome::Broken.into();
-        }
+        Err(fault) => return broke(&fault, way, least),
     };
     let report = parts.headers.get(LOAD).and_then(|v| v.to_str().ok()).and_then(read_load);
-    let Ok(body) = Limited::new(body, LONGEST_BODY).collect().await else {
-        return Ended { outcome: Outcome::Broken, report, answer: None };
+    let body = match Limited::new(body, LONGEST_BODY).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(fault) if fault.downcast_ref::<hyper::Error>().is_some_and(|f| !f.is_parse()) => {
+            return Ended { report, ..Outcome::Broken.into() };
+        }
+        Err(fault) => return Ended { report, ..spoilt(&fault) },
     };
+    // Before the connection can be given the next request: that needs a turn of its own task.
+    meter(way).iter().for_each(|meter| meter.done.store(true, Relaxed));
     let declined = parts.headers.get(NEVER_RAN).is_some_and(|v| v.as_bytes() == b"1");
     let outcome = match parts.status {
         StatusCode::OK => Outcome::Answered,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Outcome::Full,
+        status if status.is_client_error() => Outcome::Unfit,
         _ => Outcome::Error,
     };
-    let mut answer = Response::new(body.to_bytes());
+    let mut answer = Response::new(body);
     *answer.status_mut() = parts.status;
     *answer.headers_mut() = end_to_end(parts.headers);
     Ended { outcome, report, answer: Some(answer) }
 }
 
-/// Whether the endpoint surely has not got the whole request: no connection came up, the library gave the
-/// request back unstarted, or the system took fewer bytes than it has.
-fn never_written(fault: &legacy::Error, way: &CaptureConnection, least: usize) -> bool {
-    let unstarted =
-        fault.source().and_then(|s| s.downcast_ref::<hyper::Error>()).is_some_and(hyper::Error::is_canceled);
-    if fault.is_connect() || unstarted {
-        return true;
+/// What came back is no answer, but the endpoint was reached and the command may have run.
+fn spoilt(why: impl std::fmt::Display) -> Ended {
+    log::debug!("spoilt answer: {why}");
+    Outcome::Error.into()
+}
+
+/// What a request that failed proves.
+fn broke(fault: &legacy::Error, way: &CaptureConnection, least: usize) -> Ended {
+    let below = fault.source().and_then(|s| s.downcast_ref::<hyper::Error>());
+    let (meter, unstarted) = (meter(way), below.is_some_and(hyper::Error::is_canceled));
+    if meter.as_ref().is_some_and(|meter| meter.worn.load(Relaxed)) {
+        return Outcome::Moot.into();
+    }
+    // No connection came up, the library gave the request back unstarted, or the system took fewer bytes than it has.
+    if fault.is_connect() || unstarted || meter.as_ref().is_some_and(|meter| meter.fewer_than(least)) {
+        return Outcome::NoConnection.into();
+    }
+    let endless = meter.is_some_and(|meter| meter.heard.load(Relaxed) > LONGEST_ANSWER);
+    if endless || below.is_some_and(hyper::Error::is_parse) {
+        return spoilt(fault);
+    }
+    log::debug!("relay broke: {fault:?}");
+    Outcome::Broken.into()
+}
+
+/// Ends when an answer has begun and does not go on.
+async fn stalled(way: &CaptureConnection, ahead: &Mutex<Option<Instant>>) {
+    loop {
+        tokio::time::sleep(STALL / 4).await;
+        let last = meter(way).and_then(|meter| meter.last_heard());
+        let said = ahead.lock().ok().and_then(|at| *at);
+        if last.is_some_and(|last| last.elapsed() > STALL && said.is_none_or(|at| at < last)) {
+            return;
+        }
     }
+}
+
+fn meter(way: &CaptureConnection) -> Option<Arc<Meter>> {
     let mut extras = hyper::http::Extensions::new();
     way.connection_metadata().iter().for_each(|info| info.get_extras(&mut extras));
-    extras.get::<Arc<Meter>>().is_some_and(|meter| meter.fewer_than(least))
+    extras.get::<Arc<Meter>>().cloned()
 }
 
 /// A load report, `TEXT name=value, name=value`; none if any of it is malformed.
@@ -201,6 +268,7 @@
     http: HttpConnector,
     within: Duration,
     idle: Duration,
+    longest: usize, // answer
     permits: Arc<Semaphore>,
 }
 
@@ -212,7 +280,13 @@
         let mut http = HttpConnector::new();
         http.set_nodelay(true);
         http.set_connect_timeout(Some(within));
-        Dialer { http, within, idle: idle_close.mul_f64(IDLE_SHARE), permits: Arc::new(Semaphore::new(most)) }
+        let (idle, permits) = (idle_close.mul_f64(IDLE_SHARE), Arc::new(Semaphore::new(most)));
+        Dialer { http, within, idle, longest: LONGEST_ANSWER, permits }
+    }
+
+    /// For whoever bounds by itself what it reads.
+    pub fn unbounded(self) -> Self {
+        Dialer { longest: usize::MAX, ..self }
     }
 
     /// How long an idle connection is kept at least.
@@ -231,7 +305,7 @@
             .pool_idle_timeout(self.idle)
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(MOST_IDLE)
-            .http1_max_buf_size(2 * LONGEST_BODY)
+            .http1_max_buf_size(LONGEST_HEAD)
             .build(self.clone())
     }
 }
@@ -246,38 +320,55 @@
     }
 
     fn call(&mut self, to: Uri) -> Self::Future {
-        let (mut http, within, permits) = (self.http.clone(), self.within, Arc::clone(&self.permits));
+        let (mut http, within, longest) = (self.http.clone(), self.within, self.longest);
+        let permits = Arc::clone(&self.permits);
         Box::pin(async move {
             let permit = tokio::time::timeout(within, permits.acquire_owned()).await??;
             let stream = http.call(to).await?.into_inner();
-            Ok(TokioIo::new(Wire { stream, meter: Arc::default(), _permit: permit }))
+            Ok(TokioIo::new(Wire { stream, meter: Arc::default(), longest, rest: None, _permit: permit }))
         })
     }
 }
 
-/// How much of the present request the system has taken.
+/// What passed of the present request and its answer.
 #[derive(Default)]
 struct Meter {
-    written: AtomicUsize,
-    heard: AtomicBool, // something came back since the last write
+    written: AtomicUsize,         // of the request, taken by the system
+    heard: AtomicUsize,           // since
+    last: Mutex<Option<Instant>>, // when something was heard
+    done: AtomicBool,             // the answer is read whole
+    worn: AtomicBool,             // given up with nothing of the request written
 }
 
 impl Meter {
-    fn writes(&self) {
-        if self.heard.swap(false, Relaxed) {
-            self.written.store(0, Relaxed);
-        }
+    /// Nothing of the next request is written, and nothing heard of its answer.
+    fn begins(&self) {
+        self.heard.store(0, Relaxed);
+        self.written.store(0, Relaxed);
+        self.done.store(false, Relaxed);
+    }
+
+    fn hears(&self, count: usize) -> usize {
+        self.last.lock().iter_mut().for_each(|last| **last = Some(Instant::now()));
+        self.heard.fetch_add(count, Relaxed) + count
+    }
+
+    /// When the present answer was last heard of.
+    fn last_heard(&self) -> Option<Instant> {
+        self.last.lock().ok().and_then(|last| last.filter(|_| self.heard.load(Relaxed) > 0))
     }
 
     fn fewer_than(&self, least: usize) -> bool {
-        !self.heard.load(Relaxed) && self.written.load(Relaxed) < least
+        self.heard.load(Relaxed) == 0 && self.written.load(Relaxed) < least
     }
 }
 
-/// A connection to an endpoint that counts what is written to it.
+/// A connection to an endpoint that counts what passes.
 pub struct Wire {
     stream: TcpStream,
     meter: Arc<Meter>,
+    longest: usize,
+    rest: Option<Pin<Box<Sleep>>>, // between an answer and the next request
     _permit: OwnedSemaphorePermit,
 }
 
@@ -288,6 +379,31 @@
         }
         written
     }
+
+    /// Before the first byte of a request that follows an answer. Guards against bytes behind that answer, a second
+    /// copy of it perhaps, which would be taken for the answer to this request.
+    fn rested(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(last) = self.meter.last_heard().filter(|_| self.meter.done.load(Relaxed)) else {
+            return Poll::Ready(Ok(()));
+        };
+        let rest = self.rest.get_or_insert_with(|| Box::pin(tokio::time::sleep_until((last + REST).into())));
+        ready!(rest.as_mut().poll(cx));
+        let mut stray = [0];
+        match self.stream.poll_peek(cx, &mut ReadBuf::new(&mut stray)) {
+            Poll::Pending => {
+                self.rest = None;
+                self.meter.begins();
+                Poll::Ready(Ok(()))
+            }
+            Poll::Ready(_) => Poll::Ready(Err(self.wear_out())),
+        }
+    }
+
+    fn wear_out(&self) -> io::Error {
+        self.meter.begins();
+        self.meter.worn.store(true, Relaxed);
+        io::Error::new(io::ErrorKind::InvalidData, "something came behind an answer")
+    }
 }
 
 impl Connection for Wire {
@@ -303,17 +419,26 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.meter.heard.store(true, Relaxed);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let count = buf.filled().len() - before;
+        if self.rest.is_some() {
+            // The next request waits to be written.
+            return Poll::Ready(Err(self.wear_out()));
+        }
+        // What an endpoint's system holds back until its last bytes are acknowledged is to show now, not behind the
+        // next request.
+        let _ = socket2::SockRef::from(&self.stream).set_tcp_quickack(true);
+        // Guards against an answer without end.
+        if count > 0 && self.meter.hears(count) > self.longest {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "an answer without end")));
         }
-        read
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Wire {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.meter.writes();
+        ready!(self.rested(cx))?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.wrote(written)
     }
@@ -327,7 +452,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.meter.writes();
+        ready!(self.rested(cx))?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.wrote(written)
     }
@@ -357,12 +482,12 @@
         #[case] never: bool,
     ) {
         // One request went over this connection before and was answered.
-        let meter = Meter { written: AtomicUsize::new(500), heard: AtomicBool::new(true) };
-        meter.writes();
+        let meter = Meter { written: AtomicUsize::new(500), heard: AtomicUsize::new(80), ..Meter::default() };
+        meter.begins();
         taken.iter().for_each(|n| {
             meter.written.fetch_add(*n, Relaxed);
         });
-        meter.heard.store(heard, Relaxed);
+        meter.heard.store(usize::from(heard), Relaxed);
         assert_eq!(meter.fewer_than(100), never);
     }
 
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -13,6 +13,7 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub sockets: usize,
+    pub memory: usize, // bytes
     pub known: Option<List>,
     pub orders: StandingOrders,
     pub connect_within: Duration,
@@ -32,13 +33,15 @@
 }
 
 #[derive(Deserialize)]
+#[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192.0 }
     }
 }
 
@@ -115,6 +118,7 @@
         listen: address(told.listen, "LB_LISTEN")?,
         discovery: address(told.discovery, "LB_DISCOVERY")?,
         sockets: told.limits.sockets,
+        memory: (told.limits.memory_mb.clamp(1.0, 1e6) * 1e6) as usize,
         known: told.known,
         connect_within: passroad_orders::connect_within(&told.settings)?,
         orders: passroad_orders::from_value(seed, &told.settings)?,
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -43,17 +43,140 @@
 #[case::no_http("LOOK\r\n\r\n", "400")]
 #[case::odd_header("GET /look HTTP/1.1\r\nHost b\r\n\r\n", "400")]
 #[case::strange("GET /lock HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\n\r\n", "404")]
+#[case::signed_limit("GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: +900\r\n\r\n", "400")]
+#[case::huge_limit(
+    "GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 18446744073709551615\r\n\r\n",
+    "400"
+)]
+#[case::body_on_get(
+    "GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 4\r\n\r\nseat",
+    "400"
+)]
+#[case::get_with_an_effect(
+    "GET /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\n\r\n",
+    "400"
+)]
+#[case::pure_post(
+    "POST /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n",
+    "400"
+)]
+#[case::negative_length(
+    "POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: -4\r\n\r\nseat",
+    "400"
+)]
+#[case::length_told_twice(
+    "POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nseat",
+    "400"
+)]
+#[case::length_and_chunks(
+    "POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nseat\r\n0\r\n\r\n",
+    "400"
+)]
+#[case::chunks_and_length(
+    "POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nseat\r\n0\r\n\r\n",
+    "400"
+)]
+#[case::more_than_its_length(
+    "POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 2\r\n\r\nseat",
+    "400"
+)]
+#[case::many_at_once(
+    "GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\n\r\nGET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 2\r\nReq-Deadline-Ms: 900\r\n\r\n",
+    "400"
+)]
 #[case::long(
     "POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 65537\r\n\r\n",
     "413"
 )]
+#[case::huge(
+    "POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 62914560\r\n\r\nseat",
+    "413"
+)]
+#[case::long_head(&format!("GET /look HTTP/1.1\r\nHost: b\r\nOdd: {}\r\n\r\n", "x".repeat(20_000)), "431")]
 fn bad_input_is_answered_and_goes_nowhere(#[case] request: &str, #[case] status: &str) {
     let endpoint = willing("ok");
     let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
-    assert_eq!(sidecar.ask(request).word(), status);
+    let mut client = sidecar.client();
+    assert_eq!(ask(&mut client, request).unwrap().word(), status);
+    // Nothing more is read from it.
+    assert!(ask(&mut client, &look("behind")).is_none());
     assert_eq!((sidecar.ask(&look("next")).word(), endpoint.count()), ("200", 1));
 }
 
+// Each gets an error or a close well before three seconds; a head and a body used to have 75 s and 10 s.
+#[rstest]
+#[case::silent("", None)]
+#[case::half_a_head("GET /look HTTP/1.1\r\nReq-", Some("408"))]
+#[case::half_a_body(
+    "POST /book HTTP/1.1\r\nReq-Id: s\r\nReq-Deadline-Ms: 900\r\nContent-Length: 4\r\n\r\nse",
+    Some("408")
+)]
+fn what_does_not_come_is_not_waited_for(#[case] part: &str, #[case] status: Option<&str>) {
+    let sidecar = sidecar(&member("s-1", nowhere(), "up"));
+    let (began, mut client) = (Instant::now(), sidecar.client());
+    client.get_mut().write_all(part.as_bytes()).unwrap();
+    let answer = Message::read(&mut client);
+    assert_eq!(answer.as_ref().map(Message::word), status);
+    assert_eq!(client.read(&mut [0]).unwrap_or(0), 0);
+    assert!((2000 * MS..3000 * MS).contains(&began.elapsed()), "{:?}", began.elapsed());
+}
+
+#[rstest]
+fn a_client_that_asked_once_and_stays_gives_its_place_back() {
+    let endpoint = willing("ok");
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let mut client = sidecar.client();
+    assert_eq!(ask(&mut client, &look("a")).unwrap().word(), "200");
+    let answered = Instant::now();
+    assert_eq!(client.read(&mut [0]).unwrap(), 0);
+    assert!((2000 * MS..3000 * MS).contains(&answered.elapsed()), "{:?}", answered.elapsed());
+}
+
+#[rstest]
+fn the_id_of_an_open_command_is_turned_away_until_it_is_answered() {
+    let endpoint = stand_in(|_, to| {
+        sleep(100 * MS);
+        answer(to, "200 OK", "", b"booked");
+        true
+    });
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let mut first = sidecar.client();
+    first.get_mut().write_all(book("a").as_bytes()).unwrap();
+    until(|| endpoint.count() == 1);
+    assert_eq!(sidecar.ask(&book("a")).word(), "409");
+    assert_eq!(Message::read(&mut first).unwrap().body, b"booked");
+    assert_eq!((sidecar.ask(&book("a")).word(), endpoint.count()), ("200", 2));
+}
+
+// The first has gone out when the second comes: it ends, and the second goes nowhere.
+#[rstest]
+fn a_request_hidden_behind_an_open_one_is_not_taken() {
+    let endpoint = stand_in(|_, to| {
+        sleep(100 * MS);
+        answer(to, "200 OK", "", b"booked");
+        true
+    });
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let mut client = sidecar.client();
+    client.get_mut().write_all(book("a").as_bytes()).unwrap();
+    until(|| endpoint.count() == 1);
+    assert_eq!(ask(&mut client, &book("b")).unwrap().word(), "400");
+    assert_eq!((client.read(&mut [0]).unwrap_or(0), endpoint.count()), (0, 1));
+}
+
+#[rstest]
+fn of_a_clients_headers_only_those_of_the_protocol_go_on() {
+    let endpoint = willing("ok");
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let odd =
+        look("a").replace("Host: b", "Host: b\r\nSrv-Declined: 1\r\nOdd: \u{e9}\r\nExpect: 100-continue");
+    assert_eq!(sidecar.ask(&odd).word(), "200");
+    let head = endpoint.seen.lock().unwrap()[0].head.to_lowercase();
+    let names: Vec<_> =
+        head.lines().skip(1).filter_map(|line| line.split_once(':')).map(|(name, _)| name).collect();
+    assert_eq!(names, ["req-id", "req-deadline-ms", "host"]);
+}
+
 #[rstest]
 #[case(65_536, "200")]
 #[case(65_537, "413")]
@@ -97,6 +220,7 @@
 #[case::error("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", "502", 1)]
 #[case::not_full("HTTP/1.1 503 Oh\r\nContent-Length: 0\r\n\r\n", "502", 1)]
 #[case::other_success("HTTP/1.1 204 Oh\r\n\r\n", "502", 1)]
+#[case::unfit("HTTP/1.1 404 Oh\r\nContent-Length: 0\r\n\r\n", "502", 1)]
 #[case::breaks_at_once("", "502", 1)]
 #[case::breaks_in_head("HTTP/1.1 200 OK\r\nConte", "502", 1)]
 #[case::breaks_in_body("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfree", "502", 1)]
@@ -120,6 +244,73 @@
     assert_eq!(endpoints.iter().map(StandIn::count).sum::<usize>(), sent);
 }
 
+// The endpoint keeps the connection open and says no more: found at once, not when the time is up.
+#[rstest]
+#[case::noise("\u{1}\u{2}noise\r\n\r\n")]
+#[case::head_without_end("HTTP/1.1 200 OK\r\nOdd: ")]
+#[case::endless_head("HTTP/1.1 200 OK\r\nOdd: ")]
+#[case::odd_length("HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nfree")]
+#[case::too_little("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfree")]
+#[case::endless("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n")]
+#[case::endless_chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n")]
+#[case::endless_ahead("HTTP/1.1 100 Continue\r\n\r\n")]
+fn a_spoilt_answer_ends_an_effectful_command_at_once(#[case] back: &'static str) {
+    let spoils = stand_in(move |_, to| {
+        let more = match back {
+            _ if back.contains("100 Continue") => back.repeat(1000),
+            _ if back.contains("3000000000") || back.contains("chunked") => "x".repeat(60_000),
+            _ => String::new(),
+        };
+        let _ = to.write_all(back.as_bytes());
+        while !more.is_empty() && to.write_all(more.as_bytes()).is_ok() {}
+        true
+    });
+    let sidecar = sidecar(&member("s-1", spoils.address, "up"));
+    let (began, answer) = (Instant::now(), sidecar.ask(&book("a")));
+    assert_eq!((answer.word(), spoils.count()), ("502", 1));
+    assert!(began.elapsed() < 300 * MS, "{:?}", began.elapsed());
+    until(|| !spoils.closed.lock().unwrap().is_empty());
+}
+
+#[rstest]
+#[case::at_once(0)]
+#[case::a_moment_later(300)]
+fn what_comes_behind_an_answer_is_never_taken_for_the_next(#[case] later: u64) {
+    let endpoint = stand_in(move |command, to| {
+        let id = command.header("req-id").unwrap();
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
+        if later == 0 {
+            let _ = to.write_all(text.repeat(2).as_bytes());
+        } else {
+            let _ = to.write_all(text.as_bytes());
+            sleep(std::time::Duration::from_micros(later));
+            let _ = to.write_all(text.as_bytes());
+        }
+        true
+    });
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let mut client = sidecar.client();
+    for n in 0..50 {
+        let id = format!("id{n}");
+        let answer = ask(&mut client, &book(&id)).unwrap();
+        assert_eq!((answer.word(), &answer.body[..]), ("200", id.as_bytes()));
+    }
+}
+
+#[rstest]
+fn what_is_said_ahead_of_an_answer_is_passed_over() {
+    let endpoint = stand_in(|_, to| {
+        for _ in 0..5 {
+            let _ = to.write_all(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+        }
+        sleep(250 * MS);
+        answer(to, "200 OK", "", b"booked");
+        true
+    });
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    assert_eq!(sidecar.ask(&book("a")).body, b"booked");
+}
+
 #[rstest]
 fn what_never_ran_goes_to_another_endpoint() {
     let full = stand_in(|_, to| {
