--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -40,6 +40,8 @@
 pub struct Front {
     most: usize, // connections of clients
     open: AtomicUsize,
+    most_kept: usize, // of those, kept for a next command
+    kept: AtomicUsize,
     crowd: Notify, // others wait to get in
     left: Notify,  // a place is free again
     stages: Stages,
@@ -65,8 +67,16 @@
 }
 
 impl Front {
-    pub fn new(most: usize, stages: Stages) -> Arc<Self> {
-        Arc::new(Front { most, open: AtomicUsize::new(0), crowd: Notify::new(), left: Notify::new(), stages })
+    pub fn new(most: usize, most_kept: usize, stages: Stages) -> Arc<Self> {
+        Arc::new(Front {
+            most,
+            open: AtomicUsize::new(0),
+            most_kept,
+            kept: AtomicUsize::new(0),
+            crowd: Notify::new(),
+            left: Notify::new(),
+            stages,
+        })
     }
 
     fn stage(&self) -> Stage {
@@ -133,6 +143,26 @@
     }
 }
 
+/// Counts a connection for as long as it is kept for a next command.
+struct Kept(Arc<Front>);
+
+impl Kept {
+    /// None where enough are kept.
+    fn one_more(front: &Arc<Front>) -> Option<Self> {
+        let few = front.kept.load(Relaxed) < front.most_kept;
+        few.then(|| {
+            front.kept.fetch_add(1, Relaxed);
+            Kept(Arc::clone(front))
+        })
+    }
+}
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        self.0.kept.fetch_sub(1, Relaxed);
+    }
+}
+
 /// What is known of a connection's client.
 pub struct Talk {
     pub frame: Frame,
@@ -175,8 +205,11 @@
             answered: AtomicBool::new(false),
             quiet: Mutex::new(Some(came)),
         });
+        let kept = Mutex::new(None);
         let service = hyper::service::service_fn(|mut request: hyper::Request<hyper::body::Incoming>| {
             request.extensions_mut().insert(Arc::clone(&talk));
+            kept.lock().iter_mut().for_each(|kept| **kept = None);
+            let kept = &kept;
             let (answer, talk) = (router.clone().call(request), &talk);
             async move {
                 let mut answer = answer.await?;
@@ -184,9 +217,14 @@
                 // connection ends with this answer, and nothing more is read from it. So it does while the
                 // sidecar stops.
                 let usable = !answer.status().is_client_error();
-                if !usable || talk.frame.ends_here() || front.stage() != Stage::Serving {
+                let on = usable && !talk.frame.ends_here() && front.stage() == Stage::Serving;
+                // Guards against clients that ask once and stay: what they may hold is soon taken up by connections
+                // that nobody uses. Past half of it each goes with its answer.
+                let mut keep = on.then(|| Kept::one_more(front)).flatten();
+                if keep.is_none() {
                     answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
+                kept.lock().iter_mut().for_each(|kept| **kept = keep.take());
                 talk.answered.fetch_or(usable, Relaxed);
                 talk.set_quiet(Some(Instant::now()));
                 talk.frame.answered();
--- a/crates/passroad/src/main.rs
+++ b/crates/passroad/src/main.rs
@@ -65,6 +65,6 @@
     tokio::spawn(list::follow(Arc::clone(&desk), at, hold, revision, called));
     tokio::spawn(start::read_again(hangups, kept, moves));
     let intake = intake::Intake::new(desk, &orders, start.memory, stages.clone());
-    front::serve(listener, front::Front::new(most, stages), intake, longest).await;
+    front::serve(listener, front::Front::new(most, start.sockets / 6, stages), intake, longest).await;
     Ok(())
 }
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -132,6 +132,24 @@
     assert!((2000 * MS..3000 * MS).contains(&answered.elapsed()), "{:?}", answered.elapsed());
 }
 
+// Incident r735bc3: connections that nobody used any more took all that clients may hold.
+#[rstest]
+fn past_half_of_what_clients_may_hold_a_connection_goes_with_its_answer() {
+    let endpoint = willing("ok");
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let mut clients: Vec<_> = (0..14).map(|_| sidecar.client()).collect();
+    let mut kept = 0;
+    for (n, client) in clients.iter_mut().enumerate() {
+        let answer = ask(client, &look(&n.to_string())).unwrap();
+        assert_eq!(answer.word(), "200");
+        kept += usize::from(answer.header("connection").is_none());
+    }
+    assert_eq!(kept, 64 / 6);
+    // Whoever leaves makes room.
+    drop(clients);
+    until(|| ask(&mut sidecar.client(), &look("z")).unwrap().header("connection").is_none());
+}
+
 #[rstest]
 fn the_id_of_an_open_command_is_turned_away_until_it_is_answered() {
     let endpoint = stand_in(|_, to| {
