A connection that breaks does not count as an endpoint that can't be reached

Checked: the list names no restart of them, and the probe's own port answers. At fault: finish and checked in choice.rs count a broken connection (and a probe answered with an error) like a refused one. A break tells of the way there; a process that has ended refuses the next connection anyway.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -251,7 +251,7 @@
             self.rtt = (9 * self.rtt + spent) / 10;
             self.reached(at);
             self.hear(at, report);
-        } else if outcome != Outcome::Full {
+        } else if matches!(outcome, Outcome::NoConnection | Outcome::TimedOut) {
             self.missed(at);
         }
     }
@@ -767,8 +767,8 @@
                 self.credit(at, if r.ahead < FIRST_LIMIT { -0.25 } else { 0.0 });
             }
             Outcome::TimedOut => self.slow_answer(&r, verb, spent),
-            Outcome::Error => self.judge(at, outcome),
-            Outcome::NoConnection | Outcome::Broken => {
+            Outcome::Error | Outcome::Broken => self.judge(at, outcome), // it was reached
+            Outcome::NoConnection => {
                 self.endpoints[at].used = None;
                 self.judge(at, outcome);
                 self.missed(at);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -500,6 +500,22 @@
     assert!(out.contains(&Action::Terminate { cmd: 0 }));
 }
 
+// Day wide+reset+stale: where the way there breaks connections, healthy endpoints were shut out for seconds, and then
+// taken for cold ones after the next answer.
+#[rstest]
+#[case::broken(Outcome::Broken, 0)]
+#[case::not_reached(Outcome::NoConnection, 3)]
+fn an_endpoint_whose_connections_break_was_reached(#[case] outcome: Outcome, #[case] misses: u32) {
+    let mut b = with_relay(Effect::Pure, 1);
+    for _ in 0..3 {
+        let relay = Relay { endpoint: 0, sent: NOW, ahead: 0.0, outcome: None };
+        b.commands[0] = Some(Command { waits: false, relays: vec![relay], ..command() });
+        b.finish(0, 0, outcome, Duration::from_millis(5));
+        b.checked(0, outcome, Duration::from_millis(5), None);
+    }
+    assert_eq!(b.endpoints[0].misses, 2 * misses);
+}
+
 // Day churn+long: the list changes all day; slots, and with them memory and walks, grew with every id there ever was.
 #[rstest]
 #[case::nothing_out(false, false, 1)]
