Right after the start the room to wait follows the rate so far

Seen: 'too much to carry: 1 commands wait, room for 1' within 0.2 s of each start, and 0.4 to 0.5% of the commands of the first five seconds refused on garble and reload. Checked: the endpoints are idle then; it is the room, not the limit. At fault: pump in choice.rs takes a rate over two seconds that is still near nothing. Now it is taken over the time since the first send.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -573,7 +573,7 @@
         waiting.sort_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal));
         let (now, hold) = (self.now, self.duty.hold);
         let pending = self.view().any(|e| e.probing.is_some_and(|at| now < at + hold));
-        let room = (self.sends.rate(self.now, CALM) * self.duty.patience.as_secs_f64()).max(1.0);
+        let room = (self.sends.young_rate(self.now, CALM) * self.duty.patience.as_secs_f64()).max(1.0);
         let mut idle = self.knows_idle();
         let mut line = 0; // those that nothing took; the rest only await heartbeats
         let mut shut = false; // nothing took a command that is worth more
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -313,6 +313,18 @@
     assert_eq!([0, 1, 2, 3].map(declined), [true, true, true, false]);
 }
 
+// Days in service: each start declined some of its first commands, as a rate over two seconds was still near nothing.
+#[rstest]
+fn right_after_the_start_the_room_follows_the_rate_so_far() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].holds = 9.0;
+    (0..30).for_each(|n| b.sends.add(NOW - Duration::from_millis(90 - 3 * n), CALM));
+    b.commands = (0..4).map(|_| Some(command())).collect();
+    b.queue = vec![0, 1, 2, 3];
+    let out = b.decide(NOW, Event::Due { token: ALARM_QUEUE });
+    assert!(!out.iter().any(|a| matches!(a, Action::Decline { .. })), "{out:?}");
+}
+
 #[rstest]
 fn a_time_out_cuts_the_limit_once_in_a_while() {
     let mut b = sidecar(Effect::Pure, 1);
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -29,11 +29,19 @@
 pub struct Faded {
     sum: f64,
     at: Duration,
+    from: Duration,
 }
 
 impl Faded {
     pub fn add(&mut self, now: Duration, over: Duration) {
-        *self = Faded { sum: self.sum * fade(now, self.at, over) + 1.0, at: now };
+        let from = if self.sum > 0.0 { self.from } else { now };
+        *self = Faded { sum: self.sum * fade(now, self.at, over) + 1.0, at: now, from };
+    }
+
+    /// Counts a second, also while there are counts of a shorter time only.
+    pub fn young_rate(&self, now: Duration, over: Duration) -> f64 {
+        let young = now.saturating_sub(self.from).clamp(over / 32, over).as_secs_f64();
+        self.rate(now, over) * over.as_secs_f64() / young
     }
 
     /// Counts a second.
