--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -478,10 +478,10 @@
     fn take(&mut self, a: Arrival) {
         let v = &self.duty.verbs[a.verb];
         let goal = (v.goal + a.work.unwrap_or_default().mul_f64(v.stretch)).min(v.limit);
-        // Guards against answering repeats that are past their goal: first tries of a verb get the same time,
-        // a last try gets what is left of the limit, which tells how much of it is spent.
+        // Guards against answering repeats that are past their goal: first tries of a verb get the same time, a
+        // last try what is left of the limit, which tells how much is spent. Where repeats are marked, only they.
         let odd = a.budget.abs_diff(v.budget) > v.budget / 50;
-        let known = odd && v.budget_votes >= 4;
+        let known = odd && v.budget_votes >= 4 && a.again == self.marked;
         let gone = if known { v.limit.saturating_sub(a.budget) } else { Duration::ZERO };
         // A marked repeat has spent some of its goal, no one knows how much.
         let values = self.values();
@@ -506,7 +506,7 @@
         }
         let len = self.commands.len().max(a.cmd + 1);
         self.commands.resize_with(len, || None);
-        self.spare = (self.spare + 0.1).min(5.0);
+        (self.spare, self.marked) = ((self.spare + 0.1).min(5.0), self.marked || a.again);
         self.arrivals.add(self.now, 4 * CALM);
         self.draw_pass();
         self.commands[a.cmd] = Some(Command {
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -325,6 +325,24 @@
     assert!(!out.iter().any(|a| matches!(a, Action::Decline { .. })), "{out:?}");
 }
 
+// Incident ree4900: clients who gave some first tries less time had them declined on the spot, idle endpoints beside.
+#[rstest]
+#[case::never_marked(false, false, 0)]
+#[case::marked_elsewhere(true, false, 1)]
+#[case::a_marked_repeat(true, true, 0)]
+fn where_repeats_are_marked_a_short_budget_tells_of_a_repeat_only_there(
+    #[case] marked: bool,
+    #[case] again: bool,
+    #[case] sent: usize,
+) {
+    let mut b = sidecar(Effect::Pure, 1);
+    (b.marked, b.duty.verbs[0].limit) = (marked, Duration::from_secs(1));
+    (b.duty.verbs[0].budget, b.duty.verbs[0].budget_votes) = (Duration::from_millis(800), 20);
+    let Event::Arrived(a) = arrival(0) else { unreachable!() };
+    let out = b.decide(NOW, Event::Arrived(Arrival { again, ..a }));
+    assert_eq!(relays(&out).len(), sent, "{out:?}");
+}
+
 #[rstest]
 fn a_time_out_cuts_the_limit_once_in_a_while() {
     let mut b = sidecar(Effect::Pure, 1);
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -226,9 +226,10 @@
     pub(crate) warm_sends: Faded,
     pub(crate) pass_at: Duration, // when a pass was last drawn
     pub(crate) arrivals: Faded,
-    pub(crate) limit: f64, // the usual one, at the usual size
-    pub(crate) faith: f64, // credit of reports as a whole
-    pub(crate) spare: f64, // further relays allowed now
+    pub(crate) marked: bool, // clients mark repeats: one was seen
+    pub(crate) limit: f64,   // the usual one, at the usual size
+    pub(crate) faith: f64,   // credit of reports as a whole
+    pub(crate) spare: f64,   // further relays allowed now
     pub(crate) listening: bool,
     pub(crate) list_fails: u32,
     pub(crate) shedding: bool,
