A connection rests behind a command's answer, not behind a probe's

At fault: the rest in relay.rs; most commands go over the connection on which their own probe was answered a moment before, and timers are a millisecond coarse. Behind a probe's answer only what is there already is looked for.

--- a/crates/passroad/src/probe.rs
+++ b/crates/passroad/src/probe.rs
@@ -30,7 +30,7 @@
     let Ok(request) = Request::get(format!("http://{at}{path}")).body(Full::default()) else {
         return Outcome::Moot.into();
     };
-    let mut ended = exchange(client, request, path.len()).await;
+    let mut ended = exchange(client, request, path.len(), false).await;
     let body = ended.answer.take().map(Response::into_body).unwrap_or_default();
     ended.report = ended.report.or_else(|| body_load(&body));
     ended
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -134,7 +134,7 @@
         // A kept connection that turns out to be of no use has taken nothing: the next one, or a new one, does.
         loop {
             let Some(request) = cargo.request(link.address, within) else { return Outcome::Moot.into() };
-            let ended = exchange(&link.client, request, cargo.target.len() + cargo.body.len()).await;
+            let ended = exchange(&link.client, request, cargo.target.len() + cargo.body.len(), true).await;
             if ended.outcome != Outcome::Moot {
                 return ended;
             }
@@ -150,7 +150,14 @@
 }
 
 /// One request and its whole answer. `least` is a length that the request surely has on the wire.
-pub async fn exchange(client: &Client, mut request: Request<Full<Bytes>>, least: usize) -> Ended {
+/// `rests` tells whether its connection is to rest behind the answer. After a probe it does not, since the command that
+/// the probe was for goes out next, and most go where a probe has just been.
+pub async fn exchange(
+    client: &Client,
+    mut request: Request<Full<Bytes>>,
+    least: usize,
+    rests: bool,
+) -> Ended {
     let way = capture_connection(&mut request);
     let ahead = Arc::new(Mutex::new(None));
     let told = Arc::clone(&ahead);
@@ -161,7 +168,7 @@
     let way = Open(way);
     tokio::select! {
         biased;
-        ended = whole(client, request, &way, least) => ended,
+        ended = whole(client, request, &way, least, rests) => ended,
         () = stalled(&way, &ahead) => spoilt("it stops halfway"),
     }
 }
@@ -192,6 +199,7 @@
     request: Request<Full<Bytes>>,
     way: &CaptureConnection,
     least: usize,
+    rests: bool,
 ) -> Ended {
     let (parts, body) = match client.request(request).await {
         Ok(answer) => answer.into_parts(),
@@ -206,7 +214,10 @@
         Err(fault) => return Ended { report, ..spoilt(&fault) },
     };
     // Before the connection can be given the next request: that needs a turn of its own task.
-    meter(way).iter().for_each(|meter| meter.done.store(true, Relaxed));
+    if let Some(meter) = meter(way) {
+        meter.done.store(true, Relaxed);
+        meter.rests.store(rests, Relaxed);
+    }
     let declined = parts.headers.get(NEVER_RAN).is_some_and(|v| v.as_bytes() == b"1");
     let outcome = match parts.status {
         StatusCode::OK => Outcome::Answered,
@@ -359,6 +370,7 @@
     heard: AtomicUsize,           // since
     last: Mutex<Option<Instant>>, // when something was heard
     done: AtomicBool,             // the answer is read whole
+    rests: AtomicBool,            // and the connection is to rest behind it
     worn: AtomicBool,             // given up with nothing of the request written
 }
 
@@ -412,8 +424,11 @@
         let Some(last) = self.meter.last_heard().filter(|_| self.meter.done.load(Relaxed)) else {
             return Poll::Ready(Ok(()));
         };
-        let rest = self.rest.get_or_insert_with(|| Box::pin(tokio::time::sleep_until((last + REST).into())));
-        ready!(rest.as_mut().poll(cx));
+        if self.meter.rests.load(Relaxed) {
+            let until = (last + REST).into();
+            let rest = self.rest.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(until)));
+            ready!(rest.as_mut().poll(cx));
+        }
         let mut stray = [0];
         match self.stream.poll_peek(cx, &mut ReadBuf::new(&mut stray)) {
             Poll::Pending => {
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -317,6 +317,22 @@
     assert_eq!(endpoint.count(), 50);
 }
 
+// Calm days: each command's probe left its connection to rest, and the command behind it waited for a millisecond or two.
+#[rstest]
+fn a_command_does_not_wait_behind_the_probe_that_was_made_for_it() {
+    let endpoint = willing("ok");
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let mut client = sidecar.client();
+    let spans = (0..25).map(|n| {
+        sleep(20 * MS);
+        let began = Instant::now();
+        assert_eq!(ask(&mut client, &look(&n.to_string())).unwrap().word(), "200");
+        began.elapsed()
+    });
+    let least = spans.min().unwrap();
+    assert!(least < MS, "{least:?}");
+}
+
 #[rstest]
 fn what_is_said_ahead_of_an_answer_is_passed_over() {
     let endpoint = stand_in(|_, to| {
