--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -29,6 +29,7 @@
     companies: Vec<String>,
     stages: Stages,
     bodies: Arc<Semaphore>,
+    return_after: Option<Duration>, // for whom there is no room, where that may be said
     open: Arc<Mutex<HashSet<HeaderValue>>>, // ids of commands in hand
 }
 
@@ -43,6 +44,10 @@
 ) -> Response {
     let (need, cargo) = match intake.read(request, &talk).await {
         Ok(read) => read,
+        // No room for a long body: declined as the module would.
+        Err(StatusCode::SERVICE_UNAVAILABLE) => {
+            return word(Answer::Declined { not_before: intake.return_after });
+        }
         Err(status) => return status.into_response(),
     };
     // Guards against the id of another client's open command: the two would be one to an endpoint.
@@ -85,6 +90,8 @@
     pub fn new(desk: Arc<Desk>, orders: &StandingOrders, memory: usize, stages: Stages) -> Self {
         let (verbs, companies) =
             (orders.verbs.clone(), orders.companies.iter().map(|c| c.name.clone()).collect());
+        let goal = orders.verbs.iter().map(|v| v.goal).min().unwrap_or_default();
+        let return_after = orders.max_retry_after.map(|most| most.min(goal));
         let bodies = (memory / BODIES_SHARE / LONGEST_BODY).max(2);
         Intake {
             desk,
@@ -92,6 +99,7 @@
             companies,
             stages,
             bodies: Arc::new(Semaphore::new(bodies)),
+            return_after,
             open: Arc::default(),
         }
     }
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -121,6 +121,33 @@
     assert!((2000 * MS..3000 * MS).contains(&began.elapsed()), "{:?}", began.elapsed());
 }
 
+// With next to no memory there is room for two long bodies.
+#[rstest]
+fn long_bodies_past_their_share_of_the_memory_are_declined_at_once() {
+    let endpoint = stand_in(|_, to| {
+        sleep(200 * MS);
+        answer(to, "200 OK", "", b"ok");
+        true
+    });
+    let (address, known) = (nowhere(), member("s-1", endpoint.address, "up"));
+    let text = told(address, nowhere(), &known, SETTINGS)
+        .replace("\"sockets\":64", "\"sockets\":64,\"memory_mb\":1");
+    let sidecar = Sidecar::start(address, &text);
+    let long = |n: usize| {
+        let id = format!("Req-Id: {n}");
+        let body = "x".repeat(60_000);
+        book("a").replace("Req-Id: a", &id).replace("Length: 4", "Length: 60000").replace("seat", &body)
+    };
+    let mut clients: Vec<_> = (0..4).map(|_| sidecar.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.get_mut().write_all(long(n).as_bytes()).unwrap();
+    }
+    let answers: Vec<_> = clients.iter_mut().map(|c| Message::read(c).unwrap()).collect();
+    let declined: Vec<_> = answers.iter().filter(|a| a.word() == "503").collect();
+    assert_eq!(declined.len(), 2);
+    assert!(declined.iter().all(|a| a.header("retry-after").is_some()));
+}
+
 #[rstest]
 fn a_client_that_asked_once_and_stays_gives_its_place_back() {
     let endpoint = willing("ok");
