A command that may change something states the length of its body

At fault: intake.rs took a POST with neither length nor chunks for one with an empty body; the issue asks for 400.

--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -117,10 +117,12 @@
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         // Guards against a request that an endpoint may read in another way.
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        let told = framing.iter().any(|name| parts.headers.contains_key(name));
         let carries = match self.verbs[verb].effect {
             Effect::Pure => parts.method == Method::GET && length.exact() == Some(0),
-            Effect::Effectful => parts.method == Method::POST,
-            Effect::Receipted => parts.method == Method::POST || parts.method == Method::PUT,
+            Effect::Effectful => parts.method == Method::POST && told,
+            Effect::Receipted => [Method::POST, Method::PUT].contains(&parts.method) && told,
         };
         let need = self.need(verb, &parts.headers).filter(|_| carries && !talk.frame.two_lengths());
         let mut need = need.ok_or(StatusCode::BAD_REQUEST)?;
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -48,6 +48,7 @@
     "GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 18446744073709551615\r\n\r\n",
     "400"
 )]
+#[case::no_length("POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\n\r\n", "400")]
 #[case::body_on_get(
     "GET /look HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 4\r\n\r\nseat",
     "400"
