Tests no longer hang on one draw, an interrupted call or a stand-in's sleep

Seen: the project's checks failed once on a_pure_command_goes_on_although_it_may_have_run; 16 runs of all cases under load failed on two more: a_client_that_asked_once_and_stays (an interrupted read) and what_comes_behind_an_answer (the stand-in slept longer than it asked for). None is a fault of the sidecar: the first case asked ten times and hoped that the draw falls on the broken endpoint, the second took EINTR for an end, the third needs a sleep to end within 0.7 ms.

--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -4,8 +4,9 @@
 
 use rstest::rstest;
 use stand_ins::*;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::Shutdown;
+use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use std::thread::sleep;
 use std::time::Instant;
@@ -118,7 +119,7 @@
     client.get_mut().write_all(part.as_bytes()).unwrap();
     let answer = Message::read(&mut client);
     assert_eq!(answer.as_ref().map(Message::word), status);
-    assert_eq!(client.read(&mut [0]).unwrap_or(0), 0);
+    assert!(closes(&mut client));
     assert!((2000 * MS..3000 * MS).contains(&began.elapsed()), "{:?}", began.elapsed());
 }
 
@@ -156,7 +157,7 @@
     let mut client = sidecar.client();
     assert_eq!(ask(&mut client, &look("a")).unwrap().word(), "200");
     let answered = Instant::now();
-    assert_eq!(client.read(&mut [0]).unwrap(), 0);
+    assert!(closes(&mut client));
     assert!((2000 * MS..3000 * MS).contains(&answered.elapsed()), "{:?}", answered.elapsed());
 }
 
@@ -207,7 +208,7 @@
     client.get_mut().write_all(book("a").as_bytes()).unwrap();
     until(|| endpoint.count() == 1);
     assert_eq!(ask(&mut client, &book("b")).unwrap().word(), "400");
-    assert_eq!((client.read(&mut [0]).unwrap_or(0), endpoint.count()), (0, 1));
+    assert_eq!((closes(&mut client), endpoint.count()), (true, 1));
 }
 
 #[rstest]
@@ -340,11 +341,31 @@
         let id = format!("id{n}");
         let answer = ask(&mut client, &book(&id)).unwrap();
         assert_eq!((answer.word(), &answer.body[..]), ("200", id.as_bytes()));
+        sleep(std::time::Duration::from_micros(50 * later));
     }
     // A connection given up for it must not carry the command as well.
     assert_eq!(endpoint.count(), 50);
 }
 
+// Before it carries the next command a connection rests for a millisecond, for what comes late to show.
+#[rstest]
+fn a_connection_rests_behind_the_answer_to_a_command() {
+    let answered = std::sync::Mutex::new(std::collections::HashMap::new());
+    let rests = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let own = Arc::clone(&rests);
+    let endpoint = stand_in(move |command, to| {
+        let (mut answered, from) = (answered.lock().unwrap(), to.peer_addr().unwrap());
+        own.lock().unwrap().extend(answered.insert(from, Instant::now()).map(|at| command.at - at));
+        answer(to, "200 OK", "", b"booked");
+        true
+    });
+    let sidecar = sidecar(&member("s-1", endpoint.address, "up"));
+    let mut client = sidecar.client();
+    assert!((0..20).all(|n| ask(&mut client, &book(&n.to_string())).unwrap().word() == "200"));
+    let rests = rests.lock().unwrap();
+    assert!(rests.len() > 5 && rests.iter().all(|rest| *rest >= MS), "{rests:?}");
+}
+
 // Calm days: each command's probe left its connection to rest, and the command behind it waited for a millisecond or two.
 #[rstest]
 fn a_command_does_not_wait_behind_the_probe_that_was_made_for_it() {
@@ -410,8 +431,11 @@
     let well = willing("free");
     let list = format!("{},{}", member("s-1", broken.address, "up"), member("s-2", well.address, "up"));
     let sidecar = sidecar(&list);
-    assert!((0..10).all(|n| sidecar.ask(&look(&n.to_string())).body == b"free"));
-    assert!(broken.count() > 0);
+    // The draw is by chance: ask until it has fallen on the broken one more than once.
+    until(|| {
+        assert_eq!(sidecar.ask(&look("a")).body, b"free");
+        broken.count() > 1
+    });
 }
 
 #[rstest]
@@ -812,7 +836,7 @@
     sidecar.signal("TERM");
     let signalled = Instant::now();
     // An idle connection ends at once, a busy one with its answer.
-    assert_eq!(idle.read(&mut [0]).unwrap(), 0);
+    assert!(closes(&mut idle));
     let answer = Message::read(&mut busy).unwrap();
     assert_eq!((answer.word(), answer.header("connection").as_deref()), ("200", Some("close")));
     // New connections come for a while; the command on this one comes as late as it may.
@@ -869,7 +893,7 @@
         assert_eq!(ask(&mut client, &look("a")).unwrap().word(), "200");
         child.kill().unwrap();
         child.wait().unwrap();
-        assert_eq!(client.read(&mut [0]).unwrap_or(0), 0);
+        assert!(closes(&mut client));
     }
     std::fs::remove_dir_all(folder).unwrap();
 }
--- a/crates/passroad/tests/stand_ins/mod.rs
+++ b/crates/passroad/tests/stand_ins/mod.rs
@@ -1,6 +1,6 @@
 //! A running sidecar, and stand-ins of few lines for what it speaks to: endpoints, discovery, a client.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
@@ -260,6 +260,13 @@
     Message::read(client)
 }
 
+/// Whether a connection ends with nothing more to read; an interrupted call is no end.
+pub fn closes(client: &mut BufReader<TcpStream>) -> bool {
+    let mut rest = Vec::new();
+    let ended = client.read_to_end(&mut rest);
+    rest.is_empty() && ended.map_or_else(|fault| fault.kind() == ErrorKind::ConnectionReset, |_| true)
+}
+
 pub fn look(id: &str) -> String {
     format!("GET /look/7?x=%20y HTTP/1.1\r\nHost: b\r\nReq-Id: {id}\r\nReq-Deadline-Ms: 900\r\n\r\n")
 }
