--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -3,7 +3,7 @@
 use crate::command::{self, Answer, Need};
 use crate::desk::Desk;
 use crate::front::Talk;
-use crate::relay::{Cargo, LONGEST_BODY};
+use crate::relay::{Cargo, KEY, LONGEST_BODY};
 use crate::stop::{Stage, Stages};
 use axum::body::{Body, HttpBody};
 use axum::extract::{Extension, Request, State};
@@ -166,13 +166,16 @@
         // A longer one than the settings know holds no place for longer.
         let limit = Duration::from_millis(limit.parse().ok().filter(|_| digits)?).min(self.verbs[verb].limit);
         let company = single(headers, "req-owner")?;
+        // Without a key nobody could drop a repeat, which for a receipted command is counted on.
+        let key = single(headers, KEY.as_str())?.map(str::len);
+        let marked = key.map_or(self.verbs[verb].effect != Effect::Receipted, |len| len > 0);
         let again = match single(headers, "req-retry")? {
             None | Some("0") => false,
             Some("1") => true,
             Some(_) => return None,
         };
         let margin = MARGIN.min(limit / 20);
-        (!id.is_empty() && !limit.is_zero()).then(|| Need {
+        (!id.is_empty() && !limit.is_zero() && marked).then(|| Need {
             verb,
             company: company.and_then(|c| self.companies.iter().position(|known| known == c)),
             budget: limit - margin,
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -34,6 +34,7 @@
 /// A connection rests behind an answer, so that what does not belong there shows before the next command is sent.
 const REST: Duration = Duration::from_millis(1);
 const ID: HeaderName = HeaderName::from_static("req-id");
+pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const MARK: HeaderName = HeaderName::from_static("req-deadline-ms");
 const LOAD: &str = "srv-load";
 const NEVER_RAN: &str = "srv-declined";
@@ -79,6 +80,7 @@
     method: hyper::Method,
     target: String,
     pub id: HeaderValue,
+    key: Option<HeaderValue>, // by which endpoints drop a repeat
     body: Bytes,
     _room: Option<OwnedSemaphorePermit>, // of a long body
 }
@@ -86,8 +88,8 @@
 impl Cargo {
     pub fn of(parts: request::Parts, body: Bytes, room: Option<OwnedSemaphorePermit>) -> Option<Self> {
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_string();
-        let id = parts.headers.get(ID)?.clone();
-        Some(Cargo { method: parts.method, target, id, body, _room: room })
+        let (id, key) = (parts.headers.get(ID)?.clone(), parts.headers.get(KEY).cloned());
+        Some(Cargo { method: parts.method, target, id, key, body, _room: room })
     }
 
     fn request(&self, to: SocketAddr, within: Duration) -> Option<Request<Full<Bytes>>> {
@@ -97,6 +99,8 @@
         *request.uri_mut() = uri;
         let left = (within.as_millis() as u64).max(1);
         request.headers_mut().insert(ID, self.id.clone());
+        // Guards against a receipted command that its endpoint can't tell from a new one.
+        self.key.iter().for_each(|key| drop(request.headers_mut().insert(KEY, key.clone())));
         request.headers_mut().insert(MARK, left.into());
         Some(request)
     }
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -224,6 +224,31 @@
     assert_eq!(names, ["req-id", "req-deadline-ms", "host"]);
 }
 
+// sfax-trajets: without its key on the way an endpoint takes no receipted command for what its client sent.
+#[rstest]
+#[case::once("Idempotency-Key: 5b7a-f9\r\n", "200")]
+#[case::none("", "400")]
+#[case::empty("Idempotency-Key: \r\n", "400")]
+#[case::twice("Idempotency-Key: 5b7a-f9\r\nIdempotency-Key: 5b7a-f9\r\n", "400")]
+fn a_receipted_command_has_one_key_and_takes_it_along(#[case] key: &str, #[case] status: &str) {
+    let breaks = stand_in(|_, to| {
+        to.shutdown(Shutdown::Both).unwrap();
+        false
+    });
+    let well = willing("ok");
+    let list = [&breaks, &well].map(|e| member(&e.address.to_string(), e.address, "up")).join(",");
+    let settings = SETTINGS.replace("\"non_idempotent\"", "\"idempotency_key\",\"window\":9000000000");
+    let sidecar = sidecar_with(&list, nowhere(), &settings);
+    let command = book("a").replace("Req-Owner", &format!("{key}Req-Owner"));
+    until(|| {
+        assert_eq!(sidecar.ask(&command).word(), status);
+        status != "200" || breaks.count() > 0
+    });
+    let seen = [breaks.seen.lock().unwrap().clone(), well.seen.lock().unwrap().clone()].concat();
+    assert_eq!(seen.is_empty(), status != "200");
+    assert!(seen.iter().all(|m| m.header("idempotency-key").as_deref() == Some("5b7a-f9")));
+}
+
 #[rstest]
 #[case(65_536, "200")]
 #[case(65_537, "413")]
