A verb that hangs at an endpoint goes elsewhere: outcomes are judged for each verb too

At fault: Endpoint::health and judge in choice.rs, which know one row of outcomes for an endpoint. Now there is one for each verb beside it; a command's weight takes the lower share. Failures of one verb fade (to a third in eight seconds), as no other verb would show that they are over. Heartbeats for a command are asked where its verb is answered. The log names the verb, or 'all verbs'.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -14,8 +14,8 @@
 
 pub use crate::state::Balancer;
 use crate::state::{
-    ALARM_COPY, ALARM_GOAL, ALARM_LIST, ALARM_QUEUE, Command, DutySheet, Endpoint, Faded, Pace, Relay,
-    VerbDuty, fade,
+    ALARM_COPY, ALARM_GOAL, ALARM_LIST, ALARM_QUEUE, Command, DutySheet, Endpoint, Faded, Few, May, Pace,
+    Relay, VerbDuty, fade,
 };
 use crate::*;
 use std::time::Duration;
@@ -38,10 +38,11 @@
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
 
 impl Endpoint {
-    /// Share of successes among the last few outcomes; few outcomes count as mostly good.
-    fn health(&self) -> f64 {
-        let bad = (!self.good & ((1 << OUTCOMES) - 1)).count_ones().min(self.seen);
-        1.0 - f64::from(bad) / f64::from(self.seen.max(4))
+    /// Share of successes among the last few outcomes, of all verbs and of this one. Guards against one verb that
+    /// hangs where others are answered; its failures fade, as nothing else would show that they are over.
+    fn health(&self, now: Duration, verb: Option<usize>) -> f64 {
+        let own = |few: &Few| 1.0 - (1.0 - few.good(OUTCOMES)) * fade(now, few.failed, 4 * CALM);
+        verb.and_then(|v| self.by_verb.get(v)).map_or(1.0, own).min(self.last.good(OUTCOMES))
     }
 
     /// Another process now, or taken for one: nothing that is known of the old one holds.
@@ -52,7 +53,7 @@
     }
 
     fn forget(&mut self) {
-        (self.good, self.seen, self.harm, self.ailing, self.pace) = (!0, 0, 0, false, Pace::default());
+        (self.last, self.by_verb, self.harm, self.pace) = (Few::default(), Vec::new(), 0, Pace::default());
         (self.misses, self.try_at, self.tried, self.met) = (0, Duration::ZERO, Duration::ZERO, false);
     }
 }
@@ -316,15 +317,9 @@
         }
     }
 
-    fn judge(&mut self, at: EndpointIx, outcome: Outcome) {
-        let (now, e) = (self.now, &mut self.endpoints[at]);
-        e.note(now, outcome, OUTCOMES);
-        let health = e.health();
-        if e.ailing != (health < if e.ailing { 0.75 } else { 0.5 }) {
-            e.ailing = !e.ailing;
-            let word = if e.ailing { "failing" } else { "well again" };
-            self.log(format!("endpoint {at} {word}: {:.0}% of its last outcomes good", health * 100.0));
-        }
+    fn judge(&mut self, at: EndpointIx, verb: usize, outcome: Outcome) {
+        self.endpoints[at].note(self.now, verb, outcome, OUTCOMES);
+        self.tell_health(at, verb, OUTCOMES);
     }
 
     // ---- ordinary path: score, weight, draw ----
@@ -370,8 +365,8 @@
         self.duty.cold_from + (1.0 - self.duty.cold_from) * age.min(1.0)
     }
 
-    /// Weights for one command, zero where it may not go. Without `need` (value, risk) limits do not count.
-    fn weigh(&self, ats: &[usize], need: Option<(f64, f64)>, may: &dyn Fn(&Endpoint) -> bool) -> Vec<f64> {
+    /// Weights for a command, zero where it may not go. Without `need` (value, risk) limits do not count.
+    fn weigh(&self, ats: &[usize], verb: Option<usize>, need: Option<(f64, f64)>, may: May) -> Vec<f64> {
         let (usual, risk) = (self.usual_load(), need.map_or(RISK, |(_, risk)| risk));
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
         // Guards against a crowd of unheard ones, each a little likely, that outweighs one known to be idle,
@@ -395,7 +390,7 @@
             let mean = 10.0 - 9.0 * (mean / self.usual.mean.max(1e-6) - 1.0).max(0.0);
             let tail = 10.0 - 9.0 * (tail / tail_of_all.max(1e-6) - 1.0).max(0.0);
             let score = LOAD_SHARE * load + (1.0 - LOAD_SHARE) * (mean + tail) / 2.0;
-            let health = (e.health() * (1.0 - e.errs)).max(0.1).powi(3);
+            let health = (e.health(self.now, verb) * (1.0 - e.errs)).max(0.1).powi(3);
             self.base(e) * score.clamp(SCORE_FLOOR, 10.0) / 10.0 * health
         };
         all().map(weight).collect()
@@ -413,9 +408,9 @@
 
     /// Asks a few likely endpoints how they are before a command goes out. Guards against choosing by reports
     /// that are older than a service time: each sidecar sees too little traffic to hear of all by answers.
-    fn heartbeat(&mut self) -> Duration {
+    fn heartbeat(&mut self, verb: Option<usize>) -> Duration {
         self.look_around();
-        let mut weights = self.weigh(&self.met, None, &|e| self.open(e));
+        let mut weights = self.weigh(&self.met, verb, None, &|e| self.open(e));
         for (e, w) in self.view().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
             *w = if e.probing.is_some() || known || *w <= 0.0 { 0.0 } else { w.max(0.002) };
@@ -531,10 +526,8 @@
     /// Holds a command while a few endpoints are asked how they are; tells whether it waits for them.
     fn hold(&mut self, cmd: CmdIx) -> bool {
         // Guards against holding a command longer than its client stays.
-        if self.held(cmd).is_none_or(|c| self.now >= c.last_call) {
-            return false;
-        }
-        let until = self.now + self.heartbeat();
+        let Some(c) = self.held(cmd).filter(|c| self.now < c.last_call) else { return false };
+        let until = self.now + self.heartbeat(Some(c.verb));
         self.commands[cmd].iter_mut().for_each(|c| c.hold_until = until);
         until > self.now
     }
@@ -605,7 +598,7 @@
         // Guards against a lock-up: where all seem full, old reports are asked for anew while commands wait.
         if shut && line > 0 && !pending && now >= self.ask_at {
             self.ask_at = now + self.duty.trust / 2;
-            self.heartbeat();
+            self.heartbeat(None);
         }
         // One alarm for the whole queue, at the next time when something in it may change by itself.
         let turn = |c: &Command| if c.hold_until > now { c.last_call.min(c.hold_until) } else { c.last_call };
@@ -656,7 +649,7 @@
         let value = if copy { 0.0 } else { (c.value / c.best).clamp(0.0, 1.0) };
         let ats = if home.is_none() { self.met.clone() } else { (0..self.endpoints.len()).collect() };
         let risk = if v.effect == Effect::Effectful { 5.0 * RISK } else { RISK };
-        let mut weights = self.weigh(&ats, Some((value, risk)), &may);
+        let mut weights = self.weigh(&ats, Some(c.verb), Some((value, risk)), &may);
         let tried = |at: &EndpointIx| c.relays.iter().any(|r| r.endpoint == *at);
         for (_, w) in ats.iter().zip(&mut weights).filter(|(at, _)| tried(at)) {
             *w *= if copy { 0.0 } else { 0.01 };
@@ -759,7 +752,7 @@
                 }
                 self.credit(at, if pace > 3.0 * self.usual.mean { -0.1 } else { 0.0 });
                 self.reached(at);
-                self.judge(at, outcome);
+                self.judge(at, verb, outcome);
             }
             Outcome::Moot | Outcome::Recalled | Outcome::Unfit => {}
             Outcome::Full => {
@@ -767,10 +760,10 @@
                 self.credit(at, if r.ahead < FIRST_LIMIT { -0.25 } else { 0.0 });
             }
             Outcome::TimedOut => self.slow_answer(&r, verb, spent),
-            Outcome::Error | Outcome::Broken => self.judge(at, outcome), // it was reached
+            Outcome::Error | Outcome::Broken => self.judge(at, verb, outcome), // it was reached
             Outcome::NoConnection => {
                 self.endpoints[at].used = None;
-                self.judge(at, outcome);
+                self.judge(at, verb, outcome);
                 self.missed(at);
             }
         }
@@ -783,7 +776,7 @@
         self.endpoints[r.endpoint].pace.note(self.now, pace, 2 * CALM);
         self.credit(r.endpoint, if pace > 2.0 * self.usual.mean { -0.1 } else { 0.0 });
         // Guards against an endpoint that lets work hang while its probes are fine.
-        self.judge(r.endpoint, Outcome::TimedOut);
+        self.judge(r.endpoint, verb, Outcome::TimedOut);
         self.cut(r.endpoint);
     }
 
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -23,7 +23,7 @@
 fn weight_is_base_weight_times_score() {
     let mut b = sidecar(Effect::Pure, 2);
     b.endpoints[1].size = 2.0;
-    let w = b.weigh(&b.met, None, &|_| true);
+    let w = b.weigh(&b.met, None, None, &|_| true);
     assert!((w[1] / w[0] - 2.0).abs() < 1e-9, "{w:?}");
 }
 
@@ -41,7 +41,7 @@
     let mut b = sidecar(Effect::Pure, 60);
     b.endpoints.iter_mut().for_each(|e| e.heard = None);
     b.endpoints[7].heard = Some(NOW);
-    let w = b.weigh(&b.met, None, &|_| true);
+    let w = b.weigh(&b.met, None, None, &|_| true);
     assert!(w[7] > 0.8 * w.iter().sum::<f64>());
 }
 
@@ -50,7 +50,7 @@
 fn without_credit_own_relays_decide() {
     let mut b = sidecar(Effect::Pure, 2);
     (b.faith, b.endpoints[0].out) = (0.0, vec![NOW]);
-    let w = b.weigh(&b.met, None, &|_| true);
+    let w = b.weigh(&b.met, None, None, &|_| true);
     assert!(w[0] < 0.1 * w[1], "{w:?}");
 }
 
@@ -112,7 +112,7 @@
 fn a_slow_endpoint_is_told_by_its_pace() {
     let mut b = sidecar(Effect::Pure, 2);
     b.endpoints[0].pace = Pace { mean: 4.0, spread: 1.0, count: 8.0, at: NOW };
-    let w = b.weigh(&b.met, None, &|_| true);
+    let w = b.weigh(&b.met, None, None, &|_| true);
     assert!(w[0] < 0.1 * w[1], "{w:?}");
 }
 
@@ -120,7 +120,7 @@
 fn a_fast_failure_is_no_fast_answer() {
     let mut b = with_relay(Effect::Pure, 2);
     b.finish(0, 0, Outcome::Error, Duration::from_millis(1));
-    assert_eq!((b.endpoints[0].pace.count, b.endpoints[0].seen), (0.0, 1));
+    assert_eq!((b.endpoints[0].pace.count, b.endpoints[0].last.seen), (0.0, 1));
 }
 
 // tunis-transport at its later size: nearly half of all relays got no connection, handshakes ate the rest.
@@ -130,7 +130,7 @@
 fn an_open_connection_is_preferred_where_new_ones_cost(#[case] ago: Duration, #[case] preferred: bool) {
     let mut b = sidecar(Effect::Pure, 2);
     (b.duty.new_link, b.endpoints[0].used) = (0.2, Some(NOW - ago));
-    let w = b.weigh(&b.met, None, &|_| true);
+    let w = b.weigh(&b.met, None, None, &|_| true);
     assert_eq!(w[0] > 1.3 * w[1], preferred, "{w:?}");
 }
 
@@ -146,8 +146,8 @@
 #[rstest]
 fn failures_scale_the_weight_down_but_not_to_nothing() {
     let mut b = sidecar(Effect::Pure, 2);
-    (b.endpoints[0].good, b.endpoints[0].seen) = (0, OUTCOMES);
-    let w = b.weigh(&b.met, None, &|_| true);
+    b.endpoints[0].last = Few { bad: !0, seen: OUTCOMES, ..Few::default() };
+    let w = b.weigh(&b.met, None, None, &|_| true);
     assert!(w[0] > 0.0 && w[0] < 0.01 * w[1], "{w:?}");
 }
 
@@ -238,7 +238,7 @@
     let mut b = sidecar(Effect::Pure, 1);
     let entry = Listing { mode, ..listing(0, Duration::ZERO) };
     b.read_list(ListKind::Changes, vec![entry]);
-    assert_eq!(b.weigh(&[0], None, &|_| true), [0.0]);
+    assert_eq!(b.weigh(&[0], None, None, &|_| true), [0.0]);
 }
 
 // An overloaded day of tunis-transport at its later size: unused allowances of 150 sidecars went to one cold
@@ -439,7 +439,30 @@
     let mut b = with_relay(Effect::Pure, 1);
     let relay = b.held(0).unwrap().relays[0];
     b.slow_answer(&relay, 0, Duration::from_millis(400));
-    assert!(b.endpoints[0].health() < 1.0);
+    assert!(b.endpoints[0].health(NOW, None) < 1.0);
+}
+
+// Day churn of sahel-ambulances: five of nine endpoints let every command of one verb hang and answered the others,
+// whose answers kept them in the draw for it.
+#[rstest]
+#[case::at_once(0, false)]
+#[case::long_after(60, true)]
+fn a_verb_that_hangs_at_an_endpoint_goes_elsewhere_and_the_others_do_not(
+    #[case] seconds: u64,
+    #[case] back: bool,
+) {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.duty.verbs.push(VerbDuty::of(&verb(Effect::Pure), CALM));
+    for _ in 0..OUTCOMES {
+        b.judge(0, 0, Outcome::TimedOut);
+        (0..3).for_each(|_| b.judge(0, 1, Outcome::Answered));
+    }
+    b.now += Duration::from_secs(seconds);
+    let share = |verb| {
+        let w = b.weigh(&b.met, Some(verb), None, &|_| true);
+        w[0] / w[1]
+    };
+    assert_eq!((share(0) > 0.1, share(1) > 0.1), (back, true), "{} {}", share(0), share(1));
 }
 
 // Incidents ic477d7 and ibbfe5c: the verb worth least got a third of what the best got.
@@ -469,17 +492,17 @@
 fn a_failing_endpoint_is_well_again_at_three_quarters(#[case] good: u32, #[case] ailing: bool) {
     let mut b = sidecar(Effect::Pure, 1);
     let e = &mut b.endpoints[0];
-    (e.good, e.seen, e.ailing) = ((1 << (good - 1)) - 1, OUTCOMES, true);
-    b.judge(0, Outcome::Answered);
-    assert_eq!(b.endpoints[0].ailing, ailing);
+    e.last = Few { bad: !0 << (good - 1), seen: OUTCOMES, ailing: true, ..Few::default() };
+    b.judge(0, 0, Outcome::Answered);
+    assert_eq!(b.endpoints[0].last.ailing, ailing);
 }
 
 // Incidents i3e941c and i4a6661: sixteen outcomes reached back past the start of the trouble.
 #[rstest]
 fn three_failures_in_a_row_take_most_of_the_weight() {
     let mut b = sidecar(Effect::Pure, 2);
-    (b.endpoints[0].good, b.endpoints[0].seen) = (!0 << 3, OUTCOMES);
-    let w = b.weigh(&b.met, None, &|_| true);
+    b.endpoints[0].last = Few { bad: 0b111, seen: OUTCOMES, ..Few::default() };
+    let w = b.weigh(&b.met, None, None, &|_| true);
     assert!(w[0] < 0.3 * w[1], "{w:?}");
 }
 
@@ -502,7 +525,7 @@
 #[case::can_go_on(Effect::Pure, 0.5)]
 fn an_endpoint_that_fails_fast_draws_little(#[case] effect: Effect, #[case] most: f64) {
     let mut b = sidecar(effect, 4);
-    b.endpoints.iter_mut().for_each(|e| (e.holds, e.seen) = (1.0, OUTCOMES));
+    b.endpoints.iter_mut().for_each(|e| (e.holds, e.last.seen) = (1.0, OUTCOMES));
     (b.endpoints[0].holds, b.endpoints[0].harm, b.endpoints[0].harmed) = (0.0, 0b0101_0101_0101_0101, NOW);
     b.commands = (0..400).map(|_| Some(command())).collect();
     let drawn = (0..400).filter(|cmd| b.pick(*cmd, false) == Some(0)).count();
@@ -526,7 +549,7 @@
 fn an_endpoint_that_turns_a_command_itself_away_is_not_judged_by_it() {
     let mut b = with_relay(Effect::Effectful, 1);
     let out = b.decide(NOW, finished(0, Outcome::Unfit));
-    assert_eq!((b.endpoints[0].seen, b.endpoints[0].misses), (0, 0));
+    assert_eq!((b.endpoints[0].last.seen, b.endpoints[0].misses), (0, 0));
     assert!(out.contains(&Action::Terminate { cmd: 0 }));
 }
 
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -52,6 +52,7 @@
 
 /// For one verb: what was ordered, and what was seen of it.
 pub struct VerbDuty {
+    pub name: String,
     pub effect: Effect,
     pub group: Group,
     pub window: Duration,
@@ -70,6 +71,7 @@
 impl VerbDuty {
     pub fn of(v: &VerbOrder, usual: Duration) -> Self {
         VerbDuty {
+            name: v.name.clone(),
             effect: v.effect,
             group: v.group,
             window: v.window,
@@ -87,6 +89,29 @@
     }
 }
 
+/// The last few outcomes, one bit each.
+#[derive(Clone, Copy, Default)]
+pub struct Few {
+    pub bad: u32,
+    pub seen: u32,
+    pub failed: Duration, // the last bad one
+    pub ailing: bool,     // told of as failing
+}
+
+impl Few {
+    pub fn note(&mut self, now: Duration, good: bool, few: u32) {
+        self.bad = self.bad << 1 | u32::from(!good);
+        self.seen = (self.seen + 1).min(few);
+        self.failed = if good { self.failed } else { now };
+    }
+
+    /// Share of the good; where there are not even four they count as mostly good.
+    pub fn good(&self, few: u32) -> f64 {
+        let bad = (self.bad & ((1 << few) - 1)).count_ones().min(self.seen);
+        1.0 - f64::from(bad) / f64::from(self.seen.max(4))
+    }
+}
+
 /// For one relay.
 #[derive(Clone, Copy)]
 pub struct Relay {
@@ -138,13 +163,12 @@
     pub out: Vec<Duration>,     // when own relays that are still out were sent
     pub used: Option<Duration>, // last relay; a connection is open from here
     pub pace: Pace,
-    pub good: u32, // the last outcomes, one bit each
-    pub seen: u32,
-    pub harm: u32, // of the last outcomes, those that failed though they may have run
+    pub last: Few,         // of its outcomes
+    pub by_verb: Vec<Few>, // the same for each verb, as far as seen
+    pub harm: u32,         // of the last outcomes, those that failed though they may have run
     pub harmed: Duration,
-    pub ailing: bool, // told of as failing, and its reports as not fitting
-    pub doubted: bool,
-    pub limit: f64, // as it was when last changed
+    pub doubted: bool, // told of, as its reports do not fit
+    pub limit: f64,    // as it was when last changed
     pub tried: Duration,
     pub last_cut: Duration,
     pub probing: Option<Duration>,
@@ -172,11 +196,10 @@
             out: Vec::new(),
             used: None,
             pace: Pace::default(),
-            good: !0,
-            seen: 0,
+            last: Few::default(),
+            by_verb: Vec::new(),
             harm: 0,
             harmed: Duration::ZERO,
-            ailing: false,
             doubted: false,
             limit: 1.0,
             tried: Duration::ZERO,
@@ -190,11 +213,13 @@
 
 impl Endpoint {
     /// One more outcome among the last few.
-    pub fn note(&mut self, now: Duration, outcome: Outcome, few: u32) {
+    pub fn note(&mut self, now: Duration, verb: usize, outcome: Outcome, few: u32) {
         let harm = matches!(outcome, Outcome::Error | Outcome::Broken);
-        self.good = self.good << 1 | u32::from(outcome == Outcome::Answered);
+        self.by_verb.resize(self.by_verb.len().max(verb + 1), Few::default());
+        for last in [&mut self.last, &mut self.by_verb[verb]] {
+            last.note(now, outcome == Outcome::Answered, few);
+        }
         self.harm = self.harm << 1 | u32::from(harm);
-        self.seen = (self.seen + 1).min(few);
         self.harmed = if harm { now } else { self.harmed };
     }
 
@@ -205,6 +230,9 @@
     }
 }
 
+/// Where a command may go.
+pub type May<'a> = &'a dyn Fn(&Endpoint) -> bool;
+
 /// For the life of the instance: one sidecar's decisions, which stand in `choice.rs`.
 #[derive(Default)]
 pub struct Balancer {
@@ -285,6 +313,21 @@
         self.out.push(Action::Log(line));
     }
 
+    /// One line when most of its last outcomes are bad, and one when most are good again, of all verbs and of this one.
+    pub(crate) fn tell_health(&mut self, at: EndpointIx, verb: usize, few: u32) {
+        let (name, e) = (&self.duty.verbs[verb].name, &mut self.endpoints[at]);
+        for (last, what) in [(&mut e.last, "all verbs"), (&mut e.by_verb[verb], name)] {
+            let good = last.good(few);
+            if last.ailing != (good < if last.ailing { 0.75 } else { 0.5 }) {
+                last.ailing = !last.ailing;
+                let word = if last.ailing { "failing" } else { "well again" };
+                let line =
+                    format!("endpoint {at} {word}, {what}: {:.0}% of its last outcomes good", good * 100.0);
+                self.out.push(Action::Log(line));
+            }
+        }
+    }
+
     pub(crate) fn held(&self, cmd: CmdIx) -> Option<&Command> {
         self.commands.get(cmd).and_then(Option::as_ref)
     }
