A verb that hangs at an endpoint is no resort there while others are full

Logged: 225 relays of slot-check went to the five endpoints that hang it, though they weigh a thousandth. They were drawn when all others stood at their limit and weighed nothing; hung relays cut limits, also the usual one, so that was often. Ruled out: trials (two a second).

Now an endpoint where under a quarter of a verb's last outcomes are good, the last bad one a time-out, and another verb is answered, gets none of it while others are well.

Test: fails without the condition.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -45,6 +45,13 @@
         verb.and_then(|v| self.by_verb.get(v)).map_or(1.0, own).min(self.last.good(OUTCOMES))
     }
 
+    /// Whether next to all of this verb hangs here while another is answered. An overload spares none.
+    fn hangs(&self, now: Duration, verb: usize) -> bool {
+        let hung = self.by_verb.get(verb).is_some_and(|few| few.hung && few.good(OUTCOMES) < 0.25);
+        let answered = |few: &Few| few.seen >= OUTCOMES / 2 && few.good(OUTCOMES) > 0.75;
+        hung && self.by_verb.iter().any(answered) && self.health(now, Some(verb)) < 0.25
+    }
+
     /// Another process now, or taken for one: nothing that is known of the old one holds.
     fn start_cold(&mut self, since: Duration) {
         let met = self.met;
@@ -317,11 +324,6 @@
         }
     }
 
-    fn judge(&mut self, at: EndpointIx, verb: usize, outcome: Outcome) {
-        self.endpoints[at].note(self.now, verb, outcome, OUTCOMES);
-        self.tell_health(at, verb, OUTCOMES);
-    }
-
     // ---- ordinary path: score, weight, draw ----
 
     pub(crate) fn base(&self, e: &Endpoint) -> f64 {
@@ -369,6 +371,10 @@
     fn weigh(&self, ats: &[usize], verb: Option<usize>, need: Option<(f64, f64)>, may: May) -> Vec<f64> {
         let (usual, risk) = (self.usual_load(), need.map_or(RISK, |(_, risk)| risk));
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
+        // Guards against what hangs as a resort while the well are full for a moment: a command rather waits for them.
+        let hangs = |e: &Endpoint| verb.is_some_and(|v| e.hangs(self.now, v));
+        let well = ats.iter().any(|at| ready(&self.endpoints[*at]) && !hangs(&self.endpoints[*at]));
+        let ready = |e: &Endpoint| ready(e) && !(well && hangs(e));
         // Guards against a crowd of unheard ones, each a little likely, that outweighs one known to be idle,
         // and against one that fails fast: it looks idle, and draws what it then fails.
         let doubt = if self.duty.heartbeats > 0 { (1.0 - usual).max(0.0) } else { 0.0 };
@@ -752,7 +758,7 @@
                 }
                 self.credit(at, if pace > 3.0 * self.usual.mean { -0.1 } else { 0.0 });
                 self.reached(at);
-                self.judge(at, verb, outcome);
+                self.judge(at, verb, outcome, OUTCOMES);
             }
             Outcome::Moot | Outcome::Recalled | Outcome::Unfit => {}
             Outcome::Full => {
@@ -760,10 +766,10 @@
                 self.credit(at, if r.ahead < FIRST_LIMIT { -0.25 } else { 0.0 });
             }
             Outcome::TimedOut => self.slow_answer(&r, verb, spent),
-            Outcome::Error | Outcome::Broken => self.judge(at, verb, outcome), // it was reached
+            Outcome::Error | Outcome::Broken => self.judge(at, verb, outcome, OUTCOMES), // it was reached
             Outcome::NoConnection => {
                 self.endpoints[at].used = None;
-                self.judge(at, verb, outcome);
+                self.judge(at, verb, outcome, OUTCOMES);
                 self.missed(at);
             }
         }
@@ -776,7 +782,7 @@
         self.endpoints[r.endpoint].pace.note(self.now, pace, 2 * CALM);
         self.credit(r.endpoint, if pace > 2.0 * self.usual.mean { -0.1 } else { 0.0 });
         // Guards against an endpoint that lets work hang while its probes are fine.
-        self.judge(r.endpoint, verb, Outcome::TimedOut);
+        self.judge(r.endpoint, verb, Outcome::TimedOut, OUTCOMES);
         self.cut(r.endpoint);
     }
 
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -454,8 +454,8 @@
     let mut b = sidecar(Effect::Pure, 2);
     b.duty.verbs.push(VerbDuty::of(&verb(Effect::Pure), CALM));
     for _ in 0..OUTCOMES {
-        b.judge(0, 0, Outcome::TimedOut);
-        (0..3).for_each(|_| b.judge(0, 1, Outcome::Answered));
+        b.judge(0, 0, Outcome::TimedOut, OUTCOMES);
+        (0..3).for_each(|_| b.judge(0, 1, Outcome::Answered, OUTCOMES));
     }
     b.now += Duration::from_secs(seconds);
     let share = |verb| {
@@ -465,6 +465,26 @@
     assert_eq!((share(0) > 0.1, share(1) > 0.1), (back, true), "{} {}", share(0), share(1));
 }
 
+// The same day: with the well ones full for a moment the others were drawn, however little they weighed.
+#[rstest]
+#[case::hangs(Outcome::TimedOut, Outcome::Answered, false)]
+#[case::overload(Outcome::TimedOut, Outcome::TimedOut, true)]
+#[case::fails_fast(Outcome::Error, Outcome::Answered, true)]
+fn where_a_verb_hangs_is_no_resort_while_others_are_full(
+    #[case] one: Outcome,
+    #[case] other: Outcome,
+    #[case] sent: bool,
+) {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.duty.verbs.push(VerbDuty::of(&verb(Effect::Pure), CALM));
+    for _ in 0..OUTCOMES {
+        b.judge(0, 0, one, OUTCOMES);
+        (0..3).for_each(|_| b.judge(0, 1, other, OUTCOMES));
+    }
+    b.endpoints[1].holds = 64.0;
+    assert_eq!(!relays(&b.decide(NOW, arrival(0))).is_empty(), sent);
+}
+
 // Incidents ic477d7 and ibbfe5c: the verb worth least got a third of what the best got.
 #[rstest]
 #[case(1.0, true)]
@@ -493,7 +513,7 @@
     let mut b = sidecar(Effect::Pure, 1);
     let e = &mut b.endpoints[0];
     e.last = Few { bad: !0 << (good - 1), seen: OUTCOMES, ailing: true, ..Few::default() };
-    b.judge(0, 0, Outcome::Answered);
+    b.judge(0, 0, Outcome::Answered, OUTCOMES);
     assert_eq!(b.endpoints[0].last.ailing, ailing);
 }
 
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -95,14 +95,18 @@
     pub bad: u32,
     pub seen: u32,
     pub failed: Duration, // the last bad one
+    pub hung: bool,       // it was a time-out
     pub ailing: bool,     // told of as failing
 }
 
 impl Few {
-    pub fn note(&mut self, now: Duration, good: bool, few: u32) {
-        self.bad = self.bad << 1 | u32::from(!good);
+    pub fn note(&mut self, now: Duration, outcome: Outcome, few: u32) {
+        let bad = outcome != Outcome::Answered;
+        self.bad = self.bad << 1 | u32::from(bad);
         self.seen = (self.seen + 1).min(few);
-        self.failed = if good { self.failed } else { now };
+        if bad {
+            (self.failed, self.hung) = (now, outcome == Outcome::TimedOut);
+        }
     }
 
     /// Share of the good; where there are not even four they count as mostly good.
@@ -217,7 +221,7 @@
         let harm = matches!(outcome, Outcome::Error | Outcome::Broken);
         self.by_verb.resize(self.by_verb.len().max(verb + 1), Few::default());
         for last in [&mut self.last, &mut self.by_verb[verb]] {
-            last.note(now, outcome == Outcome::Answered, few);
+            last.note(now, outcome, few);
         }
         self.harm = self.harm << 1 | u32::from(harm);
         self.harmed = if harm { now } else { self.harmed };
@@ -313,9 +317,11 @@
         self.out.push(Action::Log(line));
     }
 
-    /// One line when most of its last outcomes are bad, and one when most are good again, of all verbs and of this one.
-    pub(crate) fn tell_health(&mut self, at: EndpointIx, verb: usize, few: u32) {
+    /// Notes an outcome among the last few. One line when most of them are bad, and one when most are good again, of
+    /// all verbs and of this one.
+    pub(crate) fn judge(&mut self, at: EndpointIx, verb: usize, outcome: Outcome, few: u32) {
         let (name, e) = (&self.duty.verbs[verb].name, &mut self.endpoints[at]);
+        e.note(self.now, verb, outcome, few);
         for (last, what) in [(&mut e.last, "all verbs"), (&mut e.by_verb[verb], name)] {
             let good = last.good(few);
             if last.ailing != (good < if last.ailing { 0.75 } else { 0.5 }) {
