A failed relay is followed by another while a usual answer fits its goal

Logged each relay that ended without an answer: 58 of 167 were given up with time for another (34 ms spent, goal 80 ms, usual answer 18 ms), as a quarter of the goal, 20 ms, had passed; budget full. At fault: go_on compared with the last call of the first wait (enqueue: came + goal / 4), which is a bound for waiting in a queue. Now the wait is counted from when it begins.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -552,13 +552,17 @@
         (0..verbs.len()).map(|n| whole * verbs[n].utility + worst * behind(n) / rates[n]).collect()
     }
 
-    /// Lets a command wait until what is left of its goal no longer fits a usual answer: its last call.
-    fn enqueue(&mut self, cmd: CmdIx) {
-        let Some(c) = self.commands[cmd].as_mut() else { return };
+    /// Until when a command may wait from now: what is left of its goal must fit a usual answer.
+    fn last_call(&self, c: &Command) -> Duration {
         let v = &self.duty.verbs[c.verb];
         let need = Duration::from_secs_f64(v.usual.mean.clamp(0.0, 0.6 * v.goal.as_secs_f64()));
         let end = if v.late_utility > 0.0 { c.leave } else { c.due.min(c.leave) };
-        (c.waits, c.last_call) = (true, end.saturating_sub(need).min(c.came + v.goal / 4));
+        end.saturating_sub(need).min(self.now + v.goal / 4)
+    }
+
+    fn enqueue(&mut self, cmd: CmdIx) {
+        let Some(last_call) = self.held(cmd).map(|c| self.last_call(c)) else { return };
+        self.commands[cmd].iter_mut().for_each(|c| (c.waits, c.last_call) = (true, last_call));
         self.queue.push(cmd);
     }
 
@@ -719,13 +723,10 @@
         // What can't be known of an endpoint without credit is taken for the worse.
         let crowded = |e: &Endpoint| self.load(e, usual) / e.size > 1.2 || e.credit * self.faith < 0.5;
         let wanted = out.iter().any(|r| crowded(&self.endpoints[r.endpoint]));
-        if self.queue.is_empty() && !self.shedding && !wanted {
-            return;
-        }
-        for r in out {
-            self.slow_answer(&r, verb, self.now.saturating_sub(r.sent));
+        if wanted || self.shedding || !self.queue.is_empty() {
+            out.iter().for_each(|r| self.slow_answer(r, verb, self.now.saturating_sub(r.sent)));
+            self.give_up(cmd);
         }
-        self.give_up(cmd);
     }
 
     /// Books the outcome of a relay; tells its endpoint.
@@ -817,7 +818,8 @@
         let again = !ran || self.duty.verbs[c.verb].effect != Effect::Effectful;
         // A first relay that is proven not to have run costs little to send again, but not nothing.
         let price = if outcome.never_ran() && c.relays.len() < 2 { 0.2 } else { 1.0 };
-        if self.now < c.last_call && c.relays.len() < self.duty.most_relays && again && self.spare >= price {
+        let time = self.now < self.last_call(c) && c.relays.len() < self.duty.most_relays;
+        if time && again && self.spare >= price {
             self.spare -= price;
             self.enqueue(cmd);
         } else {
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -423,6 +423,18 @@
     assert!(b.decide(NOW, event).contains(&Action::Forget { cmd: 0 }));
 }
 
+// Day garble+fleet of sfax-trajets: a third of the receipted commands whose answers came spoilt were given up with most
+// of their goal left, as a quarter of it had passed.
+#[rstest]
+#[case::time_left(150, false)]
+#[case::none_left(390, true)]
+fn a_failed_relay_is_followed_by_another_while_a_usual_answer_fits(#[case] spent: u64, #[case] over: bool) {
+    let mut b = with_relay(Effect::Pure, 2);
+    b.commands[0].iter_mut().for_each(|c| c.last_call = NOW + Duration::from_millis(100));
+    let out = b.decide(NOW + Duration::from_millis(spent), finished(0, Outcome::Error));
+    assert_eq!(out.iter().any(|a| matches!(a, Action::Decline { .. })), over, "{out:?}");
+}
+
 // Replay of i69898d: a client with a millisecond left was held for heartbeats and got no answer.
 #[rstest]
 fn a_command_with_no_time_left_is_declined_at_once() {
