Two endpoints settle that a command is unfit, at little cost to the budget

At fault: go_on, which treats Outcome::Unfit like any failure of a pure command. Now one more endpoint is asked (one that lacks a route must not decide alone), at the price of a relay that never ran.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -38,7 +38,7 @@
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
 
 impl Endpoint {
-    /// Share of successes among the last few outcomes, of all verbs and of this one. Guards against one verb that
+    /// Share of successes among the last few outcomes, of all verbs and of this one. Guards against a verb that
     /// hangs where others are answered; its failures fade, as nothing else would show that they are over.
     fn health(&self, now: Duration, verb: Option<usize>) -> f64 {
         let own = |few: &Few| 1.0 - (1.0 - few.good(OUTCOMES)) * fade(now, few.failed, 4 * CALM);
@@ -371,7 +371,7 @@
     fn weigh(&self, ats: &[usize], verb: Option<usize>, need: Option<(f64, f64)>, may: May) -> Vec<f64> {
         let (usual, risk) = (self.usual_load(), need.map_or(RISK, |(_, risk)| risk));
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e);
-        // Guards against what hangs as a resort while the well are full for a moment: a command rather waits for them.
+        // Guards against what hangs as a resort while the well are full for a moment: a command rather waits.
         let hangs = |e: &Endpoint| verb.is_some_and(|v| e.hangs(self.now, v));
         let well = ats.iter().any(|at| ready(&self.endpoints[*at]) && !hangs(&self.endpoints[*at]));
         let ready = |e: &Endpoint| ready(e) && !(well && hangs(e));
@@ -807,17 +807,17 @@
 
     /// What becomes of a command of which a relay ended without an answer.
     fn go_on(&mut self, cmd: CmdIx, outcome: Outcome) {
-        let Some(c) = self.held(cmd) else { return };
+        let all_ended = |c: &&Command| c.over || c.relays.iter().all(|r| r.outcome.is_some());
+        let Some(c) = self.held(cmd).filter(all_ended) else { return };
         if c.over {
             return self.tidy(cmd);
         }
-        if c.relays.iter().any(|r| r.outcome.is_none()) {
-            return;
-        }
         let ran = c.relays.iter().any(Relay::may_have_run);
-        let again = !ran || self.duty.verbs[c.verb].effect != Effect::Effectful;
-        // A first relay that is proven not to have run costs little to send again, but not nothing.
-        let price = if outcome.never_ran() && c.relays.len() < 2 { 0.2 } else { 1.0 };
+        // Guards against what no endpoint can use and takes the budget of the rest: two words settle it.
+        let unfit = c.relays.iter().filter(|r| r.outcome == Some(Outcome::Unfit)).count();
+        let again = unfit < 2 && (!ran || self.duty.verbs[c.verb].effect != Effect::Effectful);
+        // A first relay proven not to have run, or not to fit, costs little to send again, but not nothing.
+        let price = if c.relays.len() < 2 && (outcome.never_ran() || unfit > 0) { 0.2 } else { 1.0 };
         let time = self.now < self.last_call(c) && c.relays.len() < self.duty.most_relays;
         if time && again && self.spare >= price {
             self.spare -= price;
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -435,6 +435,19 @@
     assert_eq!(out.iter().any(|a| matches!(a, Action::Decline { .. })), over, "{out:?}");
 }
 
+// Day rude of sahel-ambulances: each command that no endpoint could use went to five and took all that the usual ones
+// had for further relays.
+#[rstest]
+fn two_endpoints_settle_that_a_command_is_unfit_at_little_cost() {
+    let mut b = with_relay(Effect::Pure, 5);
+    b.endpoints.iter_mut().for_each(|e| e.heard = Some(NOW));
+    let before = b.spare;
+    assert_eq!(relays(&b.decide(NOW, finished(0, Outcome::Unfit))).len(), 1);
+    let out = b.decide(NOW, finished(1, Outcome::Unfit));
+    assert!(out.iter().any(|a| matches!(a, Action::Decline { .. })), "{out:?}");
+    assert!(before - b.spare < 0.3, "{} of {before}", b.spare);
+}
+
 // Replay of i69898d: a client with a millisecond left was held for heartbeats and got no answer.
 #[rstest]
 fn a_command_with_no_time_left_is_declined_at_once() {
