--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -507,7 +507,7 @@
         }
         let len = self.commands.len().max(a.cmd + 1);
         self.commands.resize_with(len, || None);
-        (self.spare, self.marked) = ((self.spare + 0.1).min(5.0), self.marked || a.again);
+        (self.spare, self.marked) = ((self.spare + 0.2).min(5.0), self.marked || a.again);
         self.arrivals.add(self.now, 4 * CALM);
         self.draw_pass();
         self.commands[a.cmd] = Some(Command {
