No probe where probes are not allowed, also not of a cold endpoint with a pass

Cause: heartbeat() asks endpoints with a pass before it looks at how many may be asked, and nought is not looked at. Ruled out: the settings (orders.probes is false there and heartbeats nought; no other line makes a probe).

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -443,6 +443,9 @@
     /// that are older than a service time: each sidecar sees too little traffic to hear of all by answers.
     fn heartbeat(&mut self, of: Option<(usize, usize)>) -> Duration {
         self.look_around();
+        if self.duty.heartbeats == 0 {
+            return Duration::ZERO; // not allowed, also not of an endpoint with a pass
+        }
         let mut weights = self.weigh(&self.met, of, None, &|e| self.open(e));
         for (e, w) in self.view().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -391,6 +391,18 @@
     assert!(b.out.contains(&Action::Recall { cmd: 0, relay: 0 }));
 }
 
+// First score of kochi-main and daepung-auction-web: a cold endpoint with a pass was asked where probes are not allowed.
+#[rstest]
+fn where_probes_are_not_allowed_a_pass_asks_nothing() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.duty.heartbeats = 0;
+    b.endpoints[1].start_cold(NOW);
+    b.endpoints[1].pass_until = NOW + CALM;
+    b.endpoints[1].heard = None;
+    let out = b.decide(NOW, arrival(0));
+    assert!(!out.iter().any(|a| matches!(a, Action::Probe { .. })), "{out:?}");
+}
+
 // Replay of id7bedd without heartbeats: nothing was heard any more, the last mean stayed over every limit.
 #[rstest]
 fn without_news_the_fleet_is_not_taken_for_full() {
