--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -35,6 +35,9 @@
 const SMALL: usize = 32; // endpoints; so few are all in view
 const LEAST_GAIN: f64 = 0.02; // of a sample, however many came before
 const FEW: f64 = 0.1; // a second; so little asked says little of how a verb is served
+const KEY_SLOTS: usize = 4096;
+const HOMES: f64 = 1.5; // for a key, against those that its part of all commands would fill
+const RESERVE: f64 = 0.05;
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
 
 impl Endpoint {
@@ -111,6 +114,7 @@
             patience: goal / 4,
             tick: orders.tick,
             live_weights: orders.weights_live,
+            warm_keys: orders.warm_keys,
             near: 0.01 / (0.01 + orders.cross_zone_price.max(0.0)),
             idle_close: orders.idle_close,
             one_stream: orders.streams <= 1,
@@ -124,6 +128,7 @@
         };
         Balancer {
             mix: vec![Faded::default(); duty.portions.len()],
+            keys: vec![Faded::default(); if duty.warm_keys { KEY_SLOTS } else { 0 }],
             rtt: duty.tick,
             duty,
             dice: orders.seed | 1,
@@ -216,7 +221,7 @@
             let (now, len) = (self.now, self.endpoints.len().max(entry.endpoint + 1));
             self.endpoints.resize_with(len, Endpoint::unknown);
             let e = &mut self.endpoints[entry.endpoint];
-            (e.zone, e.cell, e.known) = (entry.zone, entry.cell, true);
+            (e.mark, e.zone, e.cell, e.known) = (entry.mark, entry.zone, entry.cell, true);
             e.rating = if self.duty.live_weights { 1.0 } else { entry.rating.clamp(0.01, 1e6) };
             (e.listed, e.gone) = (entry.mode == Mode::Running, entry.mode == Mode::Deleted);
             let young = !entry.started.is_zero() && now.saturating_sub(entry.started) < self.duty.warm_within;
@@ -539,10 +544,14 @@
         self.commands.resize_with(len, || None);
         (self.spare, self.marked) = ((self.spare + 0.2).min(5.0), self.marked || a.again);
         self.arrivals.add(self.now, 4 * CALM);
+        if let (Some(key), true) = (a.key, self.duty.warm_keys) {
+            self.keys[key as usize % KEY_SLOTS].add(self.now, 4 * CALM);
+        }
         self.draw_pass();
         self.commands[a.cmd] = Some(Command {
             verb: a.verb,
             play: a.play,
+            key: a.key.filter(|_| self.duty.warm_keys),
             came: self.now,
             due: (self.now + goal).saturating_sub(gone),
             leave: self.now + a.budget,
@@ -691,9 +700,15 @@
         let may = |e: &Endpoint| self.open(e) && drops_repeats(e);
         // A second copy is a luxury: it goes only where there is room for the least worth.
         let value = if copy { 0.0 } else { (c.value / c.best).clamp(0.0, 1.0) };
-        let ats = if home.is_none() { self.met.clone() } else { (0..self.endpoints.len()).collect() };
+        let homes = if home.is_none() { self.homes(c) } else { Vec::new() };
+        let ats = match home {
+            None if !homes.is_empty() => homes.iter().map(|(at, _)| *at).collect(),
+            None => self.met.clone(),
+            Some(_) => (0..self.endpoints.len()).collect(),
+        };
         let risk = if v.effect == Effect::Effectful { 5.0 * RISK } else { RISK };
         let mut weights = self.weigh(&ats, Some((c.verb, c.play)), Some((value, risk)), &may);
+        homes.iter().zip(&mut weights).for_each(|((_, share), w)| *w *= share);
         let tried = |at: &EndpointIx| c.relays.iter().any(|r| r.endpoint == *at);
         for (_, w) in ats.iter().zip(&mut weights).filter(|(at, _)| tried(at)) {
             *w *= if copy { 0.0 } else { 0.01 };
@@ -701,6 +716,35 @@
         self.draw(&weights).map(|n| ats[n])
     }
 
+    /// The few that are to remember a command's key, the same at every sidecar of a zone, as shares of its base weight: as many as its
+    /// part of all commands asks for, and two in reserve. Guards against a key met everywhere and remembered nowhere.
+    fn homes(&self, c: &Command) -> Vec<(EndpointIx, f64)> {
+        let Some(key) = c.key else { return Vec::new() };
+        let rate = self.keys[key as usize % KEY_SLOTS].rate(self.now, 4 * CALM);
+        let part = rate / self.arrivals.rate(self.now, 4 * CALM).max(1e-9);
+        let wide = (HOMES * part * self.listed).max(1.0);
+        let place = |at: EndpointIx| {
+            let e = &self.endpoints[at];
+            let mixed = (e.mark ^ key).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let mixed = (mixed ^ mixed >> 32).wrapping_mul(0xd6e8_feb8_6659_fd93);
+            let luck = ((mixed ^ mixed >> 32) & 0xffff_ffff) as f64 / 4_294_967_296.0;
+            (-luck.max(1e-12).ln() / self.base(e, Some(c.play)).max(1e-9), at)
+        };
+        let ready = |at: &EndpointIx| self.endpoints[*at].listed && self.open(&self.endpoints[*at]);
+        let mut places: Vec<_> = (0..self.endpoints.len()).filter(ready).map(place).collect();
+        let most = places.len().min(wide.ceil() as usize + 2);
+        if most < places.len() {
+            places.select_nth_unstable_by(most, |a, b| a.0.total_cmp(&b.0));
+            places.truncate(most);
+        }
+        places.sort_by(|a, b| a.0.total_cmp(&b.0));
+        places
+            .into_iter()
+            .enumerate()
+            .map(|(n, (_, at))| (at, (wide - n as f64).clamp(RESERVE, 1.0)))
+            .collect()
+    }
+
     fn send(&mut self, cmd: CmdIx, at: EndpointIx) {
         let (now, usual) = (self.now, self.usual_load());
         let ahead = self.load(&self.endpoints[at], usual) / self.endpoints[at].size;
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -1,6 +1,7 @@
 //! Each test builds the state that it needs and calls the module once; helpers stand at the end.
 
 use super::*;
+use crate::door::mark;
 use rstest::rstest;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -391,6 +392,40 @@
     assert!(b.out.contains(&Action::Recall { cmd: 0, relay: 0 }));
 }
 
+// Before homes kochi-main answered a quarter: each key was met everywhere and remembered nowhere.
+#[rstest]
+fn commands_of_one_key_go_to_its_home_at_every_sidecar() {
+    let home = |seed: u64, key: u64| {
+        let mut b = sidecar(Effect::Pure, 20);
+        (b.duty.warm_keys, b.keys, b.dice) = (true, vec![Faded::default(); KEY_SLOTS], seed);
+        (0..20).for_each(|at| b.endpoints[at].mark = mark(&format!("endpoint {at}")));
+        b.arrivals = Faded::default();
+        (0..40).for_each(|_| b.arrivals.add(NOW, CALM));
+        let c = Command { key: Some(key), ..command() };
+        let homes = b.homes(&c);
+        homes.into_iter().max_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
+    };
+    let all = |seed| (0..50).map(|key| home(seed, mark(&format!("key {key}")))).collect::<Vec<_>>();
+    assert_eq!(all(3), all(5));
+    let spread: std::collections::BTreeSet<_> = all(3).into_iter().collect();
+    assert!(spread.len() > 12, "{spread:?}");
+}
+
+// A key that half of all commands name would fill one endpoint: it is remembered by as many as it needs.
+#[rstest]
+fn a_popular_key_has_more_homes() {
+    let mut b = sidecar(Effect::Pure, 20);
+    (b.duty.warm_keys, b.keys) = (true, vec![Faded::default(); KEY_SLOTS]);
+    (0..20).for_each(|at| b.endpoints[at].mark = mark(&format!("endpoint {at}")));
+    (0..40).for_each(|_| b.arrivals.add(NOW, 4 * CALM));
+    (0..20).for_each(|_| b.keys[7].add(NOW, 4 * CALM));
+    let full = |b: &Balancer, key| {
+        let homes = b.homes(&Command { key: Some(key), ..command() });
+        homes.iter().filter(|(_, share)| *share == 1.0).count()
+    };
+    assert_eq!((full(&b, 8), full(&b, 7)), (1, (HOMES * 10.0) as usize));
+}
+
 // First score of kochi-main and daepung-auction-web: a cold endpoint with a pass was asked where probes are not allowed.
 #[rstest]
 fn where_probes_are_not_allowed_a_pass_asks_nothing() {
@@ -702,6 +737,7 @@
         list_on_request: true,
         reports: ReportsHow::Piggyback,
         weights_live: false,
+        warm_keys: false,
         probe_price: 0.002,
         cross_zone_price: 0.0,
         handshake_price: 0.0,
@@ -726,6 +762,7 @@
     Command {
         verb: 0,
         play: 0,
+        key: None,
         came: NOW,
         due: NOW + Duration::from_millis(400),
         leave: NOW + Duration::from_millis(500),
@@ -770,7 +807,16 @@
 }
 
 fn listing(endpoint: EndpointIx, started: Duration) -> Listing {
-    Listing { endpoint, zone: 0, cell: 0, kind: 0, rating: 1.0, started, mode: Mode::Running }
+    Listing {
+        endpoint,
+        mark: endpoint as u64,
+        zone: 0,
+        cell: 0,
+        kind: 0,
+        rating: 1.0,
+        started,
+        mode: Mode::Running,
+    }
 }
 
 fn relays(out: &[Action]) -> Vec<EndpointIx> {
--- a/crates/passroad-choice/src/door.rs
+++ b/crates/passroad-choice/src/door.rs
@@ -3,6 +3,12 @@
 use rustc_hash::FxHashMap;
 use std::hash::Hash;
 
+/// A number made of a text (FNV-1a): the same at every sidecar, in every build.
+pub fn mark(text: &str) -> u64 {
+    text.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+}
+
 /// Gives each id the lowest free index. Iteration order never shows.
 #[derive(Debug, Default)]
 pub struct Door<K> {
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -69,6 +69,7 @@
     pub list_on_request: bool,
     pub reports: ReportsHow,
     pub weights_live: bool,
+    pub warm_keys: bool, // an endpoint does less work for a key that it met lately
     pub probe_price: f64,
     pub cross_zone_price: f64,
     pub handshake_price: f64,
@@ -138,6 +139,8 @@
 #[derive(Debug, Clone)]
 pub struct Listing {
     pub endpoint: EndpointIx,
+    /// Made of its id by [`door::mark`], so the same at every sidecar.
+    pub mark: u64,
     pub zone: usize,
     pub cell: usize,
     pub kind: usize,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -135,6 +135,7 @@
 pub struct Command {
     pub verb: usize,
     pub play: usize,
+    pub key: Option<u64>,
     pub came: Duration,
     pub due: Duration,   // its response goal passes
     pub leave: Duration, // the client gives up
@@ -151,6 +152,7 @@
 
 /// For one endpoint.
 pub struct Endpoint {
+    pub mark: u64,
     pub zone: usize,
     pub cell: usize,
     pub rating: f64,
@@ -185,6 +187,7 @@
 impl Endpoint {
     pub fn unknown() -> Self {
         Endpoint {
+            mark: 0,
             zone: 0,
             cell: 0,
             rating: 1.0,
@@ -261,11 +264,12 @@
     pub(crate) warm_sends: Faded,
     pub(crate) pass_at: Duration, // when a pass was last drawn
     pub(crate) arrivals: Faded,
-    pub(crate) steered: bool, // routes were told
-    pub(crate) marked: bool,  // clients mark repeats: one was seen
-    pub(crate) limit: f64,    // the usual one, at the usual size
-    pub(crate) faith: f64,    // credit of reports as a whole
-    pub(crate) spare: f64,    // further relays allowed now
+    pub(crate) keys: Vec<Faded>, // arrivals by key, a few keys to a slot
+    pub(crate) steered: bool,    // routes were told
+    pub(crate) marked: bool,     // clients mark repeats: one was seen
+    pub(crate) limit: f64,       // the usual one, at the usual size
+    pub(crate) faith: f64,       // credit of reports as a whole
+    pub(crate) spare: f64,       // further relays allowed now
     pub(crate) listening: bool,
     pub(crate) list_fails: u32,
     pub(crate) shedding: bool,
@@ -298,6 +302,7 @@
     pub patience: Duration, // the wait that a queue may come to
     pub tick: Duration,
     pub live_weights: bool,
+    pub warm_keys: bool,
     pub near: f64, // weight in another zone against the own
     pub idle_close: Duration,
     pub one_stream: bool, // a connection carries one relay at a time
--- a/crates/passroad-orders/src/lib.rs
+++ b/crates/passroad-orders/src/lib.rs
@@ -139,6 +139,7 @@
             _ => ReportsHow::Silent,
         },
         weights_live: weights == "live",
+        warm_keys: at.flag("/domain/warm_keys", false)?,
         probe_price: at.number("/prices/probe", 0.0)?,
         cross_zone_price: at.number("/prices/cross_zone", 0.0)?,
         handshake_price: at.number("/prices/handshake", 0.0)?,
--- a/crates/passroad-rig/src/virtual_time.rs
+++ b/crates/passroad-rig/src/virtual_time.rs
@@ -663,6 +663,7 @@
         let plan = &self.plan.endpoints[endpoint];
         Listing {
             endpoint,
+            mark: endpoint as u64,
             zone: plan.zone,
             cell: plan.cell,
             kind: plan.kind,
--- a/crates/passroad-routes/src/lib.rs
+++ b/crates/passroad-routes/src/lib.rs
@@ -151,7 +151,7 @@
     /// Four endpoints in each of the zones a, b and c, in turn.
     fn listing(endpoint: EndpointIx, mode: Mode) -> Listing {
         let started = Duration::ZERO;
-        Listing { endpoint, zone: endpoint / 4, cell: 0, kind: 0, rating: 1.0, started, mode }
+        Listing { endpoint, mark: 0, zone: endpoint / 4, cell: 0, kind: 0, rating: 1.0, started, mode }
     }
 
     struct Rig {
--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -3,12 +3,11 @@
 use crate::line::Line;
 use base64::{Engine, prelude::BASE64_STANDARD};
 use passroad_choice::choice::Balancer;
-use passroad_choice::door::Door;
+use passroad_choice::door::{Door, mark};
 use passroad_choice::{Action, Arrival, Event, ListKind, Listing, Mode, StandingOrders};
 use rustc_hash::FxHashMap;
 use std::collections::BTreeMap;
 use std::fmt::Write;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
@@ -54,6 +53,7 @@
     fn listings(&mut self, entries: &[Entry]) -> Vec<Listing> {
         let listing = |e: &Entry| Listing {
             endpoint: self.endpoints.admit(&e.endpoint),
+            mark: mark(&e.endpoint),
             zone: self.zones.admit(&e.zone),
             cell: e.cell,
             kind: self.kinds.admit(&e.kind),
@@ -70,7 +70,7 @@
         Ok(Event::Arrived(Arrival {
             verb: position.ok_or_else(|| format!("INGRESS: unknown verb {verb}"))?,
             company: line.get("tenant").and_then(|t| self.companies.iter().position(|c| c == t)),
-            key: line.get("name_key").filter(|k| *k != "-").map(hash),
+            key: line.get("name_key").filter(|k| *k != "-").map(mark),
             budget: line.span("budget")?,
             work: line.get("hint").map(|_| line.span("hint")).transpose()?,
             again: line.flag("again_by_client")?,
@@ -189,13 +189,6 @@
     }
 }
 
-/// The same for the same key in every process; keys are too many to keep.
-fn hash(key: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    key.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// All that one process holds: its instances, and the numbered lists of the wire.
 #[derive(Default)]
 pub struct Host {
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -4,7 +4,7 @@
 use crate::list::{Call, List, Member};
 use crate::relay::{Dialer, Link};
 use crate::{probe, relay};
-use passroad_choice::door::Door;
+use passroad_choice::door::{Door, mark};
 use passroad_choice::{
     Action, Arrival, CmdIx, EndpointIx, Event, ListKind, Listing, Mode, ReportsHow, StandingOrders,
 };
@@ -172,6 +172,7 @@
             }
             entries.push(Listing {
                 endpoint,
+                mark: mark(&member.id),
                 zone: held.zones.admit(&member.locality),
                 cell: member.cell,
                 kind: held.kinds.admit(&member.flavor),
