Where nothing may be asked: own relays are limited in all, list and refusals are news

Without heartbeats: the list's news counts, is believed for some two seconds, the load mark is the design's against the mean, own sends of late against a fair part count with it, and the limit is on own relays out in all, moved by the worth of what is late.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -110,6 +110,8 @@
             heartbeats: if asks { heartbeats } else { 0 },
             fresh: goal / 30,
             trust: goal / 4,
+            // Without heartbeats there is nothing newer to be had.
+            believe: if asks { goal / 4 } else { CALM },
             hold: (goal / 40).max(2 * orders.tick),
             patience: goal / 4,
             tick: orders.tick,
@@ -134,6 +136,7 @@
             dice: orders.seed | 1,
             usual: Pace { mean: 1.0, ..Pace::default() },
             limit: FIRST_LIMIT,
+            window: 1e6,
             listed: 1.0,
             faith: 1.0,
             spare: 2.0,
@@ -222,13 +225,23 @@
             self.endpoints.resize_with(len, Endpoint::unknown);
             let e = &mut self.endpoints[entry.endpoint];
             (e.mark, e.zone, e.cell, e.known) = (entry.mark, entry.zone, entry.cell, true);
-            e.rating = if self.duty.live_weights { 1.0 } else { entry.rating.clamp(0.01, 1e6) };
+            e.rating = entry.rating.clamp(0.01, 1e6);
+            // A live weight is the size by one more than what is held: the most seen is the size.
+            if self.duty.live_weights {
+                e.nominal = e.nominal.max(e.rating);
+                e.holds = e.nominal / e.rating - 1.0;
+                e.rating = e.nominal;
+            }
             (e.listed, e.gone) = (entry.mode == Mode::Running, entry.mode == Mode::Deleted);
             let young = !entry.started.is_zero() && now.saturating_sub(entry.started) < self.duty.warm_within;
             if young && e.up_since.is_none_or(|at| entry.started > at) {
                 e.start_cold(entry.started);
             }
         }
+        if self.duty.live_weights {
+            // What is not named has not changed.
+            self.endpoints.iter_mut().filter(|e| e.listed).for_each(|e| e.heard = Some(self.now));
+        }
         self.survey();
     }
 
@@ -240,7 +253,7 @@
         }
         let old = |at: Duration, span: Duration| self.now.saturating_sub(at) > span;
         let gone = |e: &Endpoint| {
-            let silent = e.heard.is_none_or(|at| old(at, 8 * self.duty.trust)) && old(e.pace.at, 4 * CALM);
+            let silent = e.heard.is_none_or(|at| old(at, 8 * self.duty.believe)) && old(e.pace.at, 4 * CALM);
             let idle = e.out.is_empty() && e.probing.is_none() && !self.linked(e);
             silent && idle && self.now >= e.try_at.max(e.pass_until)
         };
@@ -315,8 +328,10 @@
                 step = if holds < 0.5 * sure { -0.25 } else { 0.02 };
             }
         }
-        // Where only the share of time is told, a busy endpoint is taken to hold two.
-        let holds = report.outstanding.or(report.backlog).or(report.utilization.map(|u| 2.0 * u));
+        // A share of time stands for as many as a single server holds that is busy for it.
+        let busy = report.utilization.map(|u| u.clamp(0.0, 1.0)).map(|u| u / (1.1 - u));
+        let told = report.backlog.filter(|_| !self.duty.live_weights).map(|b| b + busy.unwrap_or(0.0));
+        let holds = report.outstanding.or(told).or(busy);
         if let Some(holds) = holds {
             e.holds = holds.max(0.0);
             e.heard = Some(self.now);
@@ -356,7 +371,7 @@
     }
 
     fn trust(&self, e: &Endpoint) -> f64 {
-        e.heard.map_or(0.0, |at| e.credit * self.faith * fade(self.now, at, self.duty.trust))
+        e.heard.map_or(0.0, |at| e.credit * self.faith * fade(self.now, at, self.duty.believe))
     }
 
     /// Load in commands held; old and discredited reports lose trust and drift to the mean of the trusted.
@@ -371,7 +386,7 @@
     fn usual_load(&self) -> f64 {
         let (mut sum, mut of) = (0.0, 0.0);
         for e in self.view().filter(|e| e.listed) {
-            let fresh = e.heard.map_or(0.0, |at| fade(self.now, at, 4 * self.duty.trust));
+            let fresh = e.heard.map_or(0.0, |at| fade(self.now, at, 4 * self.duty.believe));
             sum += fresh * e.credit * self.faith * e.holds.max(e.out.len() as f64);
             of += fresh * e.size;
         }
@@ -420,11 +435,21 @@
         let least = all().map(|(e, load)| load / self.ramp(e) + new(e)).fold(f64::INFINITY, f64::min);
         let tail_of_all = self.usual.mean + 2.0 * self.usual.spread;
         let weight = |(e, &load): (&Endpoint, &f64)| {
-            if load.is_infinite() || need.is_some_and(|(v, _)| load >= self.limit_of(e) * (0.6 + 0.4 * v)) {
+            let full = |v: f64| match self.duty.heartbeats {
+                // Old news is no ground to turn away: there the limit is on what is out from here in all.
+                0 => self.out_now >= self.window * (0.6 + 0.4 * v),
+                _ => load >= self.limit_of(e) * (0.6 + 0.4 * v),
+            };
+            if load.is_infinite() || need.is_some_and(|(v, _)| full(v)) {
                 return 0.0;
             }
             let (mean, tail) = e.pace.read(self.now, 2 * CALM, &self.usual);
-            let load = 10.0 - 40.0 * (load / self.ramp(e) + new(e) - least);
+            let load = load / self.ramp(e) + new(e);
+            // Guards against a crowd: where news is older than a service time, what seems least loaded seems so to all.
+            let load = match self.duty.heartbeats {
+                0 => 10.0 - 9.0 * ((load / usual.max(1.0)).max(self.drawn(e)) - 1.0).max(0.0),
+                _ => 10.0 - 40.0 * (load - least),
+            };
             let mean = 10.0 - 9.0 * (mean / self.usual.mean.max(1e-6) - 1.0).max(0.0);
             let tail = 10.0 - 9.0 * (tail / tail_of_all.max(1e-6) - 1.0).max(0.0);
             let score = LOAD_SHARE * load + (1.0 - LOAD_SHARE) * (mean + tail) / 2.0;
@@ -434,6 +459,14 @@
         all().map(weight).collect()
     }
 
+    /// Own sends of late against a fair part of them. Where the same key has the same homes at every sidecar, they are
+    /// a sample of what all send; a few say little.
+    fn drawn(&self, e: &Endpoint) -> f64 {
+        let (own, all) = (e.sends.rate(self.now, 4 * CALM), self.all_sends.rate(self.now, 4 * CALM));
+        let of = 4.0 * CALM.as_secs_f64();
+        (own * of + 2.0) / (all * of * e.size / self.warm.max(1.0) + 2.0)
+    }
+
     /// A place among the weights.
     fn draw(&mut self, weights: &[f64]) -> Option<usize> {
         let mut left = weights.iter().sum::<f64>() * self.chance();
@@ -498,7 +531,7 @@
         let since = self.now.saturating_sub(std::mem::replace(&mut self.pass_at, self.now));
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
         let arrivals = 0.3 * self.arrivals.rate(self.now, 4 * CALM) / self.listed;
-        let sends = self.warm_sends.rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
+        let sends = self.warm_served.rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
         let gain = self.duty.cold_share * sends.max(arrivals) * since.min(self.duty.tip_after).as_secs_f64();
         let (count, nth, luck) = (self.colds.len() as f64, self.chance(), self.chance());
         let Some(&at) = self.colds.get((nth * count) as usize) else { return };
@@ -728,9 +761,13 @@
             let mixed = (e.mark ^ key).wrapping_mul(0x9e37_79b9_7f4a_7c15);
             let mixed = (mixed ^ mixed >> 32).wrapping_mul(0xd6e8_feb8_6659_fd93);
             let luck = ((mixed ^ mixed >> 32) & 0xffff_ffff) as f64 / 4_294_967_296.0;
-            (-luck.max(1e-12).ln() / self.base(e, Some(c.play)).max(1e-9), at)
+            // A pass is for whatever comes next.
+            let first = if self.cold(e) { 0.0 } else { 1.0 };
+            (first * -luck.max(1e-12).ln() / self.base(e, Some(c.play)).max(1e-9), at)
         };
-        let ready = |at: &EndpointIx| self.endpoints[*at].listed && self.open(&self.endpoints[*at]);
+        let tried = |at: &EndpointIx| c.relays.iter().any(|r| r.endpoint == *at);
+        let ready =
+            |at: &EndpointIx| self.endpoints[*at].listed && self.open(&self.endpoints[*at]) && !tried(at);
         let mut places: Vec<_> = (0..self.endpoints.len()).filter(ready).map(place).collect();
         let most = places.len().min(wide.ceil() as usize + 2);
         if most < places.len() {
@@ -738,6 +775,7 @@
             places.truncate(most);
         }
         places.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let wide = wide + places.iter().filter(|(place, _)| *place == 0.0).count() as f64;
         places
             .into_iter()
             .enumerate()
@@ -748,7 +786,6 @@
     fn send(&mut self, cmd: CmdIx, at: EndpointIx) {
         let (now, usual) = (self.now, self.usual_load());
         let ahead = self.load(&self.endpoints[at], usual) / self.endpoints[at].size;
-        let cold = self.cold(&self.endpoints[at]);
         self.meet(at);
         let Some(c) = self.commands[cmd].as_mut() else { return };
         let first = c.relays.is_empty();
@@ -760,9 +797,9 @@
         e.out.push(now);
         (e.used, e.holds, e.pass_until) = (Some(now), e.holds.max(0.0) + 1.0, Duration::ZERO);
         self.sends.add(now, CALM);
-        if !cold {
-            self.warm_sends.add(now, 4 * CALM);
-        }
+        self.all_sends.add(now, 4 * CALM);
+        self.endpoints[at].sends.add(now, 4 * CALM);
+        self.out_now += 1.0;
         let v = &self.duty.verbs[c.verb];
         let (until_due, slow) = (c.due.saturating_sub(now), v.slow());
         let copies = self.duty.second_copies && v.effect != Effect::Effectful && slow < v.goal.mul_f64(0.8);
@@ -811,10 +848,26 @@
     fn finish(&mut self, cmd: CmdIx, n: usize, outcome: Outcome, spent: Duration) -> Option<EndpointIx> {
         let now = self.now;
         let c = self.commands.get_mut(cmd)?.as_mut()?;
-        let (verb, in_time) = (c.verb, now <= c.due);
+        let (verb, in_time, due_at) = (c.verb, now <= c.due, c.due);
+        let share = (c.value / c.best).clamp(0.05, 1.0);
         let r = c.relays.get_mut(n).filter(|r| r.outcome.is_none())?;
         r.outcome = Some(outcome);
         let (r, at) = (*r, r.endpoint);
+        if outcome == Outcome::Answered && !self.cold(&self.endpoints[at]) {
+            self.warm_served.add(now, 4 * CALM);
+        }
+        self.out_now -= 1.0;
+        let late = now > due_at;
+        match outcome {
+            Outcome::Answered if !late && self.out_now + 2.0 >= 0.6 * self.window => {
+                self.window += 0.1 * share
+            }
+            Outcome::Answered if !late => {}
+            Outcome::Answered | Outcome::TimedOut | Outcome::Full => {
+                self.window = (self.window.min(2.0 * self.out_now + 4.0) - 0.5 * share).max(1.0);
+            }
+            _ => {}
+        }
         let e = &mut self.endpoints[at];
         e.holds -= 1.0;
         e.out.iter().position(|sent| *sent == r.sent).map(|gone| e.out.swap_remove(gone));
@@ -843,6 +896,11 @@
             Outcome::Full => {
                 self.cut(at);
                 self.credit(at, if r.ahead < FIRST_LIMIT { -0.25 } else { 0.0 });
+                if self.duty.heartbeats == 0 {
+                    let full = self.limit_of(&self.endpoints[at]) + 1.0;
+                    let e = &mut self.endpoints[at];
+                    (e.holds, e.heard) = (e.holds.max(full * e.size), Some(now));
+                }
             }
             Outcome::TimedOut => self.slow_answer(&r, verb, spent),
             Outcome::Error | Outcome::Broken => self.judge(at, verb, outcome, OUTCOMES), // it was reached
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -264,8 +264,8 @@
     let mut b = sidecar(Effect::Pure, 60);
     b.endpoints[30..].iter_mut().for_each(|e| e.start_cold(NOW));
     b.survey();
-    (0..30).for_each(|_| b.warm_sends.add(NOW, 4 * CALM));
-    let (mut drawn, each) = (0.0, b.duty.cold_share * b.warm_sends.rate(NOW, 4 * CALM) / 30.0 * 0.2);
+    (0..30).for_each(|_| b.warm_served.add(NOW, 4 * CALM));
+    let (mut drawn, each) = (0.0, b.duty.cold_share * b.warm_served.rate(NOW, 4 * CALM) / 30.0 * 0.2);
     for _ in 0..2000 {
         b.pass_at = NOW - Duration::from_millis(100);
         b.draw_pass();
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -156,8 +156,9 @@
     pub zone: usize,
     pub cell: usize,
     pub rating: f64,
-    pub size: f64,   // rating against the mean of the listed
-    pub known: bool, // its slot is given out
+    pub nominal: f64, // the most that a live weight came to
+    pub size: f64,    // rating against the mean of the listed
+    pub known: bool,  // its slot is given out
     pub listed: bool,
     pub gone: bool,                 // for good; a draining one is not listed either
     pub met: bool,                  // it is in view
@@ -165,10 +166,11 @@
     pub up_since: Option<Duration>, // cold from here, if it started lately
     pub pass_until: Duration,       // a cold one may get one send until then
     pub heard: Option<Duration>,
-    pub holds: f64,             // last reported, and own sends and answers since
-    pub errs: f64,              // share of errors that it reports
-    pub credit: f64,            // how far its reports fit what it does
-    pub out: Vec<Duration>,     // when own relays that are still out were sent
+    pub holds: f64,         // last reported, and own sends and answers since
+    pub errs: f64,          // share of errors that it reports
+    pub credit: f64,        // how far its reports fit what it does
+    pub out: Vec<Duration>, // when own relays that are still out were sent
+    pub sends: Faded,
     pub used: Option<Duration>, // last relay; a connection is open from here
     pub pace: Pace,
     pub last: Few,         // of its outcomes
@@ -191,6 +193,7 @@
             zone: 0,
             cell: 0,
             rating: 1.0,
+            nominal: 0.0,
             size: 1.0,
             known: false,
             listed: false,
@@ -204,6 +207,7 @@
             errs: 0.0,
             credit: 1.0,
             out: Vec::new(),
+            sends: Faded::default(),
             used: None,
             pace: Pace::default(),
             last: Few::default(),
@@ -261,15 +265,18 @@
     pub(crate) usual: Pace,     // pace of all endpoints, against each verb's usual
     pub(crate) rtt: Duration,
     pub(crate) sends: Faded,
-    pub(crate) warm_sends: Faded,
-    pub(crate) pass_at: Duration, // when a pass was last drawn
+    pub(crate) all_sends: Faded,
+    pub(crate) warm_served: Faded, // answers of warm endpoints
+    pub(crate) pass_at: Duration,  // when a pass was last drawn
     pub(crate) arrivals: Faded,
     pub(crate) keys: Vec<Faded>, // arrivals by key, a few keys to a slot
     pub(crate) steered: bool,    // routes were told
     pub(crate) marked: bool,     // clients mark repeats: one was seen
     pub(crate) limit: f64,       // the usual one, at the usual size
-    pub(crate) faith: f64,       // credit of reports as a whole
-    pub(crate) spare: f64,       // further relays allowed now
+    pub(crate) window: f64,      // the same of what is out from here in all
+    pub(crate) out_now: f64,
+    pub(crate) faith: f64, // credit of reports as a whole
+    pub(crate) spare: f64, // further relays allowed now
     pub(crate) listening: bool,
     pub(crate) list_fails: u32,
     pub(crate) shedding: bool,
@@ -297,7 +304,8 @@
     pub list_every: Duration,
     pub heartbeats: usize,  // probes that one command is worth
     pub fresh: Duration,    // a report needs no heartbeat for so long
-    pub trust: Duration,    // trust in a report falls to a third in this
+    pub trust: Duration,    // so long a cut stands, and a first pause
+    pub believe: Duration,  // trust in a report falls to a third in this
     pub hold: Duration,     // the longest wait for heartbeats
     pub patience: Duration, // the wait that a queue may come to
     pub tick: Duration,
