--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -137,6 +137,7 @@
             usual: Pace { mean: 1.0, ..Pace::default() },
             limit: FIRST_LIMIT,
             window: 1e6,
+            well: 1.0,
             listed: 1.0,
             faith: 1.0,
             spare: 2.0,
@@ -849,10 +850,14 @@
         let now = self.now;
         let c = self.commands.get_mut(cmd)?.as_mut()?;
         let (verb, in_time, due_at) = (c.verb, now <= c.due, c.due);
-        let share = (c.value / c.best).clamp(0.05, 1.0);
+        let value = (c.value / c.best).clamp(0.05, 1.0);
         let r = c.relays.get_mut(n).filter(|r| r.outcome.is_none())?;
         r.outcome = Some(outcome);
         let (r, at) = (*r, r.endpoint);
+        // What fails at an endpoint that fails more than the others says little of the fleet.
+        let share = value * (self.endpoints[at].health(now, Some(verb)) / self.well).min(1.0);
+        let good = f64::from(u8::from(outcome == Outcome::Answered));
+        self.well = (self.well + LEAST_GAIN * (good - self.well)).max(0.1);
         if outcome == Outcome::Answered && !self.cold(&self.endpoints[at]) {
             self.warm_served.add(now, 4 * CALM);
         }
@@ -860,7 +865,7 @@
         let late = now > due_at;
         match outcome {
             Outcome::Answered if !late && self.out_now + 2.0 >= 0.6 * self.window => {
-                self.window += 0.1 * share
+                self.window += 0.1 * value
             }
             Outcome::Answered if !late => {}
             Outcome::Answered | Outcome::TimedOut | Outcome::Full => {
@@ -897,9 +902,7 @@
                 self.cut(at);
                 self.credit(at, if r.ahead < FIRST_LIMIT { -0.25 } else { 0.0 });
                 if self.duty.heartbeats == 0 {
-                    let full = self.limit_of(&self.endpoints[at]) + 1.0;
-                    let e = &mut self.endpoints[at];
-                    (e.holds, e.heard) = (e.holds.max(full * e.size), Some(now));
+                    self.judge(at, verb, outcome, OUTCOMES);
                 }
             }
             Outcome::TimedOut => self.slow_answer(&r, verb, spent),
