--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -137,6 +137,7 @@
             usual: Pace { mean: 1.0, ..Pace::default() },
             limit: FIRST_LIMIT,
             window: 1e6,
+            worth: 0.5,
             well: 1.0,
             listed: 1.0,
             faith: 1.0,
@@ -851,6 +852,8 @@
         let c = self.commands.get_mut(cmd)?.as_mut()?;
         let (verb, in_time, due_at) = (c.verb, now <= c.due, c.due);
         let value = (c.value / c.best).clamp(0.05, 1.0);
+        self.worth += LEAST_GAIN * (value - self.worth);
+        let value = value / self.worth;
         let r = c.relays.get_mut(n).filter(|r| r.outcome.is_none())?;
         r.outcome = Some(outcome);
         let (r, at) = (*r, r.endpoint);
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -275,6 +275,7 @@
     pub(crate) limit: f64,       // the usual one, at the usual size
     pub(crate) window: f64,      // the same of what is out from here in all
     pub(crate) out_now: f64,
+    pub(crate) worth: f64, // of a usual command, against the best
     pub(crate) well: f64, // share of relays that are answered
     pub(crate) faith: f64, // credit of reports as a whole
     pub(crate) spare: f64, // further relays allowed now
