Base weight learns how fast a kind answers; zones share the homes of keys

Now an endpoint's size is its list's weight by how fast its kind answers (the kind's index, its times only). And each zone remembered every key by itself: an endpoint holds four to eight keys, so homes are now ranked by the root of the base weight.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -226,7 +226,8 @@
             let (now, len) = (self.now, self.endpoints.len().max(entry.endpoint + 1));
             self.endpoints.resize_with(len, Endpoint::unknown);
             let e = &mut self.endpoints[entry.endpoint];
-            (e.mark, e.zone, e.cell, e.known) = (entry.mark, entry.zone, entry.cell, true);
+            (e.mark, e.zone, e.cell, e.known, e.kind) =
+                (entry.mark, entry.zone, entry.cell, true, entry.kind);
             e.rating = entry.rating.clamp(0.01, 1e6);
             // A live weight is the size by one more than what is held: the most seen is the size.
             if self.duty.live_weights {
@@ -358,6 +359,15 @@
         }
     }
 
+    /// Size by the list, and by how fast the answers of its kind are, which the list may not tell.
+    pub(crate) fn size(&self, e: &Endpoint) -> f64 {
+        let faster = self.kinds.get(e.kind).filter(|k| k.count > 0.0).map_or(1.0, |k| {
+            let (mean, _) = k.read(self.now, 10 * CALM, &Pace { count: 0.0, ..self.usual });
+            self.usual.mean / mean.max(1e-6)
+        });
+        e.rating * faster.clamp(0.2, 5.0)
+    }
+
     // ---- ordinary path: score, weight, draw ----
 
     /// By the list and the zone, or by what routes say of a play; with none named, its most.
@@ -765,7 +775,7 @@
             let luck = ((mixed ^ mixed >> 32) & 0xffff_ffff) as f64 / 4_294_967_296.0;
             // A pass is for whatever comes next.
             let first = if self.cold(e) { 0.0 } else { 1.0 };
-            (first * -luck.max(1e-12).ln() / self.base(e, Some(c.play)).max(1e-9), at)
+            (first * -luck.max(1e-12).ln() / self.base(e, Some(c.play)).sqrt().max(1e-9), at)
         };
         let tried = |at: &EndpointIx| c.relays.iter().any(|r| r.endpoint == *at);
         let ready =
@@ -889,6 +899,10 @@
                 let pace = v.pace(&r, spent);
                 v.usual.note(now, spent.as_secs_f64(), 10 * CALM);
                 self.usual.note(now, pace, 10 * CALM);
+                if self.duty.heartbeats == 0 {
+                    self.kinds.resize(self.kinds.len().max(e.kind + 1), Pace::default());
+                    self.kinds[e.kind].note(now, pace, 10 * CALM);
+                }
                 e.pace.note(now, pace, 2 * CALM);
                 let (goal, limit) = (v.goal, self.limit_of(&self.endpoints[at]));
                 if spent > goal.mul_f64(0.85) {
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -154,6 +154,7 @@
 pub struct Endpoint {
     pub mark: u64,
     pub zone: usize,
+    pub kind: usize,
     pub cell: usize,
     pub rating: f64,
     pub nominal: f64, // the most that a live weight came to
@@ -191,6 +192,7 @@
         Endpoint {
             mark: 0,
             zone: 0,
+            kind: 0,
             cell: 0,
             rating: 1.0,
             nominal: 0.0,
@@ -261,8 +263,9 @@
     pub(crate) next_survey: Duration,
     pub(crate) commands: Vec<Option<Command>>,
     pub(crate) queue: Vec<CmdIx>,
-    pub(crate) mix: Vec<Faded>, // arrivals by company
-    pub(crate) usual: Pace,     // pace of all endpoints, against each verb's usual
+    pub(crate) mix: Vec<Faded>,  // arrivals by company
+    pub(crate) kinds: Vec<Pace>, // the same by kind
+    pub(crate) usual: Pace,      // pace of all endpoints, against each verb's usual
     pub(crate) rtt: Duration,
     pub(crate) sends: Faded,
     pub(crate) all_sends: Faded,
@@ -276,7 +279,7 @@
     pub(crate) window: f64,      // the same of what is out from here in all
     pub(crate) out_now: f64,
     pub(crate) worth: f64, // of a usual command, against the best
-    pub(crate) well: f64, // share of relays that are answered
+    pub(crate) well: f64,  // share of relays that are answered
     pub(crate) faith: f64, // credit of reports as a whole
     pub(crate) spare: f64, // further relays allowed now
     pub(crate) listening: bool,
@@ -399,7 +402,8 @@
     /// What the list comes to: sizes, the cold ones, the warm ones as a table to draw from by base weight.
     pub(crate) fn survey(&mut self) {
         let wait = self.part();
-        let ratings = self.endpoints.iter().filter(|e| e.listed).map(|e| e.rating);
+        let sizes: Vec<f64> = self.endpoints.iter().map(|e| self.size(e)).collect();
+        let ratings = self.endpoints.iter().zip(&sizes).filter(|(e, _)| e.listed).map(|(_, size)| *size);
         let (sum, count) = ratings.fold((0.0, 0.0), |(s, n): (f64, f64), r| (s + r, n + 1.0));
         (self.listed, self.warm, self.next_survey) = (f64::max(count, 1.0), 0.0, Duration::MAX);
         if wait {
@@ -408,7 +412,7 @@
         (self.table, self.colds) = (Vec::new(), Vec::new());
         let mut mass = 0.0;
         for at in 0..self.endpoints.len() {
-            self.endpoints[at].size = self.endpoints[at].rating * if sum > 0.0 { count / sum } else { 1.0 };
+            self.endpoints[at].size = sizes[at] * if sum > 0.0 { count / sum } else { 1.0 };
             let e = &self.endpoints[at];
             if e.listed && self.cold(e) {
                 self.colds.push(at);
@@ -420,6 +424,9 @@
             }
             self.table.push(mass);
         }
+        if self.duty.heartbeats == 0 {
+            self.next_survey = self.next_survey.min(self.now + Duration::from_secs(1));
+        }
         // Many become warm one by one: a while later is early enough.
         self.next_survey = self.next_survey.max(self.now + self.duty.warm_within / 16);
     }
