--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -411,8 +411,8 @@
         }
         (self.table, self.colds) = (Vec::new(), Vec::new());
         let mut mass = 0.0;
-        for at in 0..self.endpoints.len() {
-            self.endpoints[at].size = sizes[at] * if sum > 0.0 { count / sum } else { 1.0 };
+        for (at, size) in sizes.into_iter().enumerate() {
+            self.endpoints[at].size = size * if sum > 0.0 { count / sum } else { 1.0 };
             let e = &self.endpoints[at];
             if e.listed && self.cold(e) {
                 self.colds.push(at);
