A watch mode: counts by kind what other settings would have decided otherwise

Before operators switch settings they want to see what would change. A watch block of the configuration is laid over the settings; a second module hears every event with the lead's draws, its decisions are counted by kind and dropped, and it is brought back to what was done. Tests: what is done is the same to the action with and without a watch; the same settings never decide otherwise; another shape is counted (in the module and between stand-ins on sockets); faulty blocks name the place and exit 2.

The subject of a command comes from Req-Extra (name_key), an unknown word for weights is now an error.

--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod choice;
 pub mod door;
 mod state;
+pub mod watch;
 
 use std::time::Duration;
 
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -38,6 +38,11 @@
         *self = Faded { sum: self.sum * fade(now, self.at, over) + 1.0, at: now, from };
     }
 
+    /// One less, of those just added.
+    pub fn take_back(&mut self) {
+        self.sum = (self.sum - 1.0).max(0.0);
+    }
+
     /// Counts a second, also while there are counts of a shorter time only.
     pub fn young_rate(&self, now: Duration, over: Duration) -> f64 {
         let young = now.saturating_sub(self.from).clamp(over / 32, over).as_secs_f64();
@@ -132,6 +137,7 @@
 }
 
 /// For one command.
+#[derive(Clone)]
 pub struct Command {
     pub verb: usize,
     pub play: usize,
@@ -378,6 +384,42 @@
         }
     }
 
+    /// Takes over what another instance did in place of what this one would have done, for the watch.
+    pub(crate) fn follow(&mut self, now: Duration, lead: &Balancer, done: &[Action], would: &[Action]) {
+        let over = 4 * Duration::from_secs(2);
+        for (actions, back) in [(would, true), (done, false)] {
+            for action in actions {
+                let Action::Relay { endpoint, .. } = action else { continue };
+                let Some(e) = self.endpoints.get_mut(*endpoint) else { continue };
+                if back {
+                    e.sends.take_back();
+                    self.sends.take_back();
+                    self.all_sends.take_back();
+                    e.holds -= 1.0;
+                } else {
+                    e.sends.add(now, over);
+                    self.sends.add(now, over / 4);
+                    self.all_sends.add(now, over);
+                    e.holds = e.holds.max(0.0) + 1.0;
+                }
+            }
+        }
+        let keys: Vec<_> = self.commands.iter().map(|c| c.as_ref().and_then(|c| c.key)).collect();
+        self.commands = lead.commands.clone();
+        for (command, key) in self.commands.iter_mut().zip(keys) {
+            command.iter_mut().for_each(|c| c.key = key);
+        }
+        self.endpoints.resize_with(lead.endpoints.len(), Endpoint::unknown);
+        for (e, led) in self.endpoints.iter_mut().zip(&lead.endpoints) {
+            e.out.clone_from(&led.out);
+            (e.used, e.probing, e.pass_until) = (led.used, led.probing, led.pass_until);
+        }
+        self.queue.clone_from(&lead.queue);
+        (self.spare, self.wake, self.ask_at) = (lead.spare, lead.wake, lead.ask_at);
+        (self.shedding, self.shed_at, self.listening) = (lead.shedding, lead.shed_at, lead.listening);
+        self.out_now = self.endpoints.iter().map(|e| e.out.len() as f64).sum();
+    }
+
     /// Gives back the slots of endpoints that have left, once nothing is out on them and no command speaks of them.
     /// Guards against a list that changes all day: what is held would grow with every id that ever was.
     fn part(&mut self) -> bool {
--- a/crates/passroad-orders/src/lib.rs
+++ b/crates/passroad-orders/src/lib.rs
@@ -114,6 +114,9 @@
     let zones = at.words("/dcs")?;
     let own = at.word("/az", "")?;
     let weights = at.word("/weights", "silent")?;
+    if !["silent", "nominal", "rough", "live"].contains(&weights.as_str()) {
+        return Err(format!("settings: /weights is '{weights}', not silent, nominal, rough or live"));
+    }
     Ok(StandingOrders {
         seed,
         zone: zones.iter().position(|z| *z == own).unwrap_or(usize::MAX),
--- a/crates/passroad-rig/src/baseline.rs
+++ b/crates/passroad-rig/src/baseline.rs
@@ -42,7 +42,7 @@
                 }
                 _ => None,
             };
-            let mut steered = Steered::new(orders, routes);
+            let mut steered = Steered::new(orders, None, routes);
             for (n, endpoint) in plan.endpoints.iter().enumerate() {
                 steered.name(n, &format!("e{n}"), &plan.kinds[endpoint.kind]);
             }
--- a/crates/passroad-routes/src/lib.rs
+++ b/crates/passroad-routes/src/lib.rs
@@ -11,7 +11,7 @@
 pub use text::{Place, PoolOrder, RouteOrder, RouteOrders, read};
 pub use zone::Health;
 
-use passroad_choice::choice::Balancer;
+use passroad_choice::watch::{Counts, Watched};
 use passroad_choice::{Action, CmdIx, EndpointIx, Event, ListKind, StandingOrders};
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 
 /// The decision module, with routes before it where there are any.
 pub struct Steered {
-    balancer: Balancer,
+    balancer: Watched,
     router: Option<Router>,
     goals: Vec<Duration>,
     return_after: Option<Duration>,
@@ -31,16 +31,22 @@
 }
 
 impl Steered {
-    pub fn new(orders: StandingOrders, routes: Option<RouteOrders>) -> Self {
+    /// With `watch`, a second module with those orders is asked beside the one that decides.
+    pub fn new(orders: StandingOrders, watch: Option<StandingOrders>, routes: Option<RouteOrders>) -> Self {
         Steered {
             router: routes.map(|routes| Router::new(routes, &orders)),
             goals: orders.verbs.iter().map(|v| v.goal).collect(),
             return_after: orders.max_retry_after,
             out: Vec::new(),
-            balancer: Balancer::new(orders),
+            balancer: Watched::new(orders, watch),
         }
     }
 
+    /// What the watched orders would have made of the decisions so far, where there are any.
+    pub fn counts(&self) -> Option<Counts> {
+        self.balancer.counts()
+    }
+
     /// What the slot of an endpoint is called outside; told before a list speaks of it.
     pub fn name(&mut self, endpoint: EndpointIx, id: &str, kind: &str) {
         if let Some(router) = &mut self.router {
@@ -125,7 +131,7 @@
 }
 
 fn steer(
-    balancer: &mut Balancer,
+    balancer: &mut Watched,
     now: Duration,
     weights: Vec<(usize, EndpointIx, f64)>,
     out: &mut Vec<Action>,
@@ -172,7 +178,7 @@
         fn new(routes: &str) -> Rig {
             let orders = text::tests::orders();
             let routes = read(routes, &orders).expect("routes");
-            let mut rig = Rig { steered: Steered::new(orders, Some(routes)), next: 0, now: 0 };
+            let mut rig = Rig { steered: Steered::new(orders, None, Some(routes)), next: 0, now: 0 };
             rig.list(ListKind::All, (0..12).map(|e| listing(e, Mode::Running)).collect());
             rig
         }
@@ -351,7 +357,7 @@
         let routes = "[[route]]\nverbs = [\"look\"]\npool = \"x\"\n[[route]]\npool = \"y\"\n";
         let orders = text::tests::orders();
         let read = read(&format!("{}{}{routes}", pool("x"), pool("y")), &orders).expect("routes");
-        let mut rig = Rig { steered: Steered::new(orders, Some(read)), next: 0, now: 0 };
+        let mut rig = Rig { steered: Steered::new(orders, None, Some(read)), next: 0, now: 0 };
         (0..12).for_each(|e| rig.steered.name(e, if e % 2 == 0 { "x" } else { "y" }, ""));
         rig.list(ListKind::All, (0..12).map(|e| listing(e, Mode::Running)).collect());
         rig.spread(200, 0.3);
@@ -437,7 +443,7 @@
         let routes = "[[pool]]\nname = \"e\"\nlabels = [\"e-\"]\nkinds = [\"big\"]\ntiers = [[\"own\"]]\n[[route]]\npool = \"e\"\n";
         let orders = text::tests::orders();
         let mut rig = Rig {
-            steered: Steered::new(orders.clone(), Some(read(routes, &orders).expect("routes"))),
+            steered: Steered::new(orders.clone(), None, Some(read(routes, &orders).expect("routes"))),
             next: 0,
             now: 0,
         };
--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -26,6 +26,7 @@
     pub budget: Duration,
     pub last: Duration, // when the answer must be there, whatever the module says
     pub again: bool,
+    pub key: Option<u64>,
 }
 
 pub async fn run(desk: Arc<Desk>, need: Need, cargo: Cargo, front: oneshot::Sender<Answer>) {
@@ -35,7 +36,7 @@
         cmd,
         verb: need.verb,
         company: need.company,
-        key: None,
+        key: need.key,
         budget: need.budget,
         work: None,
         again: need.again,
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -62,6 +62,7 @@
 impl Desk {
     pub fn new(
         orders: StandingOrders,
+        watch: Option<StandingOrders>,
         routes: Option<RouteOrders>,
         dialer: Dialer,
         probe_within: Duration,
@@ -80,7 +81,7 @@
             dialer,
             pulse: Mutex::new(Pulse { last: Instant::now(), stood: Duration::ZERO, since: Instant::now() }),
             held: Mutex::new(Held {
-                balancer: Steered::new(orders, routes),
+                balancer: Steered::new(orders, watch, routes),
                 commands: Door::new(),
                 admitted: 0,
                 seats: Vec::new(),
@@ -119,6 +120,25 @@
         gap.or((pulse.since.elapsed() < STALL).then_some(pulse.stood)).unwrap_or_default()
     }
 
+    /// Says each time what the watched settings would have decided otherwise so far, while the sidecar runs.
+    pub async fn tell_watch(self: Arc<Self>, every: Duration) {
+        loop {
+            tokio::time::sleep(every).await;
+            self.say_watch();
+        }
+    }
+
+    pub fn say_watch(&self) {
+        if let Some(counts) = self.held().balancer.counts() {
+            log::info!(
+                same = counts.same, elsewhere = counts.elsewhere, turned_away = counts.turned_away,
+                waited = counts.waited, no_copy = counts.copies, taken = counts.taken, sooner = counts.sooner,
+                no_probe = counts.probes;
+                "watched settings: {counts}"
+            );
+        }
+    }
+
     /// A panic elsewhere must not end every later command: what is held stays in use.
     fn held(&self) -> MutexGuard<'_, Held> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -11,6 +11,7 @@
 use axum::response::{IntoResponse, Response};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
+use passroad_choice::door::mark;
 use passroad_choice::{Effect, StandingOrders, VerbOrder};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -174,6 +175,9 @@
             Some("1") => true,
             Some(_) => return None,
         };
+        // What it is about, where endpoints remember that: one of the further figures, `name=value,name=value`.
+        let figures = single(headers, "req-extra")?.unwrap_or_default();
+        let about = figures.split(',').find_map(|pair| pair.trim().strip_prefix("name_key="));
         let margin = MARGIN.min(limit / 20);
         (!id.is_empty() && !limit.is_zero() && marked).then(|| Need {
             verb,
@@ -181,6 +185,7 @@
             budget: limit - margin,
             last: limit - margin / 2,
             again,
+            key: about.filter(|about| !about.is_empty() && *about != "-").map(mark),
         })
     }
 }
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -128,14 +128,23 @@
     let kept = start::Kept::of(&start);
     let (moves, at) = tokio::sync::watch::channel(start.discovery);
     let orders = start.orders.clone();
-    let desk = desk::Desk::new(start.orders, start.routes, dialer, start.connect_within / 5, calls);
+    let watch = start.watch.map(|mut watch| {
+        watch.orders.idle_close = dialer.idle();
+        watch
+    });
+    let (every, watch) = watch.map(|watch| (watch.every, watch.orders)).unzip();
+    let desk = desk::Desk::new(start.orders, watch, start.routes, dialer, start.connect_within / 5, calls);
+    if let Some(every) = every {
+        tokio::spawn(Arc::clone(&desk).tell_watch(every));
+    }
     let revision = start.known.as_ref().map(|list| list.revision);
     // An empty one, too: the module calls discovery from there on.
     desk.listed(passroad_choice::ListKind::Remembered, &start.known.unwrap_or_default());
     tokio::spawn(Arc::clone(&desk).beat());
     tokio::spawn(list::follow(Arc::clone(&desk), at, hold, revision, called));
     tokio::spawn(start::read_again(files, hangups, kept, moves));
-    let intake = intake::Intake::new(desk, &orders, start.memory, stages.clone());
+    let intake = intake::Intake::new(Arc::clone(&desk), &orders, start.memory, stages.clone());
     front::serve(listener, front::Front::new(most, start.sockets / 6, stages), intake, longest).await;
+    desk.say_watch();
     Ok(())
 }
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -19,12 +19,33 @@
     pub memory: usize, // bytes
     pub known: Option<List>,
     pub orders: StandingOrders,
+    /// Orders that are only watched: what they would have decided otherwise is counted.
+    pub watch: Option<Watch>,
     pub connect_within: Duration,
     /// Which pool serves what, where a file says so.
     pub routes: Option<RouteOrders>,
     settings: serde_json::Value,
 }
 
+/// Settings of another shape, and how often the log says what they would have decided otherwise.
+pub struct Watch {
+    pub orders: StandingOrders,
+    pub every: Duration,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Watched {
+    /// Laid over `settings`, key by key; null takes a key out.
+    settings: serde_json::Value,
+    #[serde(default = "each_minute")]
+    every_s: f64,
+}
+
+fn each_minute() -> f64 {
+    60.0
+}
+
 #[derive(Deserialize)]
 struct Told {
     name: Option<String>,
@@ -35,6 +56,7 @@
     limits: Limits,
     known: Option<List>,
     settings: serde_json::Value,
+    watch: Option<Watched>,
 }
 
 #[derive(Deserialize)]
@@ -69,12 +91,13 @@
 /// What a start would say of these files, without one.
 pub fn check(files: &Files) -> Result<String, String> {
     let start = read(files)?;
+    let watch = if start.watch.is_some() { ", with other settings watched" } else { "" };
     let (verbs, zones) = (start.orders.verbs.len(), start.orders.zones.len());
     let routes = match &start.routes {
         Some(routes) => format!("{} routes to {} pools", routes.routes.len(), routes.pools.len()),
         None => "no routes".into(),
     };
-    Ok(format!("{}: {verbs} verbs, {zones} zones, {routes}: nothing is wrong", start.name))
+    Ok(format!("{}: {verbs} verbs, {zones} zones, {routes}{watch}: nothing is wrong", start.name))
 }
 
 /// Reads the file of routes that `LB_ROUTES` names, against the settings that it is to work with.
@@ -150,7 +173,9 @@
         (None, Some(text)) => text.parse().map_err(|e| format!("{name}: {e}")),
         (None, None) => Err(format!("no address: {name} is not set either")),
     };
+    let watch = told.watch.map(|watch| watched(seed, &told.settings, watch)).transpose();
     Ok(Start {
+        watch: watch.map_err(|fault| format!("watch: {fault}"))?,
         listen: address(told.listen, "LB_LISTEN")?,
         discovery: address(told.discovery, "LB_DISCOVERY")?,
         sockets: told.limits.sockets,
@@ -164,6 +189,39 @@
     })
 }
 
+/// Guards against a watch that counts nothing comparable: what commands are and where the sidecar stands can't differ.
+fn watched(seed: u64, settings: &serde_json::Value, watch: Watched) -> Result<Watch, String> {
+    let over = watch.settings.as_object().ok_or("settings: not an object")?;
+    if let Some(key) =
+        ["verbs", "tenants", "dcs", "az", "discovery", "tick"].iter().find(|key| over.contains_key(**key))
+    {
+        return Err(format!("settings: /{key} must be as it is"));
+    }
+    if !(0.1..=86_400.0).contains(&watch.every_s) {
+        return Err(format!("every_s: {} is not from 0.1 to 86400", watch.every_s));
+    }
+    let mut whole = settings.clone();
+    lay_over(&mut whole, &watch.settings);
+    let orders = passroad_orders::from_value(seed, &whole)?;
+    Ok(Watch { orders, every: Duration::from_secs_f64(watch.every_s) })
+}
+
+/// As RFC 7396 has it.
+fn lay_over(under: &mut serde_json::Value, over: &serde_json::Value) {
+    let Some(keys) = over.as_object() else { return under.clone_from(over) };
+    if !under.is_object() {
+        *under = serde_json::json!({});
+    }
+    let Some(held) = under.as_object_mut() else { return };
+    for (key, value) in keys {
+        if value.is_null() {
+            held.remove(key);
+        } else {
+            lay_over(held.entry(key).or_insert(serde_json::Value::Null), value);
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -358,6 +358,65 @@
     assert_eq!(home.count(), before);
 }
 
+// ---- settings that are only watched ----
+
+const WATCH: &str = r#""watch":{"every_s":0.2,"settings":{"domain":{"warm_keys":true},
+ "allowed":{"probes":false,"second_copies":false}}},"settings""#;
+
+#[rstest]
+fn watched_settings_are_counted_and_change_nothing() {
+    let endpoint = willing("ok");
+    let list =
+        (0..6).map(|n| member(&format!("s-{n}"), endpoint.address, "up")).collect::<Vec<_>>().join(",");
+    let address = nowhere();
+    let text = told(address, nowhere(), &list, SETTINGS).replacen("\"settings\"", WATCH, 1);
+    let (mut command, folder) = program(&text);
+    let child = command.env("RUST_LOG", "info").spawn().unwrap();
+    until(|| std::net::TcpStream::connect(address).is_ok());
+    let mut client = std::io::BufReader::new(std::net::TcpStream::connect(address).unwrap());
+    for n in 0..40 {
+        let about = format!("\r\nReq-Extra: hint=3,name_key=lot:{}\r\n\r\n", n % 5);
+        let command = look(&format!("w{n}")).replace("\r\n\r\n", &about);
+        assert_eq!(ask(&mut client, &command).unwrap().word(), "200");
+    }
+    assert_eq!(endpoint.count(), 40);
+    drop(client);
+    let kill = format!("kill -TERM {}", child.id());
+    assert!(std::process::Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    let output = child.wait_with_output().unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    let _ = std::fs::remove_dir_all(folder);
+    let last = said.lines().rfind(|line| line.contains("watched settings: same ")).expect("a line of counts");
+    let number = |name: &str| -> u64 {
+        let rest = last.split_once(&format!("{name} ")).expect("the kind").1;
+        rest.split(|c: char| !c.is_ascii_digit()).next().unwrap().parse().unwrap()
+    };
+    // Each of the forty was sent; the other would have sent it, too, and to its key's home in place of any endpoint.
+    assert_eq!(number("same") + number("elsewhere") + number("waited"), 40, "{last}");
+    assert!(number("elsewhere") > 5 && number("no probe") > 0, "{last}");
+}
+
+#[rstest]
+#[case::odd_flag(
+    r#"{"settings":{"domain":{"warm_keys":"some"}}}"#,
+    "watch: settings: /domain/warm_keys is not true or false"
+)]
+#[case::odd_weights(r#"{"settings":{"weights":"heavy"}}"#, "watch: settings: /weights is 'heavy'")]
+#[case::other_verbs(r#"{"settings":{"verbs":[]}}"#, "watch: settings: /verbs must be as it is")]
+#[case::odd_time(r#"{"settings":{},"every_s":0}"#, "watch: every_s: 0 is not from 0.1")]
+#[case::unknown(r#"{"settings":{},"evry":1}"#, "unknown field `evry`")]
+#[case::no_settings(r#"{"every_s":1}"#, "missing field `settings`")]
+fn a_faulty_watch_ends_the_start_and_names_the_place(#[case] watch: &str, #[case] fault: &str) {
+    let text = told(nowhere(), nowhere(), "", SETTINGS);
+    let text = text.replacen("\"settings\"", &format!("\"watch\":{watch},\"settings\""), 1);
+    let (mut command, folder) = program(&text);
+    let output = command.output().unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    let _ = std::fs::remove_dir_all(folder);
+    assert!(said.contains(fault), "{said}");
+    assert_eq!(output.status.code(), Some(2), "{said}");
+}
+
 // ---- endpoints in trouble ----
 
 /// What an endpoint does with a command, and what the client is told of an effectful one.
