--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -15,7 +15,7 @@
 pub use crate::state::Balancer;
 use crate::state::{
     ALARM_COPY, ALARM_GOAL, ALARM_LIST, ALARM_QUEUE, Command, DutySheet, Endpoint, Faded, Few, May, Pace,
-    Relay, VerbDuty, fade,
+    Relay, VerbDuty, fade, luck,
 };
 use crate::*;
 use std::time::Duration;
@@ -33,7 +33,7 @@
 const RISK: f64 = 2.0; // a sure failure, as commands ahead; five times that where it is the last word
 const ROUNDS: u32 = 1; // of heartbeats after the first, for one command
 const SMALL: usize = 32; // endpoints; so few are all in view
-const LEAST_GAIN: f64 = 0.02; // of a sample, however many came before
+pub(crate) const LEAST_GAIN: f64 = 0.02; // of a sample, however many came before
 const FEW: f64 = 0.1; // a second; so little asked says little of how a verb is served
 const KEY_SLOTS: usize = 4096;
 const HOMES: f64 = 1.5; // for a key, against those that its part of all commands would fill
@@ -41,43 +41,22 @@
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
 
 impl Endpoint {
-    /// Share of successes among the last few outcomes, of all verbs and of this one. Guards against a verb that
-    /// hangs where others are answered; its failures fade, as nothing else would show that they are over.
+    /// Share of successes among the last few outcomes, of all verbs and of this one. Guards against a verb
+    /// that hangs where others are answered; its failures fade, as nothing else would show their end.
     fn health(&self, now: Duration, verb: Option<usize>) -> f64 {
         let own = |few: &Few| 1.0 - (1.0 - few.good(OUTCOMES)) * fade(now, few.failed, 4 * CALM);
         verb.and_then(|v| self.by_verb.get(v)).map_or(1.0, own).min(self.last.good(OUTCOMES))
     }
 
-    /// Whether next to all of this verb hangs here while another is answered. An overload spares none.
-    fn hangs(&self, now: Duration, verb: usize) -> bool {
-        let hung = self.by_verb.get(verb).is_some_and(|few| few.hung && few.good(OUTCOMES) < 0.25);
-        let answered = |few: &Few| few.seen >= OUTCOMES / 2 && few.good(OUTCOMES) > 0.75;
-        hung && self.by_verb.iter().any(answered) && self.health(now, Some(verb)) < 0.25
-    }
-
     /// Another process now, or taken for one: nothing that is known of the old one holds.
     fn start_cold(&mut self, since: Duration) {
         let met = self.met;
         self.forget();
         (self.up_since, self.pass_until, self.met) = (Some(since), Duration::ZERO, met);
     }
-
-    fn forget(&mut self) {
-        (self.last, self.by_verb, self.harm, self.pace) = (Few::default(), Vec::new(), 0, Pace::default());
-        (self.misses, self.try_at, self.tried, self.met) = (0, Duration::ZERO, Duration::ZERO, false);
-    }
 }
 
 impl Pace {
-    fn note(&mut self, now: Duration, value: f64, calm: Duration) {
-        self.count = self.count * fade(now, self.at, calm) + 1.0;
-        self.at = now;
-        let gain = (1.0 / self.count).max(LEAST_GAIN);
-        let off = value - self.mean;
-        self.mean += gain * off;
-        self.spread += gain * (off.abs() - self.spread);
-    }
-
     /// Mean, and a tail of two spreads above it. Few samples say little of a mean and less of a tail: both
     /// are drawn toward the usual.
     fn read(&self, now: Duration, calm: Duration, usual: &Pace) -> (f64, f64) {
@@ -226,14 +205,13 @@
             let (now, len) = (self.now, self.endpoints.len().max(entry.endpoint + 1));
             self.endpoints.resize_with(len, Endpoint::unknown);
             let e = &mut self.endpoints[entry.endpoint];
-            (e.mark, e.zone, e.cell, e.known, e.kind) =
-                (entry.mark, entry.zone, entry.cell, true, entry.kind);
+            (e.mark, e.kind, e.zone, e.cell, e.known) =
+                (entry.mark, entry.kind, entry.zone, entry.cell, true);
             e.rating = entry.rating.clamp(0.01, 1e6);
             // A live weight is the size by one more than what is held: the most seen is the size.
             if self.duty.live_weights {
                 e.nominal = e.nominal.max(e.rating);
-                e.holds = e.nominal / e.rating - 1.0;
-                e.rating = e.nominal;
+                (e.holds, e.rating) = (e.nominal / e.rating - 1.0, e.nominal);
             }
             (e.listed, e.gone) = (entry.mode == Mode::Running, entry.mode == Mode::Deleted);
             let young = !entry.started.is_zero() && now.saturating_sub(entry.started) < self.duty.warm_within;
@@ -272,7 +250,7 @@
         }
     }
 
-    /// Which endpoints are in play, and with which base weight, is decided before; what is drawn among them is here.
+    /// Which endpoints are in play, and with which base weight, is decided before; the draw is here.
     fn steer(&mut self, weights: Vec<(usize, EndpointIx, f64)>) {
         self.steered = true;
         for (play, endpoint, weight) in weights {
@@ -359,15 +337,6 @@
         }
     }
 
-    /// Size by the list, and by how fast the answers of its kind are, which the list may not tell.
-    pub(crate) fn size(&self, e: &Endpoint) -> f64 {
-        let faster = self.kinds.get(e.kind).filter(|k| k.count > 0.0).map_or(1.0, |k| {
-            let (mean, _) = k.read(self.now, 10 * CALM, &Pace { count: 0.0, ..self.usual });
-            self.usual.mean / mean.max(1e-6)
-        });
-        e.rating * faster.clamp(0.2, 5.0)
-    }
-
     // ---- ordinary path: score, weight, draw ----
 
     /// By the list and the zone, or by what routes say of a play; with none named, its most.
@@ -430,10 +399,6 @@
         let (verb, play) = (of.map(|(verb, _)| verb), of.map(|(_, play)| play));
         let (usual, risk) = (self.usual_load(), need.map_or(RISK, |(_, risk)| risk));
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e) && self.base(e, play) > 0.0;
-        // Guards against what hangs as a resort while the well are full for a moment: a command rather waits.
-        let hangs = |e: &Endpoint| verb.is_some_and(|v| e.hangs(self.now, v));
-        let well = ats.iter().any(|at| ready(&self.endpoints[*at]) && !hangs(&self.endpoints[*at]));
-        let ready = |e: &Endpoint| ready(e) && !(well && hangs(e));
         // Guards against a crowd of unheard ones, each a little likely, that outweighs one known to be idle,
         // and against one that fails fast: it looks idle, and draws what it then fails.
         let doubt = if self.duty.heartbeats > 0 { (1.0 - usual).max(0.0) } else { 0.0 };
@@ -457,7 +422,7 @@
             }
             let (mean, tail) = e.pace.read(self.now, 2 * CALM, &self.usual);
             let load = load / self.ramp(e) + new(e);
-            // Guards against a crowd: where news is older than a service time, what seems least loaded seems so to all.
+            // Guards against a crowd: where news is old, what seems least loaded seems so to all.
             let load = match self.duty.heartbeats {
                 0 => 10.0 - 9.0 * ((load / usual.max(1.0)).max(self.drawn(e)) - 1.0).max(0.0),
                 _ => 10.0 - 40.0 * (load - least),
@@ -471,12 +436,10 @@
         all().map(weight).collect()
     }
 
-    /// Own sends of late against a fair part of them. Where the same key has the same homes at every sidecar, they are
-    /// a sample of what all send; a few say little.
+    /// Own sends of late against a fair part: where keys have the same homes everywhere, a sample of all's.
     fn drawn(&self, e: &Endpoint) -> f64 {
-        let (own, all) = (e.sends.rate(self.now, 4 * CALM), self.all_sends.rate(self.now, 4 * CALM));
-        let of = 4.0 * CALM.as_secs_f64();
-        (own * of + 2.0) / (all * of * e.size / self.warm.max(1.0) + 2.0)
+        let count = |m: &Faded| m.rate(self.now, 4 * CALM) * (4 * CALM).as_secs_f64();
+        (count(&e.sends) + 2.0) / (count(&self.all_sends) * e.size / self.warm.max(1.0) + 2.0)
     }
 
     /// A place among the weights.
@@ -493,10 +456,9 @@
     /// that are older than a service time: each sidecar sees too little traffic to hear of all by answers.
     fn heartbeat(&mut self, of: Option<(usize, usize)>) -> Duration {
         self.look_around();
-        if self.duty.heartbeats == 0 {
-            return Duration::ZERO; // not allowed, also not of an endpoint with a pass
-        }
-        let mut weights = self.weigh(&self.met, of, None, &|e| self.open(e));
+        // None where they are not allowed, also not of an endpoint with a pass.
+        let may = |e: &Endpoint| self.duty.heartbeats > 0 && self.open(e);
+        let mut weights = self.weigh(&self.met, of, None, &may);
         for (e, w) in self.view().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
             *w = if e.probing.is_some() || known || *w <= 0.0 { 0.0 } else { w.max(0.002) };
@@ -559,8 +521,8 @@
     fn take(&mut self, a: Arrival) {
         let v = &self.duty.verbs[a.verb];
         let goal = (v.goal + a.work.unwrap_or_default().mul_f64(v.stretch)).min(v.limit);
-        // Guards against answering repeats that are past their goal: first tries of a verb get the same time, a
-        // last try what is left of the limit, which tells how much is spent. Where repeats are marked, only they.
+        // Guards against answering repeats that are past their goal: first tries of a verb get the same time,
+        // a last try what is left of the limit, which tells how much is spent; where marked, only repeats.
         let odd = a.budget.abs_diff(v.budget) > v.budget / 50;
         let known = odd && v.budget_votes >= 4 && a.again == self.marked;
         let gone = if known { v.limit.saturating_sub(a.budget) } else { Duration::ZERO };
@@ -761,38 +723,26 @@
         self.draw(&weights).map(|n| ats[n])
     }
 
-    /// The few that are to remember a command's key, the same at every sidecar of a zone, as shares of its base weight: as many as its
-    /// part of all commands asks for, and two in reserve. Guards against a key met everywhere and remembered nowhere.
+    /// The few that are to remember a key, the same at every sidecar, with shares of their weight: as many as
+    /// its part of all commands asks for, and two more. Guards against a key met everywhere, remembered
+    /// nowhere. Zones share homes, so the root of the base weight ranks. A pass is for whatever is next.
     fn homes(&self, c: &Command) -> Vec<(EndpointIx, f64)> {
         let Some(key) = c.key else { return Vec::new() };
-        let rate = self.keys[key as usize % KEY_SLOTS].rate(self.now, 4 * CALM);
-        let part = rate / self.arrivals.rate(self.now, 4 * CALM).max(1e-9);
+        let rate = |m: &Faded| m.rate(self.now, 4 * CALM);
+        let part = rate(&self.keys[key as usize % KEY_SLOTS]) / rate(&self.arrivals).max(1e-9);
         let wide = (HOMES * part * self.listed).max(1.0);
-        let place = |at: EndpointIx| {
-            let e = &self.endpoints[at];
-            let mixed = (e.mark ^ key).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            let mixed = (mixed ^ mixed >> 32).wrapping_mul(0xd6e8_feb8_6659_fd93);
-            let luck = ((mixed ^ mixed >> 32) & 0xffff_ffff) as f64 / 4_294_967_296.0;
-            // A pass is for whatever comes next.
-            let first = if self.cold(e) { 0.0 } else { 1.0 };
-            (first * -luck.max(1e-12).ln() / self.base(e, Some(c.play)).sqrt().max(1e-9), at)
+        let ready = |(at, e): &(usize, &Endpoint)| {
+            e.listed && self.open(e) && !c.relays.iter().any(|r| r.endpoint == *at)
         };
-        let tried = |at: &EndpointIx| c.relays.iter().any(|r| r.endpoint == *at);
-        let ready =
-            |at: &EndpointIx| self.endpoints[*at].listed && self.open(&self.endpoints[*at]) && !tried(at);
-        let mut places: Vec<_> = (0..self.endpoints.len()).filter(ready).map(place).collect();
-        let most = places.len().min(wide.ceil() as usize + 2);
-        if most < places.len() {
-            places.select_nth_unstable_by(most, |a, b| a.0.total_cmp(&b.0));
-            places.truncate(most);
-        }
-        places.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let place = |(at, e): (usize, &Endpoint)| match self.cold(e) {
+            true => (0.0, at),
+            false => (luck(e.mark, key) / self.base(e, Some(c.play)).sqrt().max(1e-9), at),
+        };
+        let mut places: Vec<_> = self.endpoints.iter().enumerate().filter(ready).map(place).collect();
+        places.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
         let wide = wide + places.iter().filter(|(place, _)| *place == 0.0).count() as f64;
-        places
-            .into_iter()
-            .enumerate()
-            .map(|(n, (_, at))| (at, (wide - n as f64).clamp(RESERVE, 1.0)))
-            .collect()
+        let share = |(n, (_, at))| (at, (wide - n as f64).clamp(RESERVE, 1.0));
+        places.into_iter().take(wide.ceil() as usize + 2).enumerate().map(share).collect()
     }
 
     fn send(&mut self, cmd: CmdIx, at: EndpointIx) {
@@ -860,32 +810,15 @@
     fn finish(&mut self, cmd: CmdIx, n: usize, outcome: Outcome, spent: Duration) -> Option<EndpointIx> {
         let now = self.now;
         let c = self.commands.get_mut(cmd)?.as_mut()?;
-        let (verb, in_time, due_at) = (c.verb, now <= c.due, c.due);
-        let value = (c.value / c.best).clamp(0.05, 1.0);
-        self.worth += LEAST_GAIN * (value - self.worth);
-        let value = value / self.worth;
+        let (verb, in_time, value) = (c.verb, now <= c.due, (c.value / c.best).clamp(0.05, 1.0));
         let r = c.relays.get_mut(n).filter(|r| r.outcome.is_none())?;
         r.outcome = Some(outcome);
         let (r, at) = (*r, r.endpoint);
-        // What fails at an endpoint that fails more than the others says little of the fleet.
-        let share = value * (self.endpoints[at].health(now, Some(verb)) / self.well).min(1.0);
-        let good = f64::from(u8::from(outcome == Outcome::Answered));
-        self.well = (self.well + LEAST_GAIN * (good - self.well)).max(0.1);
+        self.out_now -= 1.0;
+        self.widen(at, verb, outcome, in_time, value);
         if outcome == Outcome::Answered && !self.cold(&self.endpoints[at]) {
             self.warm_served.add(now, 4 * CALM);
         }
-        self.out_now -= 1.0;
-        let late = now > due_at;
-        match outcome {
-            Outcome::Answered if !late && self.out_now + 2.0 >= 0.6 * self.window => {
-                self.window += 0.1 * value
-            }
-            Outcome::Answered if !late => {}
-            Outcome::Answered | Outcome::TimedOut | Outcome::Full => {
-                self.window = (self.window.min(2.0 * self.out_now + 4.0) - 0.5 * share).max(1.0);
-            }
-            _ => {}
-        }
         let e = &mut self.endpoints[at];
         e.holds -= 1.0;
         e.out.iter().position(|sent| *sent == r.sent).map(|gone| e.out.swap_remove(gone));
@@ -899,10 +832,8 @@
                 let pace = v.pace(&r, spent);
                 v.usual.note(now, spent.as_secs_f64(), 10 * CALM);
                 self.usual.note(now, pace, 10 * CALM);
-                if self.duty.heartbeats == 0 {
-                    self.kinds.resize(self.kinds.len().max(e.kind + 1), Pace::default());
-                    self.kinds[e.kind].note(now, pace, 10 * CALM);
-                }
+                self.kinds.resize(self.kinds.len().max(e.kind + 1), Pace::default());
+                self.kinds[e.kind].note(now, pace, 10 * CALM);
                 e.pace.note(now, pace, 2 * CALM);
                 let (goal, limit) = (v.goal, self.limit_of(&self.endpoints[at]));
                 if spent > goal.mul_f64(0.85) {
@@ -933,6 +864,20 @@
         Some(at)
     }
 
+    /// The limit on what is out from here in all: steps by worth, up while it binds, down for what is late or
+    /// turned away. What fails at an endpoint that fails more than the others says little of the fleet.
+    fn widen(&mut self, at: EndpointIx, verb: usize, outcome: Outcome, in_time: bool, value: f64) {
+        self.worth += LEAST_GAIN * (value - self.worth);
+        let (value, answered) = (value / self.worth, outcome == Outcome::Answered);
+        let share = value * (self.endpoints[at].health(self.now, Some(verb)) / self.well).min(1.0);
+        self.well = (self.well + LEAST_GAIN * (f64::from(u8::from(answered)) - self.well)).max(0.1);
+        if answered && in_time {
+            self.window += if self.out_now + 2.0 >= 0.6 * self.window { 0.1 * value } else { 0.0 };
+        } else if answered || matches!(outcome, Outcome::TimedOut | Outcome::Full) {
+            self.window = (self.window.min(2.0 * self.out_now + 4.0) - 0.5 * share).max(1.0);
+        }
+    }
+
     /// Failures never count as fast answers: a time-out is an answer at least as slow as it lasted.
     fn slow_answer(&mut self, r: &Relay, verb: usize, spent: Duration) {
         let pace = self.duty.verbs[verb].pace(r, spent).max(1.0);
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -1,6 +1,7 @@
 //! What the decisions remember, by how long it lives: for one relay, one command, one endpoint, one verb.
 //! Only shapes and sums stand here; what follows from them is decided in `choice.rs`.
 
+use crate::choice::LEAST_GAIN;
 use crate::{Action, CmdIx, Effect, EndpointIx, Group, Outcome, VerbOrder};
 use std::time::Duration;
 
@@ -18,12 +19,30 @@
     pub at: Duration,
 }
 
+impl Pace {
+    pub fn note(&mut self, now: Duration, value: f64, calm: Duration) {
+        self.count = self.count * fade(now, self.at, calm) + 1.0;
+        self.at = now;
+        let gain = (1.0 / self.count).max(LEAST_GAIN);
+        let off = value - self.mean;
+        self.mean += gain * off;
+        self.spread += gain * (off.abs() - self.spread);
+    }
+}
+
 /// To a third in `over`, to nothing in 32 of it: an exponential but for its far end, at less CPU.
 pub fn fade(now: Duration, since: Duration, over: Duration) -> f64 {
     let spans = now.saturating_sub(since).as_secs_f64() / over.as_secs_f64();
     (1.0 - spans / 32.0).max(0.0).powi(32)
 }
 
+/// What is left to chance of an endpoint's place for a key, the same wherever it is asked: exponential.
+pub fn luck(mark: u64, key: u64) -> f64 {
+    let mixed = (mark ^ key).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ mixed >> 32).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    -(((mixed ^ mixed >> 32) & 0xffff_ffff) as f64 / 4_294_967_296.0).max(1e-12).ln()
+}
+
 /// A count that fades.
 #[derive(Clone, Copy, Default)]
 pub struct Faded {
@@ -100,7 +119,6 @@
     pub bad: u32,
     pub seen: u32,
     pub failed: Duration, // the last bad one
-    pub hung: bool,       // it was a time-out
     pub ailing: bool,     // told of as failing
 }
 
@@ -110,7 +128,7 @@
         self.bad = self.bad << 1 | u32::from(bad);
         self.seen = (self.seen + 1).min(few);
         if bad {
-            (self.failed, self.hung) = (now, outcome == Outcome::TimedOut);
+            self.failed = now;
         }
     }
 
@@ -245,6 +263,12 @@
         self.harmed = if harm { now } else { self.harmed };
     }
 
+    /// Nothing of what was learnt of it.
+    pub fn forget(&mut self) {
+        (self.last, self.by_verb, self.harm, self.pace) = (Few::default(), Vec::new(), 0, Pace::default());
+        (self.misses, self.try_at, self.tried, self.met) = (0, Duration::ZERO, Duration::ZERO, false);
+    }
+
     /// Share of harm among the last few outcomes; it fades, as what is avoided has no more of them.
     pub fn harm(&self, now: Duration, few: u32, over: Duration) -> f64 {
         let count = (self.harm & ((1 << few) - 1)).count_ones();
@@ -441,6 +465,16 @@
         wait
     }
 
+    /// Size by the list, and by how fast the answers of its kind are, which the list may not tell.
+    fn size(&self, e: &Endpoint) -> f64 {
+        let kind = self.kinds.get(e.kind).filter(|_| self.duty.heartbeats == 0);
+        let faster = kind.filter(|k| k.count > 0.0).map_or(1.0, |k| {
+            let n = k.count * fade(self.now, k.at, Duration::from_secs(20));
+            self.usual.mean * (n + 2.0) / (k.mean * n + self.usual.mean * 2.0).max(1e-6)
+        });
+        e.rating * faster.clamp(0.2, 5.0)
+    }
+
     /// What the list comes to: sizes, the cold ones, the warm ones as a table to draw from by base weight.
     pub(crate) fn survey(&mut self) {
         let wait = self.part();
