--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -732,7 +732,7 @@
         let part = rate(&self.keys[key as usize % KEY_SLOTS]) / rate(&self.arrivals).max(1e-9);
         let wide = (HOMES * part * self.listed).max(1.0);
         let ready = |(at, e): &(usize, &Endpoint)| {
-            e.listed && self.open(e) && !c.relays.iter().any(|r| r.endpoint == *at)
+            e.listed && self.now >= e.try_at && self.open(e) && !c.relays.iter().any(|r| r.endpoint == *at)
         };
         let place = |(at, e): (usize, &Endpoint)| match self.cold(e) {
             true => (0.0, at),
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -411,6 +411,19 @@
     assert!(spread.len() > 12, "{spread:?}");
 }
 
+// daepung-auction-web fresh-1 and big-1 with a room cut off: a command whose homes all lie there was declined.
+#[rstest]
+fn what_can_not_be_reached_is_no_home() {
+    let mut b = sidecar(Effect::Pure, 20);
+    (b.duty.warm_keys, b.keys) = (true, vec![Faded::default(); KEY_SLOTS]);
+    (0..20).for_each(|at| b.endpoints[at].mark = mark(&format!("endpoint {at}")));
+    let c = Command { key: Some(7), ..command() };
+    let before: Vec<_> = b.homes(&c).into_iter().map(|(at, _)| at).collect();
+    before.iter().for_each(|at| b.endpoints[*at].try_at = NOW + CALM);
+    let after = b.homes(&c);
+    assert!(after.len() == before.len() && after.iter().all(|(at, _)| !before.contains(at)), "{after:?}");
+}
+
 // A key that half of all commands name would fill one endpoint: it is remembered by as many as it needs.
 #[rstest]
 fn a_popular_key_has_more_homes() {
