--- a/crates/passroad-rig/src/experiment.rs
+++ b/crates/passroad-rig/src/experiment.rs
@@ -975,7 +975,7 @@
         };
         json!({
             "verbs": verbs, "tenants": tenants, "dcs": self.zones, "az": self.zones[zone],
-            "discovery": "on_request", "weights": "static", "report": { "how": how },
+            "discovery": "on_request", "weights": "nominal", "report": { "how": how },
             "allowed": self.allowed, "prices": self.prices, "rules": self.rules, "goal": self.goal,
             "tick": 1_000_000, "surplus_utility": 0.5,
         })
