A fault in what is only watched ends the watch alone; tests for the move's own parts

Read once more: the watched module was asked before the one that decides, and a panic in it would have taken the command along. Now the lead decides first and the other is caught. Tests added where a cause was mended without one: live weights as reports, sizes by kind, the limit on all that is out.

--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -411,6 +411,55 @@
     assert!(spread.len() > 12, "{spread:?}");
 }
 
+// Live weights were read as one: size by one more than what is held, they are the only news of most endpoints.
+#[rstest]
+fn a_live_weight_tells_what_is_held() {
+    let mut b = sidecar(Effect::Pure, 2);
+    (b.duty.heartbeats, b.duty.live_weights) = (0, true);
+    for rating in [1.5, 0.5] {
+        let entries = vec![Listing { rating, ..listing(0, Duration::ZERO) }];
+        b.decide(NOW, Event::Listed { kind: ListKind::Changes, entries });
+    }
+    let e = &b.endpoints[0];
+    assert!((e.holds - 2.0).abs() < 1e-9 && e.rating == 1.5, "{} {}", e.holds, e.rating);
+}
+
+// kochi-main weighs all alike, and its kinds differ by 2.5 in speed.
+#[rstest]
+#[case(0, 1.5)]
+#[case(1, 1.0)]
+fn without_heartbeats_a_faster_kind_is_larger(#[case] heartbeats: usize, #[case] at_least: f64) {
+    let mut b = sidecar(Effect::Pure, 2);
+    (b.duty.heartbeats, b.endpoints[1].kind, b.kinds) = (heartbeats, 1, vec![Pace::default(); 2]);
+    (0..50).for_each(|n| b.kinds[n % 2].note(NOW, if n % 2 == 0 { 0.5 } else { 1.5 }, CALM));
+    b.survey();
+    let ratio = b.endpoints[0].size / b.endpoints[1].size;
+    assert!(ratio >= at_least && (heartbeats == 0 || ratio == 1.0), "{ratio}");
+}
+
+// daepung-auction-web big-2: ten of fifty boxes failed, and the limit on all turned away what the others could do.
+#[rstest]
+fn late_answers_cut_the_limit_on_all_and_less_so_where_one_fails_alone() {
+    let cut = |failing: bool| {
+        let mut b = sidecar(Effect::Pure, 2);
+        (b.window, b.out_now) = (20.0, 19.0);
+        (0..OUTCOMES).for_each(|_| {
+            b.judge(0, 0, if failing { Outcome::TimedOut } else { Outcome::Answered }, OUTCOMES)
+        });
+        b.widen(0, 0, Outcome::TimedOut, false, 1.0);
+        20.0 - b.window
+    };
+    let mut b = sidecar(Effect::Pure, 2);
+    (b.window, b.out_now) = (20.0, 19.0);
+    b.widen(0, 0, Outcome::Answered, true, 1.0);
+    assert!(
+        b.window > 20.0 && cut(false) > 0.5 && cut(true) < 0.2 * cut(false),
+        "{} {}",
+        cut(false),
+        cut(true)
+    );
+}
+
 // daepung-auction-web fresh-1 and big-1 with a room cut off: a command whose homes all lie there was declined.
 #[rstest]
 fn what_can_not_be_reached_is_no_home() {
--- a/crates/passroad-choice/src/watch.rs
+++ b/crates/passroad-choice/src/watch.rs
@@ -4,6 +4,7 @@
 use crate::choice::Balancer;
 use crate::{Action, CmdIx, EndpointIx, Event, StandingOrders};
 use std::fmt;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
 /// Decisions of the module that leads, by what the watched orders would have made of them.
@@ -57,10 +58,17 @@
     pub fn decide(&mut self, now: Duration, event: Event) -> Vec<Action> {
         let Some((other, counts)) = self.beside.as_deref_mut() else { return self.lead.decide(now, event) };
         other.dice = self.lead.dice; // the same draws as far as they are as many
-        let would = other.decide(now, event.clone());
-        let done = self.lead.decide(now, event);
-        counts.add(&self.lead, &done, &would);
-        other.follow(now, &self.lead, &done, &would);
+        let (lead, heard) = (&mut self.lead, event.clone());
+        let done = lead.decide(now, event);
+        let beside = catch_unwind(AssertUnwindSafe(|| {
+            let would = other.decide(now, heard);
+            counts.add(lead, &done, &would);
+            other.follow(now, lead, &done, &would);
+        }));
+        // Guards against a fault in what is only watched that takes a command with it: the watch ends.
+        if beside.is_err() {
+            self.beside = None;
+        }
         done
     }
 }
