--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -107,22 +107,7 @@
             // Three quarters of the way, as a ratio, from a fair share to what pushes a cold endpoint over.
             cold_share: orders.tip_multiple.max(1.0).powf(0.75),
         };
-        Balancer {
-            mix: vec![Faded::default(); duty.portions.len()],
-            keys: vec![Faded::default(); if duty.warm_keys { KEY_SLOTS } else { 0 }],
-            rtt: duty.tick,
-            duty,
-            dice: orders.seed | 1,
-            usual: Pace { mean: 1.0, ..Pace::default() },
-            limit: FIRST_LIMIT,
-            window: 1e6,
-            worth: 0.5,
-            well: 1.0,
-            listed: 1.0,
-            faith: 1.0,
-            spare: 2.0,
-            ..Balancer::default()
-        }
+        Balancer { limit: FIRST_LIMIT, spare: 2.0, ..Balancer::fresh(duty, orders.seed | 1, KEY_SLOTS) }
     }
 
     /// Takes one event and returns what is to be done about it.
@@ -135,6 +120,7 @@
         match event {
             Event::Listed { kind, entries } => self.read_list(kind, entries),
             Event::Steered { weights } => self.steer(weights),
+            Event::Cordoned { endpoint, out } => self.cordon(endpoint, out),
             Event::Arrived(arrival) => self.take(arrival),
             Event::StreamStarted { cmd, .. } => {
                 self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.streams = true);
@@ -199,7 +185,7 @@
             _ => {}
         }
         if kind != ListKind::Changes {
-            self.endpoints.iter_mut().for_each(|e| (e.listed, e.gone) = (false, e.known));
+            self.endpoints.iter_mut().for_each(|e| (e.up, e.listed, e.gone) = (false, false, e.known));
         }
         for entry in &entries {
             let (now, len) = (self.now, self.endpoints.len().max(entry.endpoint + 1));
@@ -213,7 +199,8 @@
                 e.nominal = e.nominal.max(e.rating);
                 (e.holds, e.rating) = (e.nominal / e.rating - 1.0, e.nominal);
             }
-            (e.listed, e.gone) = (entry.mode == Mode::Running, entry.mode == Mode::Deleted);
+            (e.up, e.gone) = (entry.mode == Mode::Running, entry.mode == Mode::Deleted);
+            e.listed = e.up && e.banned.is_none();
             let young = !entry.started.is_zero() && now.saturating_sub(entry.started) < self.duty.warm_within;
             if young && e.up_since.is_none_or(|at| entry.started > at) {
                 e.start_cold(entry.started);
@@ -226,6 +213,26 @@
         self.survey();
     }
 
+    /// Out by hand, whatever the list says. Guards against trust in what may be another process by the time it is
+    /// called back: nothing old holds, it is cold unless the list told of a start meanwhile, and a send is due.
+    fn cordon(&mut self, at: EndpointIx, out: bool) {
+        let (now, len) = (self.now, self.endpoints.len().max(at + 1));
+        self.endpoints.resize_with(len, Endpoint::unknown);
+        let owed = now + self.duty.tip_after.mul_f64(self.chance());
+        let e = &mut self.endpoints[at];
+        match e.banned.filter(|_| !out) {
+            Some(since) => {
+                e.start_cold(e.up_since.filter(|up| *up > since).unwrap_or(now));
+                (e.banned, e.owed, e.heard, e.credit) = (None, Some(owed), None, 1.0);
+            }
+            None if out => (e.banned, e.gone) = (e.banned.or(Some(now)), e.gone || !e.known),
+            None => return,
+        }
+        e.listed = e.up && !out;
+        self.out.push(Action::Disconnect { endpoint: at });
+        self.survey();
+    }
+
     /// A small fleet is in view whole; of a large one those met lately and a few more, drawn by base weight.
     /// Guards against walks over hundreds of endpoints for every command.
     fn look_around(&mut self) {
@@ -431,7 +438,10 @@
             let tail = 10.0 - 9.0 * (tail / tail_of_all.max(1e-6) - 1.0).max(0.0);
             let score = LOAD_SHARE * load + (1.0 - LOAD_SHARE) * (mean + tail) / 2.0;
             let health = (e.health(self.now, verb) * (1.0 - e.errs)).max(0.1).powi(3);
-            self.base(e, play) * score.clamp(SCORE_FLOOR, 10.0) / 10.0 * health
+            // Called back by hand: tried soon, also where little is sent and nothing is heard of it.
+            let score =
+                if e.owed.is_some_and(|at| self.now >= at) { 200.0 } else { score.clamp(SCORE_FLOOR, 10.0) };
+            self.base(e, play) * score / 10.0 * health
         };
         all().map(weight).collect()
     }
@@ -508,9 +518,11 @@
         let sends = self.warm_served.rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
         let gain = self.duty.cold_share * sends.max(arrivals) * since.min(self.duty.tip_after).as_secs_f64();
         let (count, nth, luck) = (self.colds.len() as f64, self.chance(), self.chance());
-        let Some(&at) = self.colds.get((nth * count) as usize) else { return };
+        let due = |at: &EndpointIx| self.endpoints[*at].owed.is_some_and(|from| self.now >= from);
+        let drawn = self.colds.get((nth * count) as usize);
+        let Some(at) = self.colds.iter().copied().find(due).or(drawn.copied()) else { return };
         let e = &self.endpoints[at];
-        if luck < gain * count * e.size * self.ramp(e) {
+        if due(&at) || luck < gain * count * e.size * self.ramp(e) {
             self.endpoints[at].pass_until = self.now + self.duty.tip_after / 4;
             self.meet(at);
         }
@@ -555,23 +567,9 @@
             self.keys[key as usize % KEY_SLOTS].add(self.now, 4 * CALM);
         }
         self.draw_pass();
-        self.commands[a.cmd] = Some(Command {
-            verb: a.verb,
-            play: a.play,
-            key: a.key.filter(|_| self.duty.warm_keys),
-            came: self.now,
-            due: (self.now + goal).saturating_sub(gone),
-            leave: self.now + a.budget,
-            value,
-            best: values.into_iter().fold(1e-9, f64::max),
-            hold_until: self.now,
-            last_call: self.now,
-            waits: true,
-            over: false,
-            streams: false,
-            rounds: 0,
-            relays: Vec::new(),
-        });
+        let (due, best) = ((self.now + goal).saturating_sub(gone), values.into_iter().fold(1e-9, f64::max));
+        let key = a.key.filter(|_| self.duty.warm_keys);
+        self.commands[a.cmd] = Some(Command { value, best, key, ..Command::come(&a, self.now, due) });
         self.enqueue(a.cmd);
         self.hold(a.cmd);
     }
@@ -648,7 +646,7 @@
                 shut.push(play);
             }
             // Guards against sitting on what will be declined anyway: past the room, the answer is now.
-            if lost || f64::from(line) >= room {
+            if lost || self.closed || f64::from(line) >= room {
                 self.give_up(cmd);
             } else {
                 line += 1;
@@ -757,7 +755,7 @@
         self.out.push(Action::Relay { cmd, endpoint: at, within });
         let e = &mut self.endpoints[at];
         e.out.push(now);
-        (e.used, e.holds, e.pass_until) = (Some(now), e.holds.max(0.0) + 1.0, Duration::ZERO);
+        (e.used, e.holds, e.pass_until, e.owed) = (Some(now), e.holds.max(0.0) + 1.0, Duration::ZERO, None);
         self.sends.add(now, CALM);
         self.all_sends.add(now, 4 * CALM);
         self.endpoints[at].sends.add(now, 4 * CALM);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -741,6 +741,118 @@
     assert_eq!(out.iter().filter_map(slot).collect::<Vec<_>>(), freed);
 }
 
+// ---- out by hand ----
+
+fn cordoned(endpoint: EndpointIx, out: bool) -> Event {
+    Event::Cordoned { endpoint, out }
+}
+
+// A list names all as running, also as just started or as gone and back: a ban stays until the call back.
+#[rstest]
+#[case::whole(ListKind::All, vec![listing(0, Duration::ZERO), listing(1, Duration::ZERO)])]
+#[case::started(ListKind::Changes, vec![listing(0, NOW)])]
+#[case::gone(ListKind::Changes, vec![Listing { mode: Mode::Deleted, ..listing(0, Duration::ZERO) }, listing(0, NOW)])]
+fn an_endpoint_out_by_hand_gets_nothing_whatever_the_list_says(
+    #[case] kind: ListKind,
+    #[case] entries: Vec<Listing>,
+) {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.decide(NOW, cordoned(0, true));
+    for entry in entries {
+        b.decide(NOW, Event::Listed { kind, entries: vec![entry, listing(1, Duration::ZERO)] });
+    }
+    b.endpoints[1].holds = 9.0;
+    let mut out = b.decide(NOW, arrival(0));
+    (1..50).for_each(|cmd| out.extend(b.decide(NOW + CALM, arrival(cmd))));
+    let met = |a: &Action| matches!(a, Action::Probe { endpoint: 0 } | Action::Release { endpoint: 0 });
+    assert!(!relays(&out).is_empty() && !relays(&out).contains(&0) && !out.iter().any(met), "{out:?}");
+}
+
+#[rstest]
+fn one_call_back_ends_a_ban_however_often_it_was_told() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].up = true;
+    (0..3).for_each(|_| drop(b.decide(NOW, cordoned(0, true))));
+    assert!(!b.endpoints[0].listed);
+    b.decide(NOW, cordoned(0, false));
+    assert!(b.endpoints[0].listed);
+    // It never was out: nothing is forgotten.
+    b.endpoints[0].pace.count = 7.0;
+    b.decide(NOW, cordoned(0, false));
+    assert_eq!(b.endpoints[0].pace.count, 7.0);
+}
+
+// Restarted while it was out, and the list is late: what was seen before is another process's.
+#[rstest]
+#[case::list_is_late(None, NOW + CALM)]
+#[case::list_told(Some(NOW + CALM / 2), NOW + CALM / 2)]
+fn called_back_an_endpoint_is_cold_and_nothing_old_of_it_holds(
+    #[case] told: Option<Duration>,
+    #[case] cold_from: Duration,
+) {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.endpoints[0].up = true;
+    b.endpoints[0].last = Few { bad: 0xff, seen: 8, ..Few::default() };
+    b.decide(NOW, cordoned(0, true));
+    if let Some(at) = told {
+        b.decide(at, Event::Listed { kind: ListKind::Changes, entries: vec![listing(0, at)] });
+    }
+    b.decide(NOW + CALM, cordoned(0, false));
+    let e = &b.endpoints[0];
+    assert_eq!((e.up_since, e.health(NOW + CALM, None), e.heard), (Some(cold_from), 1.0, None));
+}
+
+#[rstest]
+fn called_back_an_endpoint_is_tried_soon_also_where_little_comes() {
+    let mut b = sidecar(Effect::Pure, 8);
+    b.endpoints.iter_mut().for_each(|e| e.up = true);
+    b.decide(NOW, cordoned(0, true));
+    b.decide(NOW, cordoned(0, false));
+    let (mut tried, spent) = (None, Duration::from_millis(1));
+    for n in 0..10 {
+        let now = NOW + n as u32 * Duration::from_millis(500);
+        let mut out = b.decide(now, arrival(n));
+        for at in 0.. {
+            // Probes are answered at once, as of an idle endpoint, and so are relays.
+            let (outcome, report) =
+                (Outcome::Answered, Some(Report { outstanding: Some(0.0), ..Report::default() }));
+            let event = match out.get(at) {
+                None => break,
+                Some(Action::Probe { endpoint }) => {
+                    Event::Checked { endpoint: *endpoint, outcome, spent, report }
+                }
+                Some(Action::Relay { cmd, endpoint, .. }) => {
+                    tried = tried.or((*endpoint == 0).then_some(now - NOW));
+                    Event::Finished { cmd: *cmd, relay: 0, outcome, spent, concluded: true, report }
+                }
+                Some(_) => continue,
+            };
+            out.extend(b.decide(now, event));
+        }
+    }
+    assert!(tried.is_some_and(|after| after < Duration::from_secs(4)), "{tried:?}");
+}
+
+#[rstest]
+fn where_all_are_out_by_hand_a_command_is_declined_at_once() {
+    let mut b = sidecar(Effect::Effectful, 2);
+    b.endpoints.iter_mut().for_each(|e| e.up = true);
+    (0..2).for_each(|at| drop(b.decide(NOW, cordoned(at, true))));
+    let out = b.decide(NOW, arrival(0));
+    assert!(out.iter().any(|a| matches!(a, Action::Decline { cmd: 0, .. })), "{out:?}");
+}
+
+// Held for heartbeats when the ban came.
+#[rstest]
+fn a_waiting_command_does_not_go_to_what_is_out_by_hand() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.endpoints.iter_mut().for_each(|e| (e.up, e.heard) = (true, None));
+    assert_eq!(relays(&b.decide(NOW, arrival(0))), []);
+    let mut out = b.decide(NOW, cordoned(0, true));
+    (1..5).for_each(|n| out.extend(b.decide(NOW + n * CALM / 200, Event::Due { token: ALARM_QUEUE })));
+    assert_eq!(relays(&out), [1]);
+}
+
 // ---- helpers ----
 
 fn verb(effect: Effect) -> VerbOrder {
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -175,6 +175,11 @@
     Steered {
         weights: Vec<(usize, EndpointIx, f64)>,
     },
+    /// Operators take an endpoint out, or call it back; whatever the list says meanwhile.
+    Cordoned {
+        endpoint: EndpointIx,
+        out: bool,
+    },
     Arrived(Arrival),
     StreamStarted {
         cmd: CmdIx,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -2,7 +2,7 @@
 //! Only shapes and sums stand here; what follows from them is decided in `choice.rs`.
 
 use crate::choice::LEAST_GAIN;
-use crate::{Action, CmdIx, Effect, EndpointIx, Group, Outcome, VerbOrder};
+use crate::{Action, Arrival, CmdIx, Effect, EndpointIx, Group, Outcome, VerbOrder};
 use std::time::Duration;
 
 pub const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
@@ -174,6 +174,28 @@
     pub relays: Vec<Relay>,
 }
 
+impl Command {
+    pub fn come(a: &Arrival, now: Duration, due: Duration) -> Self {
+        Command {
+            verb: a.verb,
+            play: a.play,
+            key: None,
+            came: now,
+            due,
+            leave: now + a.budget,
+            value: 0.0,
+            best: 1.0,
+            hold_until: now,
+            last_call: now,
+            waits: true,
+            over: false,
+            streams: false,
+            rounds: 0,
+            relays: Vec::new(),
+        }
+    }
+}
+
 /// For one endpoint.
 pub struct Endpoint {
     pub mark: u64,
@@ -181,11 +203,14 @@
     pub kind: usize,
     pub cell: usize,
     pub rating: f64,
-    pub nominal: f64, // the most that a live weight came to
-    pub size: f64,    // rating against the mean of the listed
-    pub known: bool,  // its slot is given out
-    pub listed: bool,
+    pub nominal: f64,               // the most that a live weight came to
+    pub size: f64,                  // rating against the mean of the listed
+    pub known: bool,                // its slot is given out
+    pub up: bool,                   // by the list
+    pub listed: bool,               // and not out by hand
     pub gone: bool,                 // for good; a draining one is not listed either
+    pub banned: Option<Duration>,   // out by hand, since then
+    pub owed: Option<Duration>,     // called back: from then on a send is due to it
     pub met: bool,                  // it is in view
     pub plays: Vec<f64>,            // its weight in each play, where routes are told
     pub up_since: Option<Duration>, // cold from here, if it started lately
@@ -222,8 +247,11 @@
             nominal: 0.0,
             size: 1.0,
             known: false,
+            up: false,
             listed: false,
             gone: false,
+            banned: None,
+            owed: None,
             met: false,
             plays: Vec::new(),
             up_since: None,
@@ -308,10 +336,11 @@
     pub(crate) limit: f64,       // the usual one, at the usual size
     pub(crate) window: f64,      // the same of what is out from here in all
     pub(crate) out_now: f64,
-    pub(crate) worth: f64, // of a usual command, against the best
-    pub(crate) well: f64,  // share of relays that are answered
-    pub(crate) faith: f64, // credit of reports as a whole
-    pub(crate) spare: f64, // further relays allowed now
+    pub(crate) worth: f64,   // of a usual command, against the best
+    pub(crate) well: f64,    // share of relays that are answered
+    pub(crate) faith: f64,   // credit of reports as a whole
+    pub(crate) spare: f64,   // further relays allowed now
+    pub(crate) closed: bool, // all that is listed is out by hand
     pub(crate) listening: bool,
     pub(crate) list_fails: u32,
     pub(crate) shedding: bool,
@@ -359,6 +388,24 @@
 /// What every decision uses and none decides: chance, the log, what is held and in view, what
 /// the list adds up to.
 impl Balancer {
+    /// Nothing seen yet.
+    pub(crate) fn fresh(duty: DutySheet, dice: u64, keys: usize) -> Self {
+        Balancer {
+            mix: vec![Faded::default(); duty.portions.len()],
+            keys: vec![Faded::default(); if duty.warm_keys { keys } else { 0 }],
+            rtt: duty.tick,
+            duty,
+            dice,
+            usual: Pace { mean: 1.0, ..Pace::default() },
+            window: 1e6,
+            worth: 0.5,
+            well: 1.0,
+            listed: 1.0,
+            faith: 1.0,
+            ..Balancer::default()
+        }
+    }
+
     /// Multiply-with-carry; a number from 0 up to 1.
     pub(crate) fn chance(&mut self) -> f64 {
         self.dice = (self.dice & 0xffff_ffff) * 4_294_957_665 + (self.dice >> 32);
@@ -436,7 +483,7 @@
         self.endpoints.resize_with(lead.endpoints.len(), Endpoint::unknown);
         for (e, led) in self.endpoints.iter_mut().zip(&lead.endpoints) {
             e.out.clone_from(&led.out);
-            (e.used, e.probing, e.pass_until) = (led.used, led.probing, led.pass_until);
+            (e.used, e.probing, e.pass_until, e.owed) = (led.used, led.probing, led.pass_until, led.owed);
         }
         self.queue.clone_from(&lead.queue);
         (self.spare, self.wake, self.ask_at) = (lead.spare, lead.wake, lead.ask_at);
@@ -450,7 +497,7 @@
         let mut wait = false;
         for at in 0..self.endpoints.len() {
             let e = &self.endpoints[at];
-            if !e.gone || e.listed {
+            if !e.gone || e.up || e.banned.is_some() {
                 continue;
             }
             let tried = |c: &Command| c.relays.iter().any(|r| r.endpoint == at);
@@ -486,6 +533,7 @@
             self.next_survey = self.now;
         }
         (self.table, self.colds) = (Vec::new(), Vec::new());
+        self.closed = count == 0.0 && self.endpoints.iter().any(|e| e.up);
         let mut mass = 0.0;
         for (at, size) in sizes.into_iter().enumerate() {
             self.endpoints[at].size = size * if sum > 0.0 { count / sum } else { 1.0 };
--- a/crates/passroad-routes/src/lib.rs
+++ b/crates/passroad-routes/src/lib.rs
@@ -89,6 +89,10 @@
                     }
                 }
             }
+            Event::Cordoned { endpoint, out } => {
+                router.cordoned(endpoint, out);
+                Some(event)
+            }
             Event::Finished { cmd, relay, outcome, spent, concluded, report } => {
                 let held = self.out.get(cmd).and_then(Option::as_ref);
                 if let Some((held, endpoint)) = held.and_then(|h| Some((h, *h.relays.get(relay)?))) {
--- a/crates/passroad-routes/src/router.rs
+++ b/crates/passroad-routes/src/router.rs
@@ -89,6 +89,7 @@
     orders: RouteOrders,
     pools: Vec<Pool>,
     members: Vec<Option<Member>>,
+    out: Vec<bool>,                       // by hand, by slot
     names: Vec<Option<(String, String)>>, // id and kind, by slot
     own_zone: usize,
     zone_names: Vec<String>,
@@ -119,6 +120,7 @@
             pools: routes.pools.iter().map(pool).collect(),
             orders: routes,
             members: Vec::new(),
+            out: Vec::new(),
             names: Vec::new(),
             own_zone: orders.zone,
             zone_names: orders.zones.clone(),
@@ -152,6 +154,13 @@
         }
     }
 
+    /// Operators take an endpoint out or call it back.
+    pub fn cordoned(&mut self, endpoint: EndpointIx, out: bool) {
+        self.out.resize(self.out.len().max(endpoint + 1), false);
+        self.out[endpoint] = out;
+        self.dirty = true;
+    }
+
     /// Takes in a list; a whole one leaves out what is gone.
     pub fn listed(&mut self, whole: bool, entries: &[Listing]) {
         if whole {
@@ -279,7 +288,9 @@
         let zones = self.members.iter().flatten().map(|m| m.zone + 1).max().unwrap_or_default();
         for n in 0..self.pools.len() {
             let mut sums = vec![Sum::default(); zones];
-            for member in self.members.iter().flatten().filter(|m| m.up && m.factors[n] > 0.0) {
+            let by_hand = |at: usize| self.out.get(at).copied().unwrap_or_default();
+            let members = self.members.iter().enumerate().filter(|(at, _)| !by_hand(*at));
+            for member in members.filter_map(|(_, m)| m.as_ref()).filter(|m| m.up && m.factors[n] > 0.0) {
                 let (sum, weight) = (&mut sums[member.zone], member.weight * member.factors[n]);
                 sum.count += 1;
                 sum.listed += weight;
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -9,10 +9,15 @@
     Action, Arrival, CmdIx, EndpointIx, Event, ListKind, Listing, Mode, ReportsHow, StandingOrders,
 };
 use passroad_routes::{RouteOrders, Steered};
+use std::collections::{BTreeSet, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
+use tokio::runtime::Handle;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+/// Endpoints that have left and are still known to have been listed, by eight bytes each.
+const MOST_LEFT: usize = 16 << 10;
+
 const BEAT: Duration = Duration::from_millis(10);
 /// A beat later than this means that the process stood still; what is read so soon after came meanwhile.
 const STALL: Duration = Duration::from_millis(30);
@@ -29,6 +34,8 @@
 }
 
 pub struct Desk {
+    /// The loop that serves clients; the operators' door speaks to the desk from another.
+    serving: Handle,
     began: Instant,
     /// The module's clock is Unix time as read once at the start, so that lists' times fit it.
     epoch: Duration,
@@ -53,6 +60,8 @@
     admitted: u64,
     seats: Vec<Option<UnboundedSender<Order>>>,
     endpoints: Door<String>,
+    left: Left,
+    banned: BTreeSet<String>,
     links: Vec<Option<Link>>,
     told_used_up: Option<Instant>,
     zones: Door<String>,
@@ -73,6 +82,7 @@
             zones.admit(zone);
         });
         Arc::new(Desk {
+            serving: Handle::current(),
             began: Instant::now(),
             epoch: SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default(),
             calls,
@@ -86,6 +96,8 @@
                 admitted: 0,
                 seats: Vec::new(),
                 endpoints: Door::new(),
+                left: Left::default(),
+                banned: BTreeSet::new(),
                 links: Vec::new(),
                 told_used_up: None,
                 zones,
@@ -204,6 +216,21 @@
         self.decide(&mut held, Event::Listed { kind, entries });
     }
 
+    /// Takes an endpoint out of use, or calls it back; in effect on return. False for an id that was never listed.
+    pub fn cordon(self: &Arc<Self>, id: &str, out: bool) -> bool {
+        let mut held = self.held();
+        if held.endpoints.find(id).is_none() && !held.left.has(id) {
+            return false;
+        }
+        let turned = if out { held.banned.insert(id.to_string()) } else { held.banned.remove(id) };
+        if turned {
+            let endpoint = held.endpoints.admit(&id.to_string());
+            log::info!(endpoint = endpoint, id = id; "endpoint {endpoint} ({id}) is {} by hand", if out { "out" } else { "back" });
+            self.decide(&mut held, Event::Cordoned { endpoint, out });
+        }
+        true
+    }
+
     fn decide(self: &Arc<Self>, held: &mut Held, event: Event) {
         for action in held.balancer.decide(self.now(), event) {
             match action {
@@ -219,12 +246,15 @@
                     held.seats[cmd] = None;
                 }
                 Action::Release { endpoint } => {
+                    if let Some(id) = held.endpoints.name(endpoint).cloned() {
+                        held.left.note(&id);
+                    }
                     held.endpoints.release(endpoint);
                     held.links[endpoint] = None;
                 }
                 Action::Probe { endpoint } => {
                     let link = held.link(endpoint, &self.dialer);
-                    tokio::spawn(Arc::clone(self).probe(endpoint, link));
+                    self.serving.spawn(Arc::clone(self).probe(endpoint, link));
                 }
                 Action::Disconnect { endpoint } => {
                     if let Some(link) = held.links.get_mut(endpoint).and_then(Option::as_mut) {
@@ -236,7 +266,7 @@
                 Action::Tell { .. } => log::error!("the module has a message for peers; it can't be sent"),
                 Action::Alarm { after, token } => {
                     let desk = Arc::clone(self);
-                    tokio::spawn(async move {
+                    self.serving.spawn(async move {
                         tokio::time::sleep(after).await;
                         desk.tell(Event::Due { token });
                     });
@@ -258,6 +288,28 @@
     }
 }
 
+/// Marks of ids that were listed once and have left, the last so many.
+#[derive(Default)]
+struct Left {
+    marks: HashSet<u64>,
+    order: VecDeque<u64>,
+}
+
+impl Left {
+    fn has(&self, id: &str) -> bool {
+        self.marks.contains(&mark(id))
+    }
+
+    fn note(&mut self, id: &str) {
+        if self.marks.insert(mark(id)) {
+            self.order.push_back(mark(id));
+        }
+        if self.order.len() > MOST_LEFT {
+            self.order.pop_front().map(|old| self.marks.remove(&old));
+        }
+    }
+}
+
 impl Held {
     fn link(&mut self, endpoint: EndpointIx, dialer: &Dialer) -> Option<Link> {
         // Guards against connections kept to some endpoints that leave none for others: where the last is
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -8,6 +8,7 @@
 mod intake;
 mod list;
 mod logging;
+mod management;
 mod probe;
 mod relay;
 mod start;
@@ -105,9 +106,11 @@
     let hangups = start::sighup()?;
     // Commands hold a third of all at most, and each needs a connection to an endpoint; the rest is for clients, who
     // may come in crowds.
-    let sockets = start.sockets.saturating_sub(OTHER_SOCKETS).max(16);
+    let other = OTHER_SOCKETS + start.management.map_or(0, |_| management::SOCKETS);
+    let sockets = start.sockets.saturating_sub(other).max(16);
     let (most_out, most) = (sockets * 2 / 5, sockets - sockets * 2 / 5);
     let listener = front::listen(start.listen).await?;
+    let door = start.management.map(management::listen).transpose()?;
     let stages = stop::Stage::on_sigterm()?;
     log::info!(
         name = start.name.as_str(), listen:% = start.listen, most_in = most, most_out = most_out;
@@ -144,6 +147,9 @@
     tokio::spawn(list::follow(Arc::clone(&desk), at, hold, revision, called));
     tokio::spawn(start::read_again(files, hangups, kept, moves));
     let intake = intake::Intake::new(Arc::clone(&desk), &orders, start.memory, stages.clone());
+    if let Some(door) = door {
+        management::open(door, Arc::clone(&desk), stages.clone())?;
+    }
     front::serve(listener, front::Front::new(most, start.sockets / 6, stages), intake, longest).await;
     desk.say_watch();
     Ok(())
--- /dev/null
+++ b/crates/passroad/src/management.rs
@@ -0,0 +1,144 @@
+//! The operators' door: an address of its own, served by a thread of its own, so that a busy front can't hold it up.
+
+use crate::desk::Desk;
+use crate::stop::{Stage, Stages};
+use axum::Router;
+use axum::body::{Body, to_bytes};
+use axum::extract::State;
+use axum::http::{HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use serde::Deserialize;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+/// Descriptors that are set aside: those of callers, and of the runtime.
+pub const SOCKETS: usize = MOST_CALLERS + 8;
+const MOST_CALLERS: usize = 48;
+const BACKLOG: i32 = 256;
+const CALL_WITHIN: Duration = Duration::from_secs(3); // the whole call with its answer
+const LONGEST_HEAD: usize = 8 << 10;
+const LONGEST_BODY: usize = 4 << 10;
+const TRIES_APART: Duration = Duration::from_millis(20); // to accept, after a failure
+
+#[derive(Clone)]
+struct Door {
+    desk: Arc<Desk>,
+    stages: Stages,
+}
+
+#[derive(Deserialize)]
+struct Which {
+    id: String,
+}
+
+/// Takes the address.
+pub fn listen(at: SocketAddr) -> Result<std::net::TcpListener, String> {
+    let bound = || {
+        let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(BACKLOG)?;
+        Ok::<_, std::io::Error>(socket.into())
+    };
+    bound().map_err(|e| format!("management: listen on {at}: {e}"))
+}
+
+/// Serves calls for as long as the process runs.
+pub fn open(listener: std::net::TcpListener, desk: Arc<Desk>, stages: Stages) -> Result<(), String> {
+    let fault = |e: std::io::Error| format!("management: {e}");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(fault)?;
+    let at = listener.local_addr().map_err(fault)?;
+    let serve = move || {
+        runtime.block_on(async move {
+            match TcpListener::from_std(listener) {
+                Ok(listener) => serve(listener, router(Door { desk, stages })).await,
+                Err(fault) => log::error!("management: {fault}"),
+            }
+        });
+    };
+    std::thread::Builder::new().name("management".into()).spawn(serve).map_err(fault)?;
+    log::info!(management:% = at; "operators are answered on {at}");
+    Ok(())
+}
+
+fn router(door: Door) -> Router {
+    Router::new()
+        .route("/admin/health", get(health))
+        .route("/admin/cordon", post(|door, body| turn(door, body, true)))
+        .route("/admin/uncordon", post(|door, body| turn(door, body, false)))
+        .method_not_allowed_fallback(async || said(StatusCode::METHOD_NOT_ALLOWED, "not by this method"))
+        .fallback(async || said(StatusCode::NOT_FOUND, "no such call"))
+        .with_state(door)
+}
+
+async fn health(State(door): State<Door>) -> Response {
+    match *door.stages.borrow() {
+        Stage::Serving => said(StatusCode::OK, "clients are taken"),
+        _ => said(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+    }
+}
+
+async fn turn(State(door): State<Door>, body: Body, out: bool) -> Response {
+    let Ok(body) = to_bytes(body, LONGEST_BODY).await else {
+        return said(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or breaks off");
+    };
+    let which: Which = match serde_json::from_slice(&body) {
+        Ok(which) => which,
+        Err(fault) => return said(StatusCode::BAD_REQUEST, &format!("not {{\"id\":\"ID\"}}: {fault}")),
+    };
+    // The yes is said only once the ban is in effect.
+    match door.desk.cordon(&which.id, out) {
+        true => said(StatusCode::OK, if out { "out" } else { "back in use" }),
+        false => said(StatusCode::NOT_FOUND, "no endpoint of this id was listed"),
+    }
+}
+
+/// One line of JSON.
+fn said(status: StatusCode, what: &str) -> Response {
+    let key = if status.is_success() { "ok" } else { "error" };
+    let line = format!("{}\n", serde_json::json!({ key: what }));
+    let json = (header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let close = (header::CONNECTION, HeaderValue::from_static("close"));
+    (status, [json, close], line).into_response()
+}
+
+async fn serve(listener: TcpListener, router: Router) {
+    let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                callers.retain(|caller| !caller.is_finished());
+                // Guards against callers that hold connections and say nothing: whoever has waited longest goes.
+                if callers.len() >= MOST_CALLERS {
+                    callers.pop_front().iter().for_each(AbortHandle::abort);
+                }
+                callers.push_back(tokio::spawn(call(stream, router.clone())).abort_handle());
+            }
+            Err(fault) => {
+                log::warn!("management: accept: {fault}");
+                sleep(TRIES_APART).await;
+            }
+        }
+    }
+}
+
+/// One call of one caller.
+async fn call(stream: TcpStream, router: Router) {
+    let _ = stream.set_nodelay(true);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .keep_alive(false)
+        .max_buf_size(LONGEST_HEAD)
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+    let _ = timeout(CALL_WITHIN, connection).await;
+}
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -15,6 +15,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The operators' door, where there is one.
+    pub management: Option<SocketAddr>,
     pub sockets: usize,
     pub memory: usize, // bytes
     pub known: Option<List>,
@@ -51,6 +53,7 @@
     name: Option<String>,
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
+    management: Option<SocketAddr>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -144,6 +147,7 @@
 pub struct Kept {
     name: String,
     listen: SocketAddr,
+    management: Option<SocketAddr>,
     sockets: usize,
     settings: serde_json::Value,
 }
@@ -151,13 +155,15 @@
 impl Kept {
     pub fn of(start: &Start) -> Self {
         let (name, settings) = (start.name.clone(), start.settings.clone());
-        Kept { name, listen: start.listen, sockets: start.sockets, settings }
+        let (listen, management) = (start.listen, start.management);
+        Kept { name, listen, management, sockets: start.sockets, settings }
     }
 
     fn differs(&self, now: &Start) -> Vec<&'static str> {
         let parts = [
             ("name", self.name != now.name),
             ("listen", self.listen != now.listen),
+            ("management", self.management != now.management),
             ("limits", self.sockets != now.sockets),
             ("settings", self.settings != now.settings),
         ];
@@ -173,11 +179,16 @@
         (None, Some(text)) => text.parse().map_err(|e| format!("{name}: {e}")),
         (None, None) => Err(format!("no address: {name} is not set either")),
     };
+    let management = match (told.management, variable("LB_MANAGEMENT").filter(|text| !text.is_empty())) {
+        (None, Some(text)) => Some(text.parse().map_err(|e| format!("LB_MANAGEMENT: {e}"))?),
+        (told, _) => told,
+    };
     let watch = told.watch.map(|watch| watched(seed, &told.settings, watch)).transpose();
     Ok(Start {
         watch: watch.map_err(|fault| format!("watch: {fault}"))?,
         listen: address(told.listen, "LB_LISTEN")?,
         discovery: address(told.discovery, "LB_DISCOVERY")?,
+        management,
         sockets: told.limits.sockets,
         memory: (told.limits.memory_mb.clamp(1.0, 1e6) * 1e6) as usize,
         known: told.known,
--- a/crates/passroad/tests/stand_ins/mod.rs
+++ b/crates/passroad/tests/stand_ins/mod.rs
@@ -1,5 +1,7 @@
 //! A running sidecar, and stand-ins of few lines for what it speaks to: endpoints, discovery, a client.
 
+#![allow(dead_code)] // each file of tests uses a part
+
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -206,6 +208,23 @@
     )
 }
 
+/// The same with a door for operators.
+pub fn with_door(text: &str, management: SocketAddr) -> String {
+    text.replacen('{', &format!(r#"{{"management":"{management}","#), 1)
+}
+
+/// One call of an operator: the status.
+pub fn operate(door: SocketAddr, method: &str, path: &str, body: &str) -> String {
+    let call = format!("{method} {path} HTTP/1.1\r\nHost: b\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let mut caller = BufReader::new(TcpStream::connect(door).unwrap());
+    caller.get_mut().set_read_timeout(Some(Duration::from_secs(9))).unwrap();
+    ask(&mut caller, &call).expect("an answer").word().to_string()
+}
+
+pub fn cordon(door: SocketAddr, what: &str, id: &str) -> String {
+    operate(door, "POST", &format!("/admin/{what}"), &format!(r#"{{"id":"{id}"}}"#))
+}
+
 /// The program with a configuration, in a folder of its own.
 pub fn program(text: &str) -> (Command, std::path::PathBuf) {
     static COUNT: AtomicUsize = AtomicUsize::new(0);
