--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -1,6 +1,7 @@
 //! Owns the decision module, its clock and the doors where outside names become indices. Each event goes in
 //! here, and each action goes from here to its owner: commands, links, discovery, timers.
 
+use crate::handover::Known;
 use crate::list::{Call, List, Member};
 use crate::relay::{Dialer, Link};
 use crate::{probe, relay};
@@ -10,6 +11,7 @@
 };
 use passroad_routes::{RouteOrders, Steered};
 use std::collections::{BTreeSet, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 use tokio::runtime::Handle;
@@ -60,6 +62,8 @@
     admitted: u64,
     seats: Vec<Option<UnboundedSender<Order>>>,
     endpoints: Door<String>,
+    revision: Option<u64>,
+    members: Vec<Option<Member>>, // as listed last, by slot
     left: Left,
     banned: BTreeSet<String>,
     links: Vec<Option<Link>>,
@@ -96,6 +100,8 @@
                 admitted: 0,
                 seats: Vec::new(),
                 endpoints: Door::new(),
+                revision: None,
+                members: Vec::new(),
                 left: Left::default(),
                 banned: BTreeSet::new(),
                 links: Vec::new(),
@@ -179,6 +185,7 @@
         if list.complete {
             held.leave_out(list);
         }
+        held.revision = Some(list.revision);
         let mut entries = Vec::with_capacity(list.members.len());
         let strange =
             |held: &Held, m: &Member| m.mode() == Mode::Deleted && held.endpoints.find(&m.id).is_none();
@@ -188,6 +195,9 @@
             }
             let endpoint = held.endpoints.admit(&member.id);
             held.balancer.name(endpoint, &member.id, &member.flavor);
+            let len = held.members.len().max(endpoint + 1);
+            held.members.resize(len, None);
+            held.members[endpoint] = Some(member.clone()).filter(|m| m.mode() != Mode::Deleted);
             let len = held.links.len().max(endpoint + 1);
             held.links.resize_with(len, || None);
             let link = &mut held.links[endpoint];
@@ -216,10 +226,37 @@
         self.decide(&mut held, Event::Listed { kind, entries });
     }
 
+    /// What the next process is to know.
+    pub fn known(&self, version: u32, listen: SocketAddr, descriptors: usize) -> Known {
+        let held = self.held();
+        Known {
+            version,
+            listen,
+            revision: held.revision,
+            members: held.members.iter().flatten().cloned().collect(),
+            bans: held.banned.iter().cloned().collect(),
+            left: held.left.order.iter().copied().collect(),
+            descriptors,
+        }
+    }
+
+    /// Takes over what the process before knew, ahead of all commands.
+    pub fn inherit(self: &Arc<Self>, known: Known) -> Option<u64> {
+        let list =
+            List { revision: known.revision.unwrap_or_default(), complete: true, members: known.members };
+        self.listed(ListKind::Remembered, &list);
+        known.left.into_iter().for_each(|mark| self.held().left.note(mark));
+        for id in &known.bans {
+            self.cordon(id, true, true);
+        }
+        known.revision
+    }
+
     /// Takes an endpoint out of use, or calls it back; in effect on return. False for an id that was never listed.
-    pub fn cordon(self: &Arc<Self>, id: &str, out: bool) -> bool {
+    /// Told by the process beside this one it is one that was.
+    pub fn cordon(self: &Arc<Self>, id: &str, out: bool, listed: bool) -> bool {
         let mut held = self.held();
-        if held.endpoints.find(id).is_none() && !held.left.has(id) {
+        if !listed && held.endpoints.find(id).is_none() && !held.left.has(id) {
             return false;
         }
         let turned = if out { held.banned.insert(id.to_string()) } else { held.banned.remove(id) };
@@ -247,9 +284,10 @@
                 }
                 Action::Release { endpoint } => {
                     if let Some(id) = held.endpoints.name(endpoint).cloned() {
-                        held.left.note(&id);
+                        held.left.note(mark(&id));
                     }
                     held.endpoints.release(endpoint);
+                    held.members.get_mut(endpoint).map(Option::take);
                     held.links[endpoint] = None;
                 }
                 Action::Probe { endpoint } => {
@@ -300,9 +338,9 @@
         self.marks.contains(&mark(id))
     }
 
-    fn note(&mut self, id: &str) {
-        if self.marks.insert(mark(id)) {
-            self.order.push_back(mark(id));
+    fn note(&mut self, mark: u64) {
+        if self.marks.insert(mark) {
+            self.order.push_back(mark);
         }
         if self.order.len() > MOST_LEFT {
             self.order.pop_front().map(|old| self.marks.remove(&old));
@@ -329,6 +367,7 @@
     fn leave_out(&mut self, list: &List) {
         let stay: Vec<_> = list.members.iter().filter_map(|m| self.endpoints.find(&m.id)).collect();
         for (at, link) in self.links.iter_mut().enumerate().filter(|(at, _)| !stay.contains(at)) {
+            self.members.get_mut(at).map(Option::take);
             if link.take().is_some() {
                 let id = self.endpoints.name(at).map_or("?", String::as_str);
                 log::info!("endpoint {at} ({id}) has left the list");
--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -16,7 +16,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 use tower_service::Service;
 
@@ -38,7 +38,8 @@
 const TRIES_APART: Duration = Duration::from_millis(20); // to accept, after a failure
 
 pub struct Front {
-    most: usize, // connections of clients
+    most: AtomicUsize,           // connections of clients
+    taking: watch::Sender<bool>, // no longer once another process does
     open: AtomicUsize,
     most_kept: usize, // of those, kept for a next command
     kept: AtomicUsize,
@@ -48,12 +49,16 @@
 }
 
 /// Listens; waits a little for a process that still has the address.
-pub async fn listen(at: SocketAddr) -> Result<TcpListener, String> {
+/// With `beside`, another process may have the address, too.
+pub async fn listen(at: SocketAddr, beside: bool) -> Result<TcpListener, String> {
     let began = Instant::now();
     loop {
         let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
         let bound = socket.and_then(|socket| {
             socket.set_reuseaddr(true)?;
+            if beside {
+                socket.set_reuseport(true)?;
+            }
             socket.bind(at)?;
             socket.listen(BACKLOG)
         });
@@ -66,10 +71,23 @@
     }
 }
 
+/// The socket that another process listens on, too.
+pub fn adopt(socket: std::net::TcpListener) -> Result<TcpListener, String> {
+    let adopted = socket.set_nonblocking(true).and_then(|()| TcpListener::from_std(socket));
+    adopted.map_err(|e| format!("listen: {e}"))
+}
+
+/// The same socket once more.
+pub fn copy(listener: &TcpListener) -> Result<std::net::TcpListener, String> {
+    let copy = socket2::SockRef::from(listener).try_clone().map_err(|e| format!("listen: {e}"))?;
+    Ok(copy.into())
+}
+
 impl Front {
     pub fn new(most: usize, most_kept: usize, stages: Stages) -> Arc<Self> {
         Arc::new(Front {
-            most,
+            most: AtomicUsize::new(most),
+            taking: watch::channel(true).0,
             open: AtomicUsize::new(0),
             most_kept,
             kept: AtomicUsize::new(0),
@@ -79,6 +97,16 @@
         })
     }
 
+    /// Takes connections, or leaves them to another process: those that there are end with their next answer.
+    pub fn take(&self, taking: bool) {
+        self.taking.send_replace(taking);
+    }
+
+    pub fn widen(&self, most: usize) {
+        self.most.store(most, Relaxed);
+        self.left.notify_one();
+    }
+
     fn stage(&self) -> Stage {
         *self.stages.borrow()
     }
@@ -87,17 +115,18 @@
 /// Accepts and serves until the stop is through.
 pub async fn serve(listener: TcpListener, front: Arc<Front>, intake: Intake, longest: Duration) {
     let router = Router::new().route("/healthz", get(ready)).fallback(take).with_state(Arc::new(intake));
-    let mut stages = front.stages.clone();
+    let (mut stages, mut taking) = (front.stages.clone(), front.taking.subscribe());
     let mut full = None; // since when some may wait in the backlog
     loop {
         let count = front.open.load(Relaxed);
         // Guards against running out of descriptors: past the limit new connections wait in the backlog.
-        let room = count < front.most;
+        let most = front.most.load(Relaxed);
+        let (room, takes) = (count < most, *taking.borrow_and_update());
         full = full.or((!room).then(Instant::now));
         tokio::select! {
             biased;
             () = reached(&mut stages, Stage::Closed) => break,
-            accepted = listener.accept(), if room => match accepted {
+            accepted = listener.accept(), if room && takes => match accepted {
                 Ok((stream, _)) => open(stream, &router, &front, full),
                 Err(fault) => {
                     log::warn!("accept: {fault}");
@@ -107,10 +136,14 @@
             // Whoever waited is in.
             () = std::future::ready(()), if room && full.is_some() => full = None,
             () = front.left.notified(), if !room => {}
-            () = sleep(CROWD_EVERY), if count >= front.most / 4 * 3 => front.crowd.notify_waiters(),
+            _ = taking.changed() => {}
+            () = sleep(CROWD_EVERY), if count >= most / 4 * 3 => front.crowd.notify_waiters(),
         }
     }
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    // What waits is the other process's where there is one.
+    while let Some(Ok((stream, _))) =
+        Some(()).filter(|()| *taking.borrow()).and_then(|()| listener.accept().now_or_never())
+    {
         open(stream, &router, &front, full);
     }
     drop(listener);
@@ -217,7 +250,8 @@
                 // connection ends with this answer, and nothing more is read from it. So it does while the
                 // sidecar stops.
                 let usable = !answer.status().is_client_error();
-                let on = usable && !talk.frame.ends_here() && front.stage() == Stage::Serving;
+                let stays = front.stage() == Stage::Serving && *front.taking.borrow();
+                let on = usable && !talk.frame.ends_here() && stays;
                 // Guards against clients that ask once and stay: what they may hold is soon taken up by connections
                 // that nobody uses. Past half of it each goes with its answer.
                 let mut keep = on.then(|| Kept::one_more(front)).flatten();
@@ -273,7 +307,7 @@
 async fn crowded_out(front: &Front, talk: &Talk) {
     loop {
         front.crowd.notified().await;
-        let none_left = front.open.load(Relaxed) >= front.most;
+        let none_left = front.open.load(Relaxed) >= front.most.load(Relaxed);
         let span = match (none_left, talk.answered.load(Relaxed)) {
             (true, false) => AT_ONCE,
             (true, true) | (false, false) => QUIET_IN_CROWD,
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -5,6 +5,7 @@
 mod desk;
 mod frame;
 mod front;
+mod handover;
 mod intake;
 mod list;
 mod logging;
@@ -17,10 +18,12 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// Descriptors that are neither a client's nor an endpoint's: standard streams, the runtime, discovery.
 const OTHER_SOCKETS: usize = 32;
+/// Descriptors that a process which gives way may still come to hold.
+const BESIDE: usize = 16;
 
 /// passroad: a load balancer of which every client process runs its own copy.
 ///
@@ -102,14 +105,49 @@
     }
 }
 
+/// What a process may hold while another is beside it.
+struct Room {
+    front: Arc<front::Front>,
+    dialer: relay::Dialer,
+    all_in: usize,
+    to_come: usize, // connections out, once the process before has ended
+    held_back: Mutex<usize>,
+}
+
+impl handover::Room for Room {
+    fn give_way(&self, away: bool) {
+        self.front.take(!away);
+        let mut held_back = self.held_back.lock().unwrap_or_else(PoisonError::into_inner);
+        if away {
+            *held_back += self.dialer.hold_back();
+        } else {
+            self.dialer.widen(std::mem::take(&mut *held_back));
+        }
+    }
+
+    fn whole(&self) {
+        self.front.widen(self.all_in);
+        self.dialer.widen(self.to_come);
+    }
+}
+
 async fn run(mut start: start::Start, files: Files) -> Result<(), String> {
     let hangups = start::sighup()?;
     // Commands hold a third of all at most, and each needs a connection to an endpoint; the rest is for clients, who
     // may come in crowds.
     let other = OTHER_SOCKETS + start.management.map_or(0, |_| management::SOCKETS);
+    let shares = |sockets: usize| (sockets * 2 / 5, sockets - sockets * 2 / 5);
     let sockets = start.sockets.saturating_sub(other).max(16);
-    let (most_out, most) = (sockets * 2 / 5, sockets - sockets * 2 / 5);
-    let listener = front::listen(start.listen).await?;
+    let place = start.management.and_then(|_| handover::place(start.listen, start.folder.clone()));
+    let mut before = place.as_ref().and_then(|place| handover::ask(place, start.listen));
+    // Beside another process with what that one leaves.
+    let theirs =
+        before.as_ref().map(|b| b.known.as_ref().map_or(sockets / 2, |known| known.descriptors + BESIDE));
+    let (most_out, most) = shares(sockets.saturating_sub(theirs.unwrap_or_default()).max(16));
+    let listener = match before.as_mut().map(|before| before.listener.try_clone()) {
+        Some(Ok(listener)) => front::adopt(listener)?,
+        _ => front::listen(start.listen, start.management.is_some()).await?,
+    };
     let door = start.management.map(management::listen).transpose()?;
     let stages = stop::Stage::on_sigterm()?;
     log::info!(
@@ -126,6 +164,7 @@
         let _ = calls.send(list::Call::Watch(true));
     }
     let dialer = relay::Dialer::new(start.connect_within, start.orders.idle_close, most_out);
+    let room = (dialer.clone(), shares(sockets), most_out);
     // The module is to count on a connection only as long as it is kept here.
     start.orders.idle_close = dialer.idle();
     let kept = start::Kept::of(&start);
@@ -141,16 +180,34 @@
         tokio::spawn(Arc::clone(&desk).tell_watch(every));
     }
     let revision = start.known.as_ref().map(|list| list.revision);
-    // An empty one, too: the module calls discovery from there on.
-    desk.listed(passroad_choice::ListKind::Remembered, &start.known.unwrap_or_default());
+    let known = before.as_mut().and_then(|before| before.known.take());
+    let revision = match known {
+        Some(known) => desk.inherit(known),
+        // An empty one, too: the module calls discovery from there on.
+        None => {
+            desk.listed(passroad_choice::ListKind::Remembered, &start.known.unwrap_or_default());
+            revision
+        }
+    };
     tokio::spawn(Arc::clone(&desk).beat());
     tokio::spawn(list::follow(Arc::clone(&desk), at, hold, revision, called));
     tokio::spawn(start::read_again(files, hangups, kept, moves));
     let intake = intake::Intake::new(Arc::clone(&desk), &orders, start.memory, stages.clone());
+    let front = front::Front::new(most, start.sockets / 6, stages.clone());
     if let Some(door) = door {
-        management::open(door, Arc::clone(&desk), stages.clone())?;
+        let (dialer, (all_out, all_in), now_out) = room;
+        let room = Room {
+            front: Arc::clone(&front),
+            dialer,
+            all_in,
+            to_come: all_out - now_out,
+            held_back: Mutex::default(),
+        };
+        let socket = front::copy(&listener)?;
+        let handover = handover::Handover::new(Arc::clone(&desk), stages.clone(), socket, Box::new(room))?;
+        management::open(door, handover, place.map(|place| (before, place)), stages)?;
     }
-    front::serve(listener, front::Front::new(most, start.sockets / 6, stages), intake, longest).await;
+    front::serve(listener, front, intake, longest).await;
     desk.say_watch();
     Ok(())
 }
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -6,7 +6,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy;
 use passroad_choice::{Event, ListKind, Mode};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,7 +32,7 @@
     pub members: Vec<Member>,
 }
 
-#[derive(Deserialize, Debug)]
+#[derive(Deserialize, Serialize, Debug, Clone, PartialEq)]
 pub struct Member {
     pub id: String,
     pub host_port: Option<SocketAddr>,
@@ -49,7 +49,7 @@
     pub up_since_ms: u64,
 }
 
-#[derive(Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize, Serialize, Debug, Clone, Copy, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
     Up,
--- a/crates/passroad/src/management.rs
+++ b/crates/passroad/src/management.rs
@@ -1,6 +1,6 @@
 //! The operators' door: an address of its own, served by a thread of its own, so that a busy front can't hold it up.
 
-use crate::desk::Desk;
+use crate::handover::{Handover, Inherited};
 use crate::stop::{Stage, Stages};
 use axum::Router;
 use axum::body::{Body, to_bytes};
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -31,7 +32,7 @@
 
 #[derive(Clone)]
 struct Door {
-    desk: Arc<Desk>,
+    handover: Arc<Handover>,
     stages: Stages,
 }
 
@@ -54,14 +55,22 @@
 }
 
 /// Serves calls for as long as the process runs.
-pub fn open(listener: std::net::TcpListener, desk: Arc<Desk>, stages: Stages) -> Result<(), String> {
+pub fn open(
+    listener: std::net::TcpListener,
+    handover: Arc<Handover>,
+    upgrade: Option<(Option<Inherited>, PathBuf)>,
+    stages: Stages,
+) -> Result<(), String> {
     let fault = |e: std::io::Error| format!("management: {e}");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(fault)?;
     let at = listener.local_addr().map_err(fault)?;
     let serve = move || {
         runtime.block_on(async move {
+            if let Some((before, place)) = upgrade {
+                tokio::spawn(Arc::clone(&handover).serve(before, place));
+            }
             match TcpListener::from_std(listener) {
-                Ok(listener) => serve(listener, router(Door { desk, stages })).await,
+                Ok(listener) => serve(listener, router(Door { handover, stages })).await,
                 Err(fault) => log::error!("management: {fault}"),
             }
         });
@@ -97,7 +106,7 @@
         Err(fault) => return said(StatusCode::BAD_REQUEST, &format!("not {{\"id\":\"ID\"}}: {fault}")),
     };
     // The yes is said only once the ban is in effect.
-    match door.desk.cordon(&which.id, out) {
+    match door.handover.cordon(&which.id, out).await {
         true => said(StatusCode::OK, if out { "out" } else { "back in use" }),
         false => said(StatusCode::NOT_FOUND, "no endpoint of this id was listed"),
     }
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, Sleep};
 
 pub const LONGEST_BODY: usize = 64 << 10;
+const HELD_BACK: usize = 8; // connections that a process which gives way may open
 const MOST_IDLE: usize = 16; // connections kept to one endpoint
 /// Of the time after which endpoints close: the pool looks once in so long, so none stays for twice that.
 const IDLE_SHARE: f64 = 0.45;
@@ -331,6 +332,17 @@
         self.idle
     }
 
+    /// Keeps to the connections that are open and a few more, as another process needs the rest; how many fewer.
+    pub fn hold_back(&self) -> usize {
+        let spare = self.permits.available_permits().saturating_sub(HELD_BACK);
+        self.permits.forget_permits(spare)
+    }
+
+    /// May open so many more.
+    pub fn widen(&self, by: usize) {
+        self.permits.add_permits(by);
+    }
+
     pub fn used_up(&self) -> bool {
         self.permits.available_permits() == 0
     }
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -15,6 +15,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Shared with the processes before and after this one, where it is.
+    pub folder: Option<PathBuf>,
     /// The operators' door, where there is one.
     pub management: Option<SocketAddr>,
     pub sockets: usize,
@@ -189,6 +191,7 @@
         listen: address(told.listen, "LB_LISTEN")?,
         discovery: address(told.discovery, "LB_DISCOVERY")?,
         management,
+        folder: variable("TMPDIR").map(PathBuf::from),
         sockets: told.limits.sockets,
         memory: (told.limits.memory_mb.clamp(1.0, 1e6) * 1e6) as usize,
         known: told.known,
--- a/crates/passroad/tests/stand_ins/mod.rs
+++ b/crates/passroad/tests/stand_ins/mod.rs
@@ -225,6 +225,23 @@
     operate(door, "POST", &format!("/admin/{what}"), &format!(r#"{{"id":"{id}"}}"#))
 }
 
+/// A folder that goes with its last user.
+pub struct Shared(pub std::path::PathBuf);
+
+pub fn shared() -> Shared {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("passroad-shared-{}-{}", std::process::id(), COUNT.fetch_add(1, SeqCst));
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    Shared(folder)
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// The program with a configuration, in a folder of its own.
 pub fn program(text: &str) -> (Command, std::path::PathBuf) {
     static COUNT: AtomicUsize = AtomicUsize::new(0);
@@ -257,6 +274,20 @@
         sidecar
     }
 
+    /// The same beside another process, which shares a folder with it.
+    pub fn start_beside(
+        address: SocketAddr,
+        door: SocketAddr,
+        text: &str,
+        shared: &std::path::Path,
+    ) -> Sidecar {
+        let (mut command, folder) = program(&with_door(text, door));
+        let child = command.env("TMPDIR", shared).stderr(Stdio::null()).spawn().unwrap();
+        let sidecar = Sidecar { address, child, folder };
+        until(|| TcpStream::connect(door).is_ok() && operate(door, "GET", "/admin/health", "") == "200");
+        sidecar
+    }
+
     /// The same with a file of routes.
     pub fn start_with(address: SocketAddr, text: &str, routes: &str) -> Sidecar {
         let (mut command, folder) = program(text);
--- /dev/null
+++ b/crates/passroad/tests/upgrades.rs
@@ -0,0 +1,182 @@
+//! A second process beside the first, on loopback sockets.
+
+mod stand_ins;
+
+use rstest::rstest;
+use stand_ins::*;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixListener;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::thread::spawn;
+
+/// Two endpoints, a discovery, and all that two processes share.
+struct Scene {
+    endpoints: [StandIn; 2],
+    _discovery: Discovery,
+    address: SocketAddr,
+    text: String,
+    shared: Shared,
+}
+
+impl Scene {
+    fn new() -> Scene {
+        let endpoints = [willing("a"), willing("b")];
+        let list = format!(
+            "{},{}",
+            member("s-1", endpoints[0].address, "up"),
+            member("s-2", endpoints[1].address, "up")
+        );
+        let (address, discovery) = (nowhere(), discovery(&list));
+        let text = told(address, discovery.stand_in.address, &list, &patient())
+            .replace("\"sockets\":64", "\"sockets\":256");
+        Scene { endpoints, _discovery: discovery, address, text, shared: shared() }
+    }
+
+    fn start(&self) -> (Sidecar, SocketAddr) {
+        let door = nowhere();
+        (Sidecar::start_beside(self.address, door, &self.text, &self.shared.0), door)
+    }
+
+    fn place(&self) -> PathBuf {
+        self.shared.0.join(format!("passroad-{}.sock", self.address.to_string().replace(':', "-")))
+    }
+
+    /// How many of some commands the first endpoint gets.
+    fn of_first(&self, sidecar: &Sidecar, mark: &str) -> usize {
+        let before = self.endpoints[0].count();
+        for n in 0..20 {
+            assert_eq!(sidecar.ask(&patiently(&look(&format!("{mark}{n}")))).word(), "200");
+        }
+        self.endpoints[0].count() - before
+    }
+}
+
+// Clients come all the time, each over a connection of its own, while one process gives way to the next, twice.
+#[rstest]
+fn no_client_is_turned_away_while_a_process_gives_way_to_the_next() {
+    let scene = Scene::new();
+    let (mut old, _) = scene.start();
+    let (stop, address) = (Arc::new(AtomicBool::new(false)), scene.address);
+    let clients: Vec<_> = (0..4)
+        .map(|client| {
+            let stop = Arc::clone(&stop);
+            spawn(move || {
+                let mut n = 0;
+                while !stop.load(SeqCst) {
+                    n += 1;
+                    let mut to = BufReader::new(std::net::TcpStream::connect(address).unwrap());
+                    let answer = ask(&mut to, &patiently(&book(&format!("{client}-{n}"))));
+                    assert_eq!(answer.expect("an answer").word(), "200");
+                }
+                n
+            })
+        })
+        .collect();
+    for _ in 0..2 {
+        let (new, _) = scene.start();
+        old.signal("TERM");
+        until(|| old.child.try_wait().unwrap().is_some_and(|how| how.success()));
+        old = new;
+    }
+    stop.store(true, SeqCst);
+    let asked: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    assert!(asked > 20, "{asked}");
+}
+
+#[rstest]
+fn a_ban_outlives_the_process_that_was_told() {
+    let scene = Scene::new();
+    let (mut old, door) = scene.start();
+    assert_eq!(cordon(door, "cordon", "s-1"), "200");
+    let (new, door) = scene.start();
+    old.signal("TERM");
+    until(|| old.child.try_wait().unwrap().is_some());
+    assert_eq!(scene.of_first(&new, "n"), 0);
+    assert_eq!(cordon(door, "uncordon", "s-1"), "200");
+    until(|| scene.of_first(&new, "m") > 0);
+}
+
+// While both serve, a ban told to either holds in both when the yes is said.
+#[rstest]
+fn beside_each_other_two_processes_keep_the_same_bans() {
+    let scene = Scene::new();
+    let (old, old_door) = scene.start();
+    let mut kept = old.client();
+    let mut ask_old = |id: &str| ask(&mut kept, &patiently(&look(id)));
+    assert!(ask_old("k1").is_some());
+    let (new, new_door) = scene.start();
+    assert_eq!(cordon(new_door, "cordon", "s-1"), "200");
+    let before = scene.endpoints[0].count();
+    // Its connections end with their next answer.
+    assert!(ask_old("k2").is_some_and(|answer| answer.header("connection").as_deref() == Some("close")));
+    assert_eq!(scene.endpoints[0].count(), before);
+    assert_eq!(cordon(old_door, "cordon", "s-2"), "200");
+    assert_eq!(new.ask(&patiently(&look("n1"))).word(), "503");
+    assert_eq!(
+        (cordon(old_door, "uncordon", "s-1"), cordon(new_door, "uncordon", "s-2")),
+        ("200".into(), "200".into())
+    );
+    assert_eq!(new.ask(&patiently(&look("n2"))).word(), "200");
+    drop(old);
+}
+
+#[rstest]
+fn where_the_next_process_is_killed_the_one_before_goes_on() {
+    let scene = Scene::new();
+    let (old, _) = scene.start();
+    let (new, _) = scene.start();
+    drop(new);
+    // What had come to the killed one is lost with it; whoever comes once it is gone is served.
+    until(|| {
+        let mut client = old.client();
+        let _ = client.get_mut().set_read_timeout(Some(500 * MS));
+        ask(&mut client, &patiently(&look("o"))).is_some_and(|answer| answer.word() == "200")
+    });
+    // And it has its place again: the next one takes over from it.
+    let (next, _) = scene.start();
+    old.signal("TERM");
+    assert_eq!(next.ask(&patiently(&look("p"))).word(), "200");
+}
+
+#[rstest]
+#[case::stale(None)]
+#[case::nonsense(Some(&b"HTTP/1.1 200 OK\r\n\r\n"[..]))]
+#[case::silent(Some(&b""[..]))]
+fn where_nobody_answers_in_the_shared_folder_it_starts_from_nothing(#[case] says: Option<&'static [u8]>) {
+    let scene = Scene::new();
+    let listener = UnixListener::bind(scene.place()).unwrap();
+    match says {
+        None => drop(listener),
+        Some(says) => drop(spawn(move || {
+            let mut held = Vec::new();
+            for stream in listener.incoming().flatten() {
+                let mut stream = BufReader::new(stream);
+                let _ = stream.read_line(&mut String::new());
+                let _ = stream.get_mut().write_all(says);
+                held.push(stream);
+            }
+        })),
+    }
+    let (sidecar, door) = scene.start();
+    assert_eq!(sidecar.ask(&patiently(&look("a"))).word(), "200");
+    assert_eq!(operate(door, "GET", "/admin/health", ""), "200");
+}
+
+// Together two processes hold no more than one may.
+#[rstest]
+fn descriptors_of_both_stay_within_the_limit() {
+    let scene = Scene::new();
+    let (old, _) = scene.start();
+    let crowd =
+        || (0..200).filter_map(|_| std::net::TcpStream::connect(scene.address).ok()).collect::<Vec<_>>();
+    let first = crowd();
+    until(|| old.descriptors() > 70);
+    let (new, _) = scene.start();
+    let second = crowd();
+    until(|| new.descriptors() > 30);
+    assert!(old.descriptors() + new.descriptors() <= 256, "{} and {}", old.descriptors(), new.descriptors());
+    drop((first, second));
+}
