--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -35,7 +35,7 @@
 const SMALL: usize = 32; // endpoints; so few are all in view
 pub(crate) const LEAST_GAIN: f64 = 0.02; // of a sample, however many came before
 const FEW: f64 = 0.1; // a second; so little asked says little of how a verb is served
-const KEY_SLOTS: usize = 4096;
+pub(crate) const KEY_SLOTS: usize = 4096;
 const HOMES: f64 = 1.5; // for a key, against those that its part of all commands would fill
 const RESERVE: f64 = 0.05;
 const CALM: Duration = Duration::from_secs(2); // own figures are smoothed over this
@@ -47,13 +47,6 @@
         let own = |few: &Few| 1.0 - (1.0 - few.good(OUTCOMES)) * fade(now, few.failed, 4 * CALM);
         verb.and_then(|v| self.by_verb.get(v)).map_or(1.0, own).min(self.last.good(OUTCOMES))
     }
-
-    /// Another process now, or taken for one: nothing that is known of the old one holds.
-    fn start_cold(&mut self, since: Duration) {
-        let met = self.met;
-        self.forget();
-        (self.up_since, self.pass_until, self.met) = (Some(since), Duration::ZERO, met);
-    }
 }
 
 impl Pace {
@@ -68,19 +61,24 @@
 
 impl Balancer {
     pub fn new(orders: StandingOrders) -> Self {
+        let (seed, duty) = (orders.seed | 1, Balancer::duty(orders));
+        Balancer { limit: FIRST_LIMIT, spare: 2.0, ..Balancer::fresh(duty, seed) }
+    }
+
+    fn duty(orders: StandingOrders) -> DutySheet {
         let goals = orders.verbs.iter().map(|v| v.goal).min().unwrap_or_default();
         let goal = goals.clamp(Duration::from_millis(1), Duration::from_secs(60));
         // Heartbeats may cost most of a hundredth of the service; no probes or no reports, no heartbeats.
         let asks = orders.probes && orders.reports != ReportsHow::Silent;
         let heartbeats = (0.007 / orders.probe_price.max(1e-4)).clamp(1.0, 4.0) as usize;
-        let duty = DutySheet {
-            verbs: orders.verbs.iter().map(|v| VerbDuty::of(v, v.goal / 4)).collect(),
+        let relays = orders.max_relays.max(1);
+        DutySheet {
+            verbs: orders.verbs.iter().map(|v| VerbDuty::of(v, v.goal / 4, relays)).collect(),
             goal_whole: orders.goal_whole,
             goal_verb: orders.goal_worst_verb,
             portions: orders.companies.iter().map(|c| c.portion).collect(),
             surplus_utility: orders.surplus_utility,
             own_zone: orders.zone,
-            most_relays: orders.max_relays.max(1),
             return_after: orders.max_retry_after,
             may_recall: orders.may_cancel,
             second_copies: orders.second_copies && orders.max_relays > 1,
@@ -106,8 +104,7 @@
             tip_after: orders.tip_after,
             // Three quarters of the way, as a ratio, from a fair share to what pushes a cold endpoint over.
             cold_share: orders.tip_multiple.max(1.0).powf(0.75),
-        };
-        Balancer { limit: FIRST_LIMIT, spare: 2.0, ..Balancer::fresh(duty, orders.seed | 1, KEY_SLOTS) }
+        }
     }
 
     /// Takes one event and returns what is to be done about it.
@@ -120,6 +117,7 @@
         match event {
             Event::Listed { kind, entries } => self.read_list(kind, entries),
             Event::Steered { weights } => self.steer(weights),
+            Event::Retuned(orders) => self.retune(Balancer::duty(*orders)),
             Event::Cordoned { endpoint, out } => self.cordon(endpoint, out),
             Event::Arrived(arrival) => self.take(arrival),
             Event::StreamStarted { cmd, .. } => {
@@ -917,7 +915,7 @@
         let again = unfit < 2 && (!ran || self.duty.verbs[c.verb].effect != Effect::Effectful);
         // A first relay proven not to have run, or not to fit, costs little to send again, but not nothing.
         let price = if c.relays.len() < 2 && (outcome.never_ran() || unfit > 0) { 0.2 } else { 1.0 };
-        let time = self.now < self.last_call(c) && c.relays.len() < self.duty.most_relays;
+        let time = self.now < self.last_call(c) && c.relays.len() < self.duty.verbs[c.verb].most_relays;
         if time && again && self.spare >= price {
             self.spare -= price;
             self.enqueue(cmd);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -586,7 +586,7 @@
     #[case] back: bool,
 ) {
     let mut b = sidecar(Effect::Pure, 2);
-    b.duty.verbs.push(VerbDuty::of(&verb(Effect::Pure), CALM));
+    b.duty.verbs.push(VerbDuty::of(&verb(Effect::Pure), CALM, 3));
     for _ in 0..OUTCOMES {
         b.judge(0, 0, Outcome::TimedOut, OUTCOMES);
         (0..3).for_each(|_| b.judge(0, 1, Outcome::Answered, OUTCOMES));
@@ -605,7 +605,7 @@
 #[case(0.2, false)]
 fn the_worst_served_verb_goes_first(#[case] served: f64, #[case] richer_first: bool) {
     let mut b = sidecar(Effect::Pure, 1);
-    let mut other = VerbDuty { utility: 3.0, ..VerbDuty::of(&verb(Effect::Pure), CALM) };
+    let mut other = VerbDuty { utility: 3.0, ..VerbDuty::of(&verb(Effect::Pure), CALM, 3) };
     for n in 0..100 {
         b.duty.verbs[0].asked.add(NOW, CALM);
         other.asked.add(NOW, CALM);
@@ -741,6 +741,78 @@
     assert_eq!(out.iter().filter_map(slot).collect::<Vec<_>>(), freed);
 }
 
+// ---- other orders ----
+
+/// Orders for verbs of these names, the first of another effect.
+fn retuned(names: &[&str], first: Effect, max_relays: usize) -> Event {
+    let mut orders = orders(first);
+    let effect = |n: usize| if n == 0 { first } else { Effect::Pure };
+    orders.verbs = names
+        .iter()
+        .enumerate()
+        .map(|(n, name)| VerbOrder { name: (*name).into(), ..verb(effect(n)) })
+        .collect();
+    orders.max_relays = max_relays;
+    Event::Retuned(Box::new(orders))
+}
+
+fn numbers(out: &[Action]) -> Vec<usize> {
+    let told = |a: &Action| if let Action::Numbered { verbs } = a { Some(verbs.clone()) } else { None };
+    out.iter().find_map(told).expect("numbers")
+}
+
+#[rstest]
+fn what_did_not_change_keeps_its_slot_and_what_changed_gets_another() {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.duty.verbs[0].usual.mean = 0.7;
+    assert_eq!(numbers(&b.decide(NOW, retuned(&["v", "w"], Effect::Pure, 3))), [0, 1]);
+    assert_eq!(numbers(&b.decide(NOW, retuned(&["v", "w"], Effect::Effectful, 3))), [2, 1]);
+    // What was seen of it holds; another verb begins from nothing.
+    assert_eq!((b.duty.verbs[2].usual.mean, b.duty.verbs[1].usual.mean), (0.7, 0.1));
+    // Each slot again once it has long been out of use, and no sooner.
+    assert_eq!(numbers(&b.decide(NOW + CALM, retuned(&["x"], Effect::Pure, 3))), [3]);
+    assert_eq!(numbers(&b.decide(NOW + 60 * CALM, retuned(&["x", "y", "z"], Effect::Pure, 3))), [3, 0, 1]);
+}
+
+// An effectful command was open when its verb became pure: it is not sent again, and the other way round it may be.
+#[rstest]
+#[case::effectful_before(Effect::Effectful, Effect::Pure, false)]
+#[case::pure_before(Effect::Pure, Effect::Effectful, true)]
+fn an_open_command_keeps_the_effect_it_came_with(
+    #[case] before: Effect,
+    #[case] now: Effect,
+    #[case] again: bool,
+) {
+    let mut b = with_relay(before, 2);
+    b.decide(NOW, retuned(&["v"], now, 3));
+    let out = b.decide(NOW, finished(0, Outcome::Broken));
+    assert_eq!(!relays(&out).is_empty(), again, "{out:?}");
+    let terminated = out.iter().any(|a| matches!(a, Action::Terminate { cmd: 0 }));
+    assert_eq!(terminated, !again, "{out:?}");
+}
+
+#[rstest]
+#[case::fewer(3, 1, true)]
+#[case::more(1, 3, false)]
+fn an_open_command_keeps_the_number_of_relays_it_came_with(
+    #[case] before: usize,
+    #[case] now: usize,
+    #[case] again: bool,
+) {
+    let mut b = with_relay(Effect::Pure, 2);
+    b.duty.verbs[0].most_relays = before;
+    b.decide(NOW, retuned(&["v"], Effect::Pure, now));
+    let out = b.decide(NOW, finished(0, Outcome::Broken));
+    assert_eq!(!relays(&out).is_empty(), again, "{out:?}");
+}
+
+#[rstest]
+fn a_slot_that_a_command_holds_is_not_given_out() {
+    let mut b = with_relay(Effect::Effectful, 2);
+    assert_eq!(numbers(&b.decide(NOW, retuned(&["w"], Effect::Pure, 3))), [1]);
+    assert_eq!(numbers(&b.decide(NOW + 60 * CALM, retuned(&["w", "x"], Effect::Pure, 3))), [1, 2]);
+}
+
 // ---- out by hand ----
 
 fn cordoned(endpoint: EndpointIx, out: bool) -> Event {
@@ -871,9 +943,9 @@
     }
 }
 
-fn sidecar(effect: Effect, endpoints: usize) -> Balancer {
+fn orders(effect: Effect) -> StandingOrders {
     let ms = Duration::from_millis;
-    let mut b = Balancer::new(StandingOrders {
+    StandingOrders {
         seed: 7,
         zone: 0,
         zones: vec!["z".into()],
@@ -902,7 +974,11 @@
         warm_within: Duration::from_secs(20),
         tip_multiple: 3.0,
         tip_after: Duration::from_secs(2),
-    });
+    }
+}
+
+fn sidecar(effect: Effect, endpoints: usize) -> Balancer {
+    let mut b = Balancer::new(orders(effect));
     b.now = NOW;
     b.endpoints = (0..endpoints).map(|_| Endpoint::unknown()).collect();
     b.endpoints.iter_mut().for_each(|e| (e.listed, e.heard) = (true, Some(NOW)));
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -175,6 +175,8 @@
     Steered {
         weights: Vec<(usize, EndpointIx, f64)>,
     },
+    /// Other orders from here on. Commands that are open keep those that they came with.
+    Retuned(Box<StandingOrders>),
     /// Operators take an endpoint out, or call it back; whatever the list says meanwhile.
     Cordoned {
         endpoint: EndpointIx,
@@ -255,5 +257,9 @@
         after: Duration,
         token: u64,
     },
+    /// The answer to other orders: the verb of each, as commands are to name it from here on.
+    Numbered {
+        verbs: Vec<usize>,
+    },
     Log(String),
 }
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -1,10 +1,11 @@
 //! What the decisions remember, by how long it lives: for one relay, one command, one endpoint, one verb.
 //! Only shapes and sums stand here; what follows from them is decided in `choice.rs`.
 
-use crate::choice::LEAST_GAIN;
+use crate::choice::{KEY_SLOTS, LEAST_GAIN};
 use crate::{Action, Arrival, CmdIx, Effect, EndpointIx, Group, Outcome, VerbOrder};
 use std::time::Duration;
 
+const SLOT_RESTS: Duration = Duration::from_secs(60); // a verb's, before another has it
 pub const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
 pub const ALARM_QUEUE: u64 = 1;
 pub const ALARM_COPY: u64 = 2;
@@ -90,10 +91,12 @@
     pub asked: Faded,
     pub served: Faded, // in time
     pub usual: Pace,   // seconds that an answer takes
+    pub most_relays: usize,
+    pub retired: Option<Duration>, // no command comes with it since then
 }
 
 impl VerbDuty {
-    pub fn of(v: &VerbOrder, usual: Duration) -> Self {
+    pub fn of(v: &VerbOrder, usual: Duration, most_relays: usize) -> Self {
         VerbDuty {
             name: v.name.clone(),
             effect: v.effect,
@@ -109,8 +112,24 @@
             asked: Faded::default(),
             served: Faded::default(),
             usual: Pace { mean: usual.as_secs_f64(), ..Pace::default() },
+            most_relays,
+            retired: None,
         }
     }
+
+    /// Whether the orders are the same.
+    fn same(&self, other: &VerbDuty) -> bool {
+        let times = |v: &VerbDuty| [v.window, v.goal, v.limit];
+        let numbers = |v: &VerbDuty| [v.stretch, v.utility, v.late_utility];
+        self.name == other.name
+            && (self.effect, self.group, self.most_relays) == (other.effect, other.group, other.most_relays)
+            && (times(self), numbers(self)) == (times(other), numbers(other))
+    }
+
+    /// Other orders for the same verb: what was seen of it holds, but for what clients give.
+    fn learn(&mut self, before: &VerbDuty) {
+        (self.asked, self.served, self.usual) = (before.asked, before.served, before.usual);
+    }
 }
 
 /// The last few outcomes, one bit each.
@@ -297,6 +316,13 @@
         (self.misses, self.try_at, self.tried, self.met) = (0, Duration::ZERO, Duration::ZERO, false);
     }
 
+    /// Another process now, or taken for one: nothing that is known of the old one holds.
+    pub fn start_cold(&mut self, since: Duration) {
+        let met = self.met;
+        self.forget();
+        (self.up_since, self.pass_until, self.met) = (Some(since), Duration::ZERO, met);
+    }
+
     /// Share of harm among the last few outcomes; it fades, as what is avoided has no more of them.
     pub fn harm(&self, now: Duration, few: u32, over: Duration) -> f64 {
         let count = (self.harm & ((1 << few) - 1)).count_ones();
@@ -360,7 +386,6 @@
     pub portions: Vec<f64>,
     pub surplus_utility: f64,
     pub own_zone: usize,
-    pub most_relays: usize,
     pub return_after: Option<Duration>,
     pub may_recall: bool,
     pub second_copies: bool,
@@ -389,10 +414,10 @@
 /// the list adds up to.
 impl Balancer {
     /// Nothing seen yet.
-    pub(crate) fn fresh(duty: DutySheet, dice: u64, keys: usize) -> Self {
+    pub(crate) fn fresh(duty: DutySheet, dice: u64) -> Self {
         Balancer {
             mix: vec![Faded::default(); duty.portions.len()],
-            keys: vec![Faded::default(); if duty.warm_keys { keys } else { 0 }],
+            keys: vec![Faded::default(); if duty.warm_keys { KEY_SLOTS } else { 0 }],
             rtt: duty.tick,
             duty,
             dice,
@@ -406,6 +431,57 @@
         }
     }
 
+    /// Other orders: verbs that did not change keep their slots, all others get some that no command holds.
+    pub(crate) fn retune(&mut self, mut duty: DutySheet) {
+        let (new, now) = (std::mem::take(&mut duty.verbs), self.now);
+        duty.verbs = std::mem::take(&mut self.duty.verbs);
+        if duty.portions != self.duty.portions {
+            self.mix = vec![Faded::default(); duty.portions.len()];
+        }
+        self.keys.resize(if duty.warm_keys { self.keys.len().max(KEY_SLOTS) } else { 0 }, Faded::default());
+        self.duty = duty;
+        let live = |v: &VerbDuty| v.retired.is_none();
+        let stay = |old: &VerbDuty| new.iter().any(|v| v.same(old));
+        for old in self.duty.verbs.iter_mut().filter(|v| v.retired.is_none() && !stay(v)) {
+            old.retired = Some(now);
+        }
+        let mut verbs = Vec::with_capacity(new.len());
+        for mut v in new {
+            let slots = &self.duty.verbs;
+            if let Some(at) = slots.iter().position(|old| live(old) && old.same(&v)) {
+                verbs.push(at);
+                continue;
+            }
+            let before = slots.iter().rposition(|old| old.name == v.name && old.retired == Some(now));
+            before.iter().for_each(|at| v.learn(&slots[*at]));
+            let held = |at: usize| self.commands.iter().flatten().any(|c| c.verb == at);
+            let free = |at: &usize| {
+                let since = slots[*at].retired.map(|since| now.saturating_sub(since));
+                since.is_some_and(|since| since > SLOT_RESTS) && !held(*at)
+            };
+            let at = (0..slots.len()).find(free).unwrap_or(slots.len());
+            for e in &mut self.endpoints {
+                let few = before.and_then(|at| e.by_verb.get(at)).copied().unwrap_or_default();
+                e.by_verb.resize(e.by_verb.len().max(at + 1), Few::default());
+                e.by_verb[at] = few;
+            }
+            if at == slots.len() {
+                self.duty.verbs.push(v);
+            } else {
+                self.duty.verbs[at] = v;
+            }
+            verbs.push(at);
+        }
+        for gone in self.duty.verbs.iter_mut().filter(|v| v.retired == Some(now)) {
+            (gone.asked, gone.served) = (Faded::default(), Faded::default());
+        }
+        let names: Vec<_> = verbs.iter().map(|at| self.duty.verbs[*at].name.as_str()).collect();
+        let line = format!("other orders: verbs {}", names.join(", "));
+        self.log(line);
+        self.out.push(Action::Numbered { verbs });
+        self.survey();
+    }
+
     /// Multiply-with-carry; a number from 0 up to 1.
     pub(crate) fn chance(&mut self) -> f64 {
         self.dice = (self.dice & 0xffff_ffff) * 4_294_957_665 + (self.dice >> 32);
--- a/crates/passroad-choice/src/watch.rs
+++ b/crates/passroad-choice/src/watch.rs
@@ -58,6 +58,11 @@
     pub fn decide(&mut self, now: Duration, event: Event) -> Vec<Action> {
         let Some((other, counts)) = self.beside.as_deref_mut() else { return self.lead.decide(now, event) };
         other.dice = self.lead.dice; // the same draws as far as they are as many
+        // Under other orders the two would no longer speak of the same verbs.
+        if matches!(event, Event::Retuned(_)) {
+            self.beside = None;
+            return self.lead.decide(now, event);
+        }
         let (lead, heard) = (&mut self.lead, event.clone());
         let done = lead.decide(now, event);
         let beside = catch_unwind(AssertUnwindSafe(|| {
--- a/crates/passroad-orders/src/lib.rs
+++ b/crates/passroad-orders/src/lib.rs
@@ -25,6 +25,15 @@
         }
     }
 
+    /// Guards against orders under which nothing could be answered, or sent.
+    fn above_zero(&self, path: &str, least: f64) -> Result<(), String> {
+        match self.0.pointer(path) {
+            None => Ok(()),
+            Some(v) if v.as_f64().is_some_and(|n| n >= least && n.is_finite()) => Ok(()),
+            Some(v) => Err(format!("settings: {path} is {v}, no number above 0")),
+        }
+    }
+
     fn flag(&self, path: &str, absent: bool) -> Result<bool, String> {
         match self.0.pointer(path) {
             None | Some(Value::Null) => Ok(absent),
@@ -72,6 +81,9 @@
         "cell" => Group::Cell,
         other => return Err(format!("settings: verb {name} has the unknown scope '{other}'")),
     };
+    for path in ["/time_limit", "/response_goal"] {
+        at.above_zero(path, 1.0).map_err(|fault| format!("{fault} (verb {name})"))?;
+    }
     let limit = at.span("/time_limit", Duration::from_secs(1))?;
     Ok(VerbOrder {
         effect,
@@ -107,6 +119,11 @@
     if verbs.is_empty() {
         return Err("settings: no verbs".into());
     }
+    let twice = |n: usize| verbs[..n].iter().any(|v: &VerbOrder| v.name == verbs[n].name);
+    if let Some(n) = (0..verbs.len()).find(|n| twice(*n)) {
+        return Err(format!("settings: /verbs names '{}' twice", verbs[n].name));
+    }
+    at.above_zero("/allowed/max_relays", 1.0)?;
     let companies = at.items("/tenants")?.iter().map(|t| {
         let at = At(t);
         Ok(CompanyOrder { name: at.word("/name", "")?, portion: at.number("/portion", 0.0)? })
--- a/crates/passroad-rig/src/virtual_time.rs
+++ b/crates/passroad-rig/src/virtual_time.rs
@@ -368,7 +368,7 @@
             Action::Log(line) if self.played.lines.len() < MOST_LINES => {
                 self.played.lines.push((self.now, instance, line));
             }
-            Action::Log(_) | Action::Release { .. } | Action::Tell { .. } => {}
+            Action::Log(_) | Action::Release { .. } | Action::Tell { .. } | Action::Numbered { .. } => {}
         }
     }
 
--- a/crates/passroad-routes/src/lib.rs
+++ b/crates/passroad-routes/src/lib.rs
@@ -25,7 +25,8 @@
 pub struct Steered {
     balancer: Watched,
     router: Option<Router>,
-    goals: Vec<Duration>,
+    goals: Vec<Duration>,        // by verb, as the module numbers them
+    verbs: Vec<(String, usize)>, // their names and places in the orders, likewise
     return_after: Option<Duration>,
     out: Vec<Option<Out>>,
 }
@@ -36,12 +37,52 @@
         Steered {
             router: routes.map(|routes| Router::new(routes, &orders)),
             goals: orders.verbs.iter().map(|v| v.goal).collect(),
+            verbs: orders.verbs.iter().enumerate().map(|(at, v)| (v.name.clone(), at)).collect(),
             return_after: orders.max_retry_after,
             out: Vec::new(),
             balancer: Watched::new(orders, watch),
         }
     }
 
+    /// Other orders, and routes that were read against them; true if these can take the place of those in force.
+    pub fn may_retune(&self, orders: &StandingOrders, routes: Option<&RouteOrders>) -> bool {
+        match (&self.router, routes) {
+            (None, None) => true,
+            (Some(router), Some(routes)) => router.may_retune(orders, routes),
+            _ => false,
+        }
+    }
+
+    /// Takes other orders; what is to be done about it, and the verb of each as commands are to name it.
+    pub fn retune(
+        &mut self,
+        now: Duration,
+        orders: StandingOrders,
+        routes: Option<RouteOrders>,
+    ) -> (Vec<Action>, Vec<usize>) {
+        if let (Some(router), Some(routes)) = (&mut self.router, routes) {
+            router.retune(&orders, routes);
+        }
+        self.return_after = orders.max_retry_after;
+        let told: Vec<_> = orders.verbs.iter().map(|v| (v.name.clone(), v.goal)).collect();
+        let mut actions = self.balancer.decide(now, Event::Retuned(Box::new(orders)));
+        let at = actions.iter().position(|action| matches!(action, Action::Numbered { .. }));
+        let Some(Action::Numbered { verbs }) = at.map(|at| actions.remove(at)) else {
+            return (actions, Vec::new());
+        };
+        // A verb that has gone is routed as the first one, for what is open of it.
+        for (name, place) in &mut self.verbs {
+            *place = told.iter().position(|(told, _)| told == name).unwrap_or_default();
+        }
+        for (place, slot) in verbs.iter().enumerate() {
+            let len = self.goals.len().max(slot + 1);
+            self.goals.resize(len, Duration::ZERO);
+            self.verbs.resize(len, (String::new(), 0));
+            (self.goals[*slot], self.verbs[*slot]) = (told[place].1, (told[place].0.clone(), place));
+        }
+        (actions, verbs)
+    }
+
     /// What the watched orders would have made of the decisions so far, where there are any.
     pub fn counts(&self) -> Option<Counts> {
         self.balancer.counts()
@@ -72,7 +113,8 @@
                 let weights = router.look(now);
                 steer(&mut self.balancer, now, weights, &mut actions);
                 let cmd = arrival.cmd;
-                match router.rule(now, arrival.verb, arrival.company) {
+                let place = self.verbs.get(arrival.verb).map_or(0, |(_, place)| *place);
+                match router.rule(now, place, arrival.company) {
                     Ruling::Go { play } => {
                         arrival.play = play;
                         let len = self.out.len().max(cmd + 1);
--- a/crates/passroad-routes/src/router.rs
+++ b/crates/passroad-routes/src/router.rs
@@ -134,6 +134,17 @@
         }
     }
 
+    /// Whether the pools and zones are those in force; only which commands go where may change.
+    pub fn may_retune(&self, orders: &StandingOrders, routes: &RouteOrders) -> bool {
+        routes.pools == self.orders.pools && orders.zones == self.zone_names
+    }
+
+    pub fn retune(&mut self, orders: &StandingOrders, routes: RouteOrders) {
+        let best = orders.verbs.iter().map(|v| v.utility).fold(1e-9, f64::max);
+        self.worth = orders.verbs.iter().map(|v| v.utility / best).collect();
+        self.orders = routes;
+    }
+
     /// Multiply-with-carry, as in the decision module; a number from 0 up to 1.
     fn chance(&mut self) -> f64 {
         self.dice = (self.dice & 0xffff_ffff) * 4_294_957_665 + (self.dice >> 32);
--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -183,6 +183,8 @@
             Action::Alarm { after, token } => {
                 writeln!(reply, "SET_ALARM i={i} sleep_for={} cookie={token}", after.as_nanos())
             }
+            // Settings hold for an instance's life here.
+            Action::Numbered { .. } => Ok(()),
             Action::Log(text) => writeln!(reply, "LOG i={i} message={text}"),
         };
         Some(())
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -43,7 +43,6 @@
     epoch: Duration,
     dialer: Dialer,
     calls: UnboundedSender<Call>,
-    reports: ReportsHow,
     probe_within: Duration,
     pulse: Mutex<Pulse>,
     held: Mutex<Held>,
@@ -58,6 +57,7 @@
 
 struct Held {
     balancer: Steered,
+    reports: ReportsHow,
     commands: Door<u64>,
     admitted: u64,
     seats: Vec<Option<UnboundedSender<Order>>>,
@@ -90,11 +90,11 @@
             began: Instant::now(),
             epoch: SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default(),
             calls,
-            reports: orders.reports,
             probe_within,
             dialer,
             pulse: Mutex::new(Pulse { last: Instant::now(), stood: Duration::ZERO, since: Instant::now() }),
             held: Mutex::new(Held {
+                reports: orders.reports,
                 balancer: Steered::new(orders, watch, routes),
                 commands: Door::new(),
                 admitted: 0,
@@ -142,6 +142,9 @@
     pub async fn tell_watch(self: Arc<Self>, every: Duration) {
         loop {
             tokio::time::sleep(every).await;
+            if self.held().balancer.counts().is_none() {
+                return log::info!("the watch has ended");
+            }
             self.say_watch();
         }
     }
@@ -268,8 +271,36 @@
         true
     }
 
+    /// Takes other orders whole, or not at all: the verb of each, as commands are to name it from here on.
+    pub fn retune(
+        self: &Arc<Self>,
+        mut orders: StandingOrders,
+        routes: Option<RouteOrders>,
+    ) -> Result<Vec<usize>, String> {
+        let mut held = self.held();
+        if !held.balancer.may_retune(&orders, routes.as_ref()) {
+            return Err(
+                "routes: other pools or zones, or routes where there were none, wait for the next start"
+                    .into(),
+            );
+        }
+        // Zones keep the numbers that they have.
+        orders.zone = orders.zones.get(orders.zone).map_or(usize::MAX, |zone| held.zones.admit(zone));
+        // Connections are kept as at the start.
+        orders.idle_close = self.dialer.idle();
+        held.reports = orders.reports;
+        let (actions, verbs) = held.balancer.retune(self.now(), orders, routes);
+        self.carry_out(&mut held, actions);
+        Ok(verbs)
+    }
+
     fn decide(self: &Arc<Self>, held: &mut Held, event: Event) {
-        for action in held.balancer.decide(self.now(), event) {
+        let actions = held.balancer.decide(self.now(), event);
+        self.carry_out(held, actions);
+    }
+
+    fn carry_out(self: &Arc<Self>, held: &mut Held, actions: Vec<Action>) {
+        for action in actions {
             match action {
                 Action::Relay { cmd, endpoint, within } => match held.link(endpoint, &self.dialer) {
                     Some(link) => held.order(cmd, Order::Relay { link: Box::new(link), within }),
@@ -301,6 +332,7 @@
                 }
                 Action::Listen { active } => drop(self.calls.send(Call::Watch(active))),
                 Action::AskList => drop(self.calls.send(Call::Whole)),
+                Action::Numbered { .. } => log::error!("verbs numbered anew, unasked"),
                 Action::Tell { .. } => log::error!("the module has a message for peers; it can't be sent"),
                 Action::Alarm { after, token } => {
                     let desk = Arc::clone(self);
@@ -315,9 +347,9 @@
     }
 
     async fn probe(self: Arc<Self>, endpoint: EndpointIx, link: Option<Link>) {
-        let began = Instant::now();
+        let (began, reports) = (Instant::now(), self.held().reports);
         let ended = match link {
-            Some(link) => probe::run(link, self.reports, self.probe_within).await,
+            Some(link) => probe::run(link, reports, self.probe_within).await,
             None => relay::Ended::from(passroad_choice::Outcome::NoConnection),
         };
         let spent = began.elapsed();
--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -1,5 +1,6 @@
 //! The connections of clients: let in, watched, given back. What comes over them is read in `intake`.
 
+use crate::Pace;
 use crate::frame::{Frame, LONGEST_HEAD, Watched};
 use crate::intake::{Intake, ready, take};
 use crate::stop::{Stage, Stages, reached};
@@ -113,8 +114,13 @@
 }
 
 /// Accepts and serves until the stop is through.
-pub async fn serve(listener: TcpListener, front: Arc<Front>, intake: Intake, longest: Duration) {
-    let router = Router::new().route("/healthz", get(ready)).fallback(take).with_state(Arc::new(intake));
+pub async fn serve(
+    listener: TcpListener,
+    front: Arc<Front>,
+    intake: Arc<Intake>,
+    paces: watch::Receiver<Pace>,
+) {
+    let router = Router::new().route("/healthz", get(ready)).fallback(take).with_state(intake);
     let (mut stages, mut taking) = (front.stages.clone(), front.taking.subscribe());
     let mut full = None; // since when some may wait in the backlog
     loop {
@@ -153,6 +159,7 @@
             sleep(Duration::from_millis(5)).await;
         }
     };
+    let longest = paces.borrow().longest;
     match timeout(longest + Duration::from_secs(1), all_closed).await {
         Ok(()) => log::info!("stopped: all that was taken is answered"),
         Err(_) => log::warn!("stopped with {} connections open", front.open.load(Relaxed)),
--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -15,25 +15,60 @@
 use passroad_choice::{Effect, StandingOrders, VerbOrder};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::timeout;
 
 const MARGIN: Duration = Duration::from_millis(10); // of a time limit, at most a twentieth
 const MOST_DIGITS: usize = 9; // of a time limit
+const STILL_BEFORE: Duration = Duration::from_millis(1200); // after other orders, verbs are named as before
 const SMALL_BODY: usize = 4 << 10; // needs no room of its own
 const BODIES_SHARE: usize = 8; // of the memory, for bodies that are not small
 
 pub struct Intake {
     desk: Arc<Desk>,
-    verbs: Vec<VerbOrder>,
-    companies: Vec<String>,
+    table: Mutex<Arc<Table>>,
     stages: Stages,
     bodies: Arc<Semaphore>,
-    return_after: Option<Duration>, // for whom there is no room, where that may be said
     open: Arc<Mutex<HashSet<HeaderValue>>>, // ids of commands in hand
 }
 
+/// What commands may name, and under which number the module knows it.
+struct Table {
+    verbs: Vec<(VerbOrder, usize)>,
+    before: Vec<(VerbOrder, usize)>, // of the orders before
+    since: Instant,
+    companies: Vec<String>,
+    return_after: Option<Duration>, // for whom there is no room, where that may be said
+}
+
+impl Table {
+    fn of(orders: &StandingOrders, numbers: &[usize], before: Vec<(VerbOrder, usize)>) -> Self {
+        let goal = orders.verbs.iter().map(|v| v.goal).min().unwrap_or_default();
+        Table {
+            verbs: orders.verbs.iter().cloned().zip(numbers.iter().copied()).collect(),
+            before,
+            since: Instant::now(),
+            companies: orders.companies.iter().map(|c| c.name.clone()).collect(),
+            return_after: orders.max_retry_after.map(|most| most.min(goal)),
+        }
+    }
+
+    /// The orders that a command goes by. Clients name verbs as before for a while after the orders have changed: for
+    /// so long what fits the orders before goes by those, and for a while more what fits none of the new ones.
+    fn verb(&self, name: &str, fits: impl Fn(&VerbOrder) -> bool) -> Option<Result<&(VerbOrder, usize), ()>> {
+        let age = self.since.elapsed();
+        let before = self.before.iter().filter(|_| age < STILL_BEFORE + STILL_BEFORE);
+        let (first, then): (Vec<_>, Vec<_>) = match age < STILL_BEFORE {
+            true => (before.collect(), self.verbs.iter().collect()),
+            false => (self.verbs.iter().collect(), before.collect()),
+        };
+        let named = || first.iter().chain(&then).filter(|(v, _)| v.name == name);
+        named().next()?;
+        Some(named().find(|(v, _)| fits(v)).copied().ok_or(()))
+    }
+}
+
 pub async fn ready(State(intake): State<Arc<Intake>>) -> StatusCode {
     if intake.serving() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
@@ -47,7 +82,7 @@
         Ok(read) => read,
         // No room for a long body: declined as the module would.
         Err(StatusCode::SERVICE_UNAVAILABLE) => {
-            return word(Answer::Declined { not_before: intake.return_after });
+            return word(Answer::Declined { not_before: intake.table().return_after });
         }
         Err(status) => return status.into_response(),
     };
@@ -89,20 +124,22 @@
 impl Intake {
     /// `memory` in bytes, of which a share may hold bodies.
     pub fn new(desk: Arc<Desk>, orders: &StandingOrders, memory: usize, stages: Stages) -> Self {
-        let (verbs, companies) =
-            (orders.verbs.clone(), orders.companies.iter().map(|c| c.name.clone()).collect());
-        let goal = orders.verbs.iter().map(|v| v.goal).min().unwrap_or_default();
-        let return_after = orders.max_retry_after.map(|most| most.min(goal));
+        // At the start the module numbers verbs as the orders do.
+        let numbers: Vec<_> = (0..orders.verbs.len()).collect();
+        let table = Mutex::new(Arc::new(Table::of(orders, &numbers, Vec::new())));
         let bodies = (memory / BODIES_SHARE / LONGEST_BODY).max(2);
-        Intake {
-            desk,
-            verbs,
-            companies,
-            stages,
-            bodies: Arc::new(Semaphore::new(bodies)),
-            return_after,
-            open: Arc::default(),
-        }
+        Intake { desk, table, stages, bodies: Arc::new(Semaphore::new(bodies)), open: Arc::default() }
+    }
+
+    /// Takes other orders, whose verbs the module has numbered.
+    pub fn retune(&self, orders: &StandingOrders, numbers: &[usize]) {
+        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = table.verbs.clone();
+        *table = Arc::new(Table::of(orders, numbers, before));
+    }
+
+    fn table(&self) -> Arc<Table> {
+        Arc::clone(&self.table.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     fn serving(&self) -> bool {
@@ -112,7 +149,7 @@
     async fn read(&self, request: Request, talk: &Talk) -> Result<(Need, Cargo), StatusCode> {
         let (parts, body) = request.into_parts();
         let name = parts.uri.path().split('/').nth(1).unwrap_or_default();
-        let verb = self.verbs.iter().position(|v| v.name == name).ok_or(StatusCode::NOT_FOUND)?;
+        let table = self.table();
         let length = body.size_hint();
         if length.lower() > LONGEST_BODY as u64 {
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
@@ -120,12 +157,15 @@
         // Guards against a request that an endpoint may read in another way.
         let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
         let told = framing.iter().any(|name| parts.headers.contains_key(name));
-        let carries = match self.verbs[verb].effect {
+        let keyed = parts.headers.contains_key(KEY);
+        let carries = |verb: &VerbOrder| match verb.effect {
             Effect::Pure => parts.method == Method::GET && length.exact() == Some(0),
             Effect::Effectful => parts.method == Method::POST && told,
-            Effect::Receipted => [Method::POST, Method::PUT].contains(&parts.method) && told,
+            Effect::Receipted => [Method::POST, Method::PUT].contains(&parts.method) && told && keyed,
         };
-        let need = self.need(verb, &parts.headers).filter(|_| carries && !talk.frame.two_lengths());
+        let verb = table.verb(name, carries).ok_or(StatusCode::NOT_FOUND)?;
+        let verb = verb.map_err(|()| StatusCode::BAD_REQUEST)?;
+        let need = need(verb, &table.companies, &parts.headers).filter(|_| !talk.frame.two_lengths());
         let mut need = need.ok_or(StatusCode::BAD_REQUEST)?;
         let body = timeout(talk.patience(), self.whole(body)).await;
         let (body, room) = body.map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
@@ -158,36 +198,36 @@
         }
         Ok((whole.freeze(), room))
     }
+}
 
-    /// The fields that decisions need; none if one is malformed.
-    fn need(&self, verb: usize, headers: &HeaderMap) -> Option<Need> {
-        let id = single(headers, "req-id")??;
-        let limit = single(headers, "req-deadline-ms")??;
-        let digits = limit.len() <= MOST_DIGITS && limit.bytes().all(|b| b.is_ascii_digit());
-        // A longer one than the settings know holds no place for longer.
-        let limit = Duration::from_millis(limit.parse().ok().filter(|_| digits)?).min(self.verbs[verb].limit);
-        let company = single(headers, "req-owner")?;
-        // Without a key nobody could drop a repeat, which for a receipted command is counted on.
-        let key = single(headers, KEY.as_str())?.map(str::len);
-        let marked = key.map_or(self.verbs[verb].effect != Effect::Receipted, |len| len > 0);
-        let again = match single(headers, "req-retry")? {
-            None | Some("0") => false,
-            Some("1") => true,
-            Some(_) => return None,
-        };
-        // What it is about, where endpoints remember that: one of the further figures, `name=value,name=value`.
-        let figures = single(headers, "req-extra")?.unwrap_or_default();
-        let about = figures.split(',').find_map(|pair| pair.trim().strip_prefix("name_key="));
-        let margin = MARGIN.min(limit / 20);
-        (!id.is_empty() && !limit.is_zero() && marked).then(|| Need {
-            verb,
-            company: company.and_then(|c| self.companies.iter().position(|known| known == c)),
-            budget: limit - margin,
-            last: limit - margin / 2,
-            again,
-            key: about.filter(|about| !about.is_empty() && *about != "-").map(mark),
-        })
-    }
+/// The fields that decisions need; none if one is malformed.
+fn need((order, verb): &(VerbOrder, usize), companies: &[String], headers: &HeaderMap) -> Option<Need> {
+    let id = single(headers, "req-id")??;
+    let limit = single(headers, "req-deadline-ms")??;
+    let digits = limit.len() <= MOST_DIGITS && limit.bytes().all(|b| b.is_ascii_digit());
+    // A longer one than the settings know holds no place for longer.
+    let limit = Duration::from_millis(limit.parse().ok().filter(|_| digits)?).min(order.limit);
+    let company = single(headers, "req-owner")?;
+    // Without a key nobody could drop a repeat, which for a receipted command is counted on.
+    let key = single(headers, KEY.as_str())?.map(str::len);
+    let marked = key.map_or(order.effect != Effect::Receipted, |len| len > 0);
+    let again = match single(headers, "req-retry")? {
+        None | Some("0") => false,
+        Some("1") => true,
+        Some(_) => return None,
+    };
+    // What it is about, where endpoints remember that: one of the further figures, `name=value,name=value`.
+    let figures = single(headers, "req-extra")?.unwrap_or_default();
+    let about = figures.split(',').find_map(|pair| pair.trim().strip_prefix("name_key="));
+    let margin = MARGIN.min(limit / 20);
+    (!id.is_empty() && !limit.is_zero() && marked).then(|| Need {
+        verb: *verb,
+        company: company.and_then(|c| companies.iter().position(|known| known == c)),
+        budget: limit - margin,
+        last: limit - margin / 2,
+        again,
+        key: about.filter(|about| !about.is_empty() && *about != "-").map(mark),
+    })
 }
 
 /// A header that may come once; the outer none stands for a malformed one.
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -19,6 +19,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 /// Descriptors that are neither a client's nor an endpoint's: standard streams, the runtime, discovery.
 const OTHER_SOCKETS: usize = 32;
@@ -105,6 +106,28 @@
     }
 }
 
+/// Times of the sidecar's own that follow from the orders.
+#[derive(Clone, Copy)]
+pub struct Pace {
+    /// How long a watch on the list waits. Renewing one costs discovery nothing, and one whose connection fell silent
+    /// is found out only at its end: a fraction of the time that a list may go unasked for.
+    pub hold: Duration,
+    /// The longest limit that a command may have come with.
+    pub longest: Duration,
+}
+
+impl Pace {
+    fn of(orders: &passroad_choice::StandingOrders) -> Self {
+        let longest = orders.verbs.iter().map(|v| v.limit).max().unwrap_or_default();
+        Pace { hold: orders.ask_every / 4, longest }
+    }
+
+    /// Other orders: commands of the ones before may be open.
+    fn then(self, other: Pace) -> Self {
+        Pace { longest: self.longest.max(other.longest), ..other }
+    }
+}
+
 /// What a process may hold while another is beside it.
 struct Room {
     front: Arc<front::Front>,
@@ -154,11 +177,8 @@
         name = start.name.as_str(), listen:% = start.listen, most_in = most, most_out = most_out;
         "{} listens on {}, at most {most} connections in, {most_out} out", start.name, start.listen
     );
-    let longest = start.orders.verbs.iter().map(|v| v.limit).max().unwrap_or_default();
     let (calls, called) = tokio::sync::mpsc::unbounded_channel();
-    // Renewing a watch costs discovery nothing, and one whose connection fell silent is found out only at its end: a
-    // fraction of the time that a list may go unasked for.
-    let hold = start.orders.ask_every / 4;
+    let (pace, paces) = tokio::sync::watch::channel(Pace::of(&start.orders));
     if !start.orders.list_on_request {
         // The module takes it that changes come by themselves.
         let _ = calls.send(list::Call::Watch(true));
@@ -167,8 +187,8 @@
     let room = (dialer.clone(), shares(sockets), most_out);
     // The module is to count on a connection only as long as it is kept here.
     start.orders.idle_close = dialer.idle();
-    let kept = start::Kept::of(&start);
     let (moves, at) = tokio::sync::watch::channel(start.discovery);
+    let kept = start::Kept::of(&start, moves);
     let orders = start.orders.clone();
     let watch = start.watch.map(|mut watch| {
         watch.orders.idle_close = dialer.idle();
@@ -190,9 +210,18 @@
         }
     };
     tokio::spawn(Arc::clone(&desk).beat());
-    tokio::spawn(list::follow(Arc::clone(&desk), at, hold, revision, called));
-    tokio::spawn(start::read_again(files, hangups, kept, moves));
-    let intake = intake::Intake::new(Arc::clone(&desk), &orders, start.memory, stages.clone());
+    tokio::spawn(list::follow(Arc::clone(&desk), at, paces.clone(), revision, called));
+    let intake = Arc::new(intake::Intake::new(Arc::clone(&desk), &orders, start.memory, stages.clone()));
+    let retune = {
+        let (desk, intake) = (Arc::clone(&desk), Arc::clone(&intake));
+        move |start: &start::Start| {
+            let numbers = desk.retune(start.orders.clone(), start.routes.clone())?;
+            intake.retune(&start.orders, &numbers);
+            pace.send_modify(|pace| *pace = pace.then(Pace::of(&start.orders)));
+            Ok(())
+        }
+    };
+    tokio::spawn(start::read_again(files, hangups, kept, retune));
     let front = front::Front::new(most, start.sockets / 6, stages.clone());
     if let Some(door) = door {
         let (dialer, (all_out, all_in), now_out) = room;
@@ -207,7 +236,7 @@
         let handover = handover::Handover::new(Arc::clone(&desk), stages.clone(), socket, Box::new(room))?;
         management::open(door, handover, place.map(|place| (before, place)), stages)?;
     }
-    front::serve(listener, front, intake, longest).await;
+    front::serve(listener, front, intake, paces).await;
     desk.say_watch();
     Ok(())
 }
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -1,5 +1,6 @@
 //! Discovery: one watch, renewed at once; when it breaks the module says when to call again.
 
+use crate::Pace;
 use crate::desk::Desk;
 use crate::relay::{Client, Dialer};
 use http_body_util::{BodyExt, Full, Limited};
@@ -98,16 +99,16 @@
 pub async fn follow(
     desk: Arc<Desk>,
     mut at: watch::Receiver<SocketAddr>,
-    hold: Duration,
+    paces: watch::Receiver<Pace>,
     mut revision: Option<u64>,
     mut calls: UnboundedReceiver<Call>,
 ) {
     let dialer = Dialer::new(GRACE, LONGEST_HOLD, 4).unbounded();
     let mut client = dialer.client();
-    let hold = hold.clamp(FIRST_HOLD, LONGEST_HOLD);
     let (mut watching, mut whole, mut sure) = (false, false, false);
     let (mut discovery, mut again) = (*at.borrow_and_update(), 0);
     loop {
+        let hold = paces.borrow().hold.clamp(FIRST_HOLD, LONGEST_HOLD);
         // Without a list there is nothing to watch from.
         let (wait, grace) = if sure && !whole { (hold, RENEWED_GRACE) } else { (FIRST_HOLD, GRACE) };
         let from = revision.filter(|_| !whole).map(|from| (from, wait));
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -28,7 +28,8 @@
     pub connect_within: Duration,
     /// Which pool serves what, where a file says so.
     pub routes: Option<RouteOrders>,
-    settings: serde_json::Value,
+    /// The whole file.
+    told: serde_json::Value,
 }
 
 /// Settings of another shape, and how often the log says what they would have decided otherwise.
@@ -116,19 +117,26 @@
     signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))
 }
 
-/// Reads the file again on each SIGHUP. A new address of discovery is followed at once; the rest of the file waits
-/// for the next start, since what is in hand was taken under it. A faulty file leaves all as it was.
+/// Reads the file again on each SIGHUP, and takes it whole or not at all: a faulty file leaves all as it was.
 pub async fn read_again(
     files: Files,
     mut hangups: Signal,
-    before: Kept,
-    discovery: watch::Sender<SocketAddr>,
+    mut before: Kept,
+    retune: impl Fn(&Start) -> Result<(), String>,
 ) {
     while hangups.recv().await.is_some() {
-        match read(&files) {
+        let now = read(&files).and_then(|now| {
+            before.complete(&now)?;
+            if before.told["settings"] != now.told["settings"] || before.routes != now.routes {
+                retune(&now)?;
+            }
+            Ok(now)
+        });
+        match now {
             Ok(now) => {
-                let moved =
-                    discovery.send_if_modified(|at| std::mem::replace(at, now.discovery) != now.discovery);
+                let moved = before
+                    .discovery
+                    .send_if_modified(|at| std::mem::replace(at, now.discovery) != now.discovery);
                 let waiting = before.differs(&now);
                 let rest = if waiting.is_empty() { "nothing".into() } else { waiting.join(", ") };
                 let word = if moved { "now" } else { "still" };
@@ -136,6 +144,7 @@
                     "configuration read again: discovery is {word} at {}; for the next start: {rest}",
                     now.discovery
                 );
+                (before.told, before.routes) = (now.told, now.routes);
             }
             Err(fault) => log::warn!(
                 "configuration not taken, the one before stays in force: {}",
@@ -145,36 +154,88 @@
     }
 }
 
-/// What of the configuration stays in force until the process ends.
+/// The configuration in force, and what of it stays so until the process ends.
 pub struct Kept {
-    name: String,
-    listen: SocketAddr,
-    management: Option<SocketAddr>,
-    sockets: usize,
-    settings: serde_json::Value,
+    told: serde_json::Value,
+    routes: Option<RouteOrders>,
+    discovery: watch::Sender<SocketAddr>,
+    at_start: [(&'static str, serde_json::Value); 6],
+}
+
+/// Parts of the file that a running process can't change.
+fn fixed(told: &serde_json::Value) -> [(&'static str, serde_json::Value); 6] {
+    let part = |path: &'static str| (path, told.pointer(path).cloned().unwrap_or_default());
+    [
+        "/name",
+        "/listen",
+        "/management",
+        "/limits",
+        "/settings/allowed/connect_timeout",
+        "/settings/allowed/idle_close",
+    ]
+    .map(part)
 }
 
 impl Kept {
-    pub fn of(start: &Start) -> Self {
-        let (name, settings) = (start.name.clone(), start.settings.clone());
-        let (listen, management) = (start.listen, start.management);
-        Kept { name, listen, management, sockets: start.sockets, settings }
+    pub fn of(start: &Start, discovery: watch::Sender<SocketAddr>) -> Self {
+        let (told, routes) = (start.told.clone(), start.routes.clone());
+        Kept { at_start: fixed(&told), told, routes, discovery }
     }
 
     fn differs(&self, now: &Start) -> Vec<&'static str> {
-        let parts = [
-            ("name", self.name != now.name),
-            ("listen", self.listen != now.listen),
-            ("management", self.management != now.management),
-            ("limits", self.sockets != now.sockets),
-            ("settings", self.settings != now.settings),
-        ];
-        parts.into_iter().filter(|(_, differs)| *differs).map(|(part, _)| part).collect()
+        let all = self.at_start.iter().zip(fixed(&now.told));
+        let mut parts: Vec<_> = all.filter(|(was, is)| was.1 != is.1).map(|(was, _)| &was.0[1..]).collect();
+        parts.extend((self.told.get("watch") != now.told.get("watch")).then_some("watch"));
+        parts
+    }
+
+    /// Guards against a file that was cut short and is read as one with fewer orders.
+    fn complete(&self, now: &Start) -> Result<(), String> {
+        match lacks(&self.told, &now.told, "") {
+            Some(path) => Err(format!("{path} is missing")),
+            None => Ok(()),
+        }
+    }
+}
+
+/// What may be left out of a file that takes the place of one which has it.
+const OPTIONAL: [&str; 6] = [
+    "/known",
+    "/watch",
+    "/settings/domain/passes_deadline",
+    "/settings/domain/warm_keys",
+    "/settings/prices/fleet",
+    "/aim_stretch",
+];
+
+/// The first key that is there before and not now; of a list of objects, one that all had.
+fn lacks(before: &serde_json::Value, now: &serde_json::Value, path: &str) -> Option<String> {
+    use serde_json::Value::{Array, Object};
+    match (before, now) {
+        (Object(before), Object(now)) => before.iter().find_map(|(key, held)| {
+            let path = format!("{path}/{key}");
+            if OPTIONAL.iter().any(|optional| *optional == path || path.ends_with("/aim_stretch")) {
+                return None;
+            }
+            match now.get(key) {
+                Some(now) => lacks(held, now, &path),
+                None => Some(path),
+            }
+        }),
+        (Array(before), Array(now)) => {
+            let mut all = before.iter().filter_map(|held| held.as_object());
+            let mut common = all.next()?.clone();
+            all.for_each(|held| common.retain(|key, _| held.contains_key(key)));
+            let common = Object(common.into_iter().map(|(key, _)| (key, serde_json::Value::Null)).collect());
+            now.iter().enumerate().find_map(|(n, now)| lacks(&common, now, &format!("{path}/{n}")))
+        }
+        _ => None,
     }
 }
 
 fn parse(bytes: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
     let told: Told = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+    let whole: serde_json::Value = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
     let seed = u64::from_str_radix(&told.seed, 16).map_err(|e| format!("seed: {e}"))?;
     let address = |told: Option<SocketAddr>, name: &str| match (told, variable(name)) {
         (Some(address), _) => Ok(address),
@@ -199,7 +260,7 @@
         orders: passroad_orders::from_value(seed, &told.settings)?,
         routes: None,
         name: told.name.or_else(|| variable("LB_NAME")).unwrap_or_else(|| "passroad".into()),
-        settings: told.settings,
+        told: whole,
     })
 }
 
--- a/crates/passroad/tests/operators.rs
+++ b/crates/passroad/tests/operators.rs
@@ -134,3 +134,90 @@
     assert!(sidecar.descriptors() <= 64 + 56, "{}", sidecar.descriptors());
     drop(clients);
 }
+
+// ---- other settings on SIGHUP ----
+
+/// Settings with a verb more; `look` has changed its effect.
+fn retuned() -> String {
+    let look = r#"{"name":"look","effect":"read_like""#;
+    let seek = r#"{"name":"seek","effect":"read_like","response_goal":5000000000,"time_limit":8000000000,"utility":1}"#;
+    patient().replace(look, &format!("{seek},{}", look.replace("read_like", "non_idempotent")))
+}
+
+fn post(verb: &str, id: &str) -> String {
+    patiently(&book(id).replace("/book", &format!("/{verb}")))
+}
+
+#[rstest]
+fn other_settings_are_taken_while_open_commands_keep_theirs() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let endpoint = stand_in(move |message, to| {
+        if message.header("req-id").as_deref() == Some("open") {
+            held.pass();
+            return false;
+        }
+        answer(to, "200 OK", "", b"ok");
+        true
+    });
+    let (address, discovery) = (nowhere(), nowhere());
+    let list = member("s-1", endpoint.address, "up");
+    let sidecar = Sidecar::start(address, &told(address, discovery, &list, &patient()));
+    // Open, and its verb pure: its endpoint breaks the connection each time.
+    let mut open = sidecar.client();
+    open.get_mut().write_all(patiently(&look("open")).as_bytes()).unwrap();
+    until(|| endpoint.count() == 1);
+    assert_eq!(sidecar.ask(&patiently(&look("n1").replace("/look", "/seek"))).word(), "404");
+    sidecar.reload(&told(address, discovery, &list, &retuned()));
+    let mut n = 0;
+    let mut seek = || {
+        n += 1;
+        sidecar.ask(&patiently(&look(&format!("s{n}")).replace("/look", "/seek"))).word().to_string()
+    };
+    until(|| seek() == "200");
+    // For a while clients name a verb as before, and as it is now.
+    assert_eq!(sidecar.ask(&patiently(&look("n2"))).word(), "200");
+    assert_eq!(sidecar.ask(&post("look", "n3")).word(), "200");
+    gate.open();
+    // Declined, as is allowed of a pure one alone that may have run.
+    assert_eq!(Message::read(&mut open).unwrap().word(), "503");
+    // Then as it is now alone.
+    let mut n = 0;
+    until(|| {
+        n += 1;
+        sidecar.ask(&patiently(&look(&format!("o{n}")))).word() == "400"
+    });
+    assert_eq!(sidecar.ask(&post("look", "n4")).word(), "200");
+}
+
+#[rstest]
+#[case::empty(|_: &str| String::new())]
+#[case::cut_short(|text: &str| text[..text.len() / 2].to_string())]
+#[case::no_discovery(|text: &str| text.replace("\"discovery\":\"127", "\"elsewhere\":\"127"))]
+#[case::no_limit(|text: &str| text.replacen("\"time_limit\"", "\"limit\"", 1))]
+#[case::no_attempts(|text: &str| text.replace("\"max_relays\":4,", ""))]
+#[case::zero_limit(|text: &str| text.replacen("\"time_limit\":8000000000", "\"time_limit\":0", 1))]
+#[case::null_limit(|text: &str| text.replacen("\"time_limit\":8000000000", "\"time_limit\":null", 1))]
+#[case::negative_limit(|text: &str| text.replacen("\"time_limit\":8000000000", "\"time_limit\":-8", 1))]
+#[case::odd_limit(|text: &str| text.replacen("\"time_limit\":8000000000", "\"time_limit\":\"8 s\"", 1))]
+#[case::zero_attempts(|text: &str| text.replace("\"max_relays\":4", "\"max_relays\":0"))]
+#[case::odd_attempts(|text: &str| text.replace("\"max_relays\":4", "\"max_relays\":\"four\""))]
+#[case::odd_effect(|text: &str| text.replace("non_idempotent", "odd"))]
+#[case::twice(|text: &str| text.replace("\"seek\"", "\"book\""))]
+fn a_faulty_file_changes_nothing(#[case] spoil: fn(&str) -> String) {
+    let endpoint = willing("ok");
+    let (before, after) = (discovery(&member("s-1", endpoint.address, "up")), discovery(""));
+    let (address, list) = (nowhere(), member("s-1", endpoint.address, "up"));
+    let text = |settings: &str, discovery: SocketAddr| told(address, discovery, &list, settings);
+    let sidecar = Sidecar::start(address, &text(&patient(), before.stand_in.address));
+    let faulty = spoil(&text(&retuned(), after.stand_in.address));
+    assert_ne!(faulty, text(&retuned(), after.stand_in.address));
+    sidecar.reload(&faulty);
+    // What comes behind it is taken, so it has been read by then; only the good one moves discovery.
+    let last = discovery(&member("s-1", endpoint.address, "up"));
+    sidecar.reload(&text(&patient(), last.stand_in.address));
+    until(|| last.stand_in.count() > 0);
+    assert_eq!(after.stand_in.count(), 0);
+    assert_eq!(sidecar.ask(&patiently(&look("a").replace("/look", "/seek"))).word(), "404");
+    assert_eq!(sidecar.ask(&patiently(&look("b"))).word(), "200");
+}
