--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -120,6 +120,10 @@
             Event::Retuned(orders) => self.retune(Balancer::duty(*orders)),
             Event::Cordoned { endpoint, out } => self.cordon(endpoint, out),
             Event::Arrived(arrival) => self.take(arrival),
+            Event::Whole { cmd } => self.whole(cmd),
+            Event::Spent { cmd } => {
+                self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.once = true)
+            }
             Event::StreamStarted { cmd, .. } => {
                 self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.streams = true);
             }
@@ -255,17 +259,6 @@
         }
     }
 
-    /// Which endpoints are in play, and with which base weight, is decided before; the draw is here.
-    fn steer(&mut self, weights: Vec<(usize, EndpointIx, f64)>) {
-        self.steered = true;
-        for (play, endpoint, weight) in weights {
-            let Some(e) = self.endpoints.get_mut(endpoint) else { continue };
-            e.plays.resize(e.plays.len().max(play + 1), 0.0);
-            e.plays[play] = weight.clamp(0.0, 1e6);
-        }
-        self.survey();
-    }
-
     // ---- what endpoints show ----
 
     fn checked(&mut self, at: EndpointIx, outcome: Outcome, spent: Duration, report: Option<Report>) {
@@ -746,22 +739,21 @@
         let ahead = self.load(&self.endpoints[at], usual) / self.endpoints[at].size;
         self.meet(at);
         let Some(c) = self.commands[cmd].as_mut() else { return };
-        let first = c.relays.is_empty();
+        let (first, coming, due, verb) = (c.relays.is_empty(), c.coming, c.due, c.verb);
         c.waits = false;
         c.relays.push(Relay { endpoint: at, sent: now, ahead, outcome: None });
         let within = c.leave.saturating_sub(now).max(self.duty.tick);
         self.out.push(Action::Relay { cmd, endpoint: at, within });
         let e = &mut self.endpoints[at];
-        e.out.push(now);
-        (e.used, e.holds, e.pass_until, e.owed) = (Some(now), e.holds.max(0.0) + 1.0, Duration::ZERO, None);
+        (e.used, e.pass_until, e.owed) = (Some(now), Duration::ZERO, None);
+        self.book(at, now, coming);
         self.sends.add(now, CALM);
         self.all_sends.add(now, 4 * CALM);
         self.endpoints[at].sends.add(now, 4 * CALM);
-        self.out_now += 1.0;
-        let v = &self.duty.verbs[c.verb];
-        let (until_due, slow) = (c.due.saturating_sub(now), v.slow());
+        let v = &self.duty.verbs[verb];
+        let (until_due, slow) = (due.saturating_sub(now), v.slow());
         let copies = self.duty.second_copies && v.effect != Effect::Effectful && slow < v.goal.mul_f64(0.8);
-        if first && v.late_utility <= 0.0 {
+        if first && v.late_utility <= 0.0 && !coming {
             self.alarm(until_due, ALARM_GOAL | (cmd as u64) << 2);
         }
         if first && copies {
@@ -772,7 +764,7 @@
     /// A second copy, where one relay takes unusually long. Guards against an endpoint that stands still; the
     /// budget of further relays keeps it from feeding an overload.
     fn copy(&mut self, cmd: CmdIx) {
-        let Some(c) = self.held(cmd).filter(|c| !c.over && !c.streams && !c.waits) else { return };
+        let Some(c) = self.held(cmd).filter(|c| !c.over && !c.streams && !c.waits && !c.once) else { return };
         let v = &self.duty.verbs[c.verb];
         let [only] = c.relays[..] else { return };
         let slow = only.outcome.is_none() && self.now.saturating_sub(only.sent) >= v.slow().mul_f64(0.8);
@@ -784,6 +776,19 @@
         }
     }
 
+    /// All of a long body has come; from here on it is as any other command.
+    fn whole(&mut self, cmd: CmdIx) {
+        let Some(c) = self.commands.get_mut(cmd).and_then(Option::as_mut).filter(|c| c.coming) else {
+            return;
+        };
+        let out = c.begin(self.now);
+        let (until_due, late) = (c.due.saturating_sub(self.now), self.duty.verbs[c.verb].late_utility);
+        out.into_iter().for_each(|at| self.book(at, self.now, false));
+        if late <= 0.0 {
+            self.alarm(until_due, ALARM_GOAL | (cmd as u64) << 2);
+        }
+    }
+
     /// Past its goal an answer is worth nothing. Guards against work that keeps others waiting: it is called
     /// off where something waits, here or at its endpoint; else it may end by itself and is not wasted.
     fn past_goal(&mut self, cmd: CmdIx) {
@@ -806,18 +811,17 @@
     fn finish(&mut self, cmd: CmdIx, n: usize, outcome: Outcome, spent: Duration) -> Option<EndpointIx> {
         let now = self.now;
         let c = self.commands.get_mut(cmd)?.as_mut()?;
-        let (verb, in_time, value) = (c.verb, now <= c.due, (c.value / c.best).clamp(0.05, 1.0));
+        let (verb, in_time, coming) = (c.verb, now <= c.due, c.coming);
+        let value = (c.value / c.best).clamp(0.05, 1.0);
         let r = c.relays.get_mut(n).filter(|r| r.outcome.is_none())?;
         r.outcome = Some(outcome);
         let (r, at) = (*r, r.endpoint);
-        self.out_now -= 1.0;
+        self.unbook(at, r.sent, coming);
         self.widen(at, verb, outcome, in_time, value);
         if outcome == Outcome::Answered && !self.cold(&self.endpoints[at]) {
             self.warm_served.add(now, 4 * CALM);
         }
         let e = &mut self.endpoints[at];
-        e.holds -= 1.0;
-        e.out.iter().position(|sent| *sent == r.sent).map(|gone| e.out.swap_remove(gone));
         match outcome {
             Outcome::Answered => {
                 e.used = Some(now);
@@ -912,7 +916,7 @@
         let ran = c.relays.iter().any(Relay::may_have_run);
         // Guards against what no endpoint can use and takes the budget of the rest: two words settle it.
         let unfit = c.relays.iter().filter(|r| r.outcome == Some(Outcome::Unfit)).count();
-        let again = unfit < 2 && (!ran || self.duty.verbs[c.verb].effect != Effect::Effectful);
+        let again = unfit < 2 && !c.once && (!ran || self.duty.verbs[c.verb].effect != Effect::Effectful);
         // A first relay proven not to have run, or not to fit, costs little to send again, but not nothing.
         let price = if c.relays.len() < 2 && (outcome.never_ran() || unfit > 0) { 0.2 } else { 1.0 };
         let time = self.now < self.last_call(c) && c.relays.len() < self.duty.verbs[c.verb].most_relays;
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -1003,6 +1003,8 @@
         waits: true,
         over: false,
         streams: false,
+        coming: false,
+        once: false,
         rounds: 0,
         relays: vec![],
     }
@@ -1028,6 +1030,7 @@
         again: false,
         write: false,
         play: 0,
+        uploads: false,
     })
 }
 
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -162,6 +162,8 @@
     pub write: bool,
     /// Which of the weights told by [`Event::Steered`] hold for it; without routes there is one play, nought.
     pub play: usize,
+    /// Its body still comes: its time begins with [`Event::Whole`].
+    pub uploads: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -183,6 +185,14 @@
         out: bool,
     },
     Arrived(Arrival),
+    /// Part of a body that is not kept has gone out: no other relay can be given it.
+    Spent {
+        cmd: CmdIx,
+    },
+    /// All of a body that still came is there.
+    Whole {
+        cmd: CmdIx,
+    },
     StreamStarted {
         cmd: CmdIx,
         relay: usize,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -5,6 +5,7 @@
 use crate::{Action, Arrival, CmdIx, Effect, EndpointIx, Group, Outcome, VerbOrder};
 use std::time::Duration;
 
+const LATER: Duration = Duration::from_secs(86_400); // the time of a command whose body still comes
 const SLOT_RESTS: Duration = Duration::from_secs(60); // a verb's, before another has it
 pub const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
 pub const ALARM_QUEUE: u64 = 1;
@@ -189,7 +190,9 @@
     pub waits: bool,
     pub over: bool,
     pub streams: bool,
-    pub rounds: u32, // of heartbeats after the first
+    pub coming: bool, // its body is
+    pub once: bool,   // no other relay can be given its body
+    pub rounds: u32,  // of heartbeats after the first
     pub relays: Vec<Relay>,
 }
 
@@ -200,8 +203,8 @@
             play: a.play,
             key: None,
             came: now,
-            due,
-            leave: now + a.budget,
+            due: due + if a.uploads { LATER } else { Duration::ZERO },
+            leave: now + a.budget + if a.uploads { LATER } else { Duration::ZERO },
             value: 0.0,
             best: 1.0,
             hold_until: now,
@@ -209,10 +212,25 @@
             waits: true,
             over: false,
             streams: false,
+            coming: a.uploads,
+            once: false,
             rounds: 0,
             relays: Vec::new(),
         }
     }
+
+    /// Its body is there: its time runs from here, and that of its relays; where these are.
+    pub fn begin(&mut self, now: Duration) -> Vec<EndpointIx> {
+        let late = now.saturating_sub(self.came);
+        (self.due, self.leave) = (self.due + late - LATER, self.leave + late - LATER);
+        self.coming = false;
+        let out = self.relays.iter_mut().filter(|r| r.outcome.is_none());
+        let begun = out.map(|r| {
+            r.sent = now;
+            r.endpoint
+        });
+        begun.collect()
+    }
 }
 
 /// For one endpoint.
@@ -431,6 +449,17 @@
         }
     }
 
+    /// Which endpoints are in play, and with which base weight, is decided before; the draw is here.
+    pub(crate) fn steer(&mut self, weights: Vec<(usize, EndpointIx, f64)>) {
+        self.steered = true;
+        for (play, endpoint, weight) in weights {
+            let Some(e) = self.endpoints.get_mut(endpoint) else { continue };
+            e.plays.resize(e.plays.len().max(play + 1), 0.0);
+            e.plays[play] = weight.clamp(0.0, 1e6);
+        }
+        self.survey();
+    }
+
     /// Other orders: verbs that did not change keep their slots, all others get some that no command holds.
     pub(crate) fn retune(&mut self, mut duty: DutySheet) {
         let (new, now) = (std::mem::take(&mut duty.verbs), self.now);
@@ -492,6 +521,27 @@
         self.out.push(Action::Log(line));
     }
 
+    /// One more relay is at work there, unless its body still comes.
+    pub(crate) fn book(&mut self, at: EndpointIx, sent: Duration, coming: bool) {
+        if coming {
+            return;
+        }
+        let e = &mut self.endpoints[at];
+        e.out.push(sent);
+        e.holds = e.holds.max(0.0) + 1.0;
+        self.out_now += 1.0;
+    }
+
+    pub(crate) fn unbook(&mut self, at: EndpointIx, sent: Duration, coming: bool) {
+        if coming {
+            return;
+        }
+        let e = &mut self.endpoints[at];
+        e.holds -= 1.0;
+        e.out.iter().position(|held| *held == sent).map(|gone| e.out.swap_remove(gone));
+        self.out_now -= 1.0;
+    }
+
     /// Notes an outcome among the last few. One line when most of them are bad, and one when most are good again, of
     /// all verbs and of this one.
     pub(crate) fn judge(&mut self, at: EndpointIx, verb: usize, outcome: Outcome, few: u32) {
--- a/crates/passroad-choice/src/watch.rs
+++ b/crates/passroad-choice/src/watch.rs
@@ -196,6 +196,7 @@
                 again: false,
                 write: false,
                 play: 0,
+                uploads: false,
             };
             let mut actions = watched.decide(at(2 * n + 1), Event::Arrived(arrival));
             let asked: Vec<_> = actions
--- a/crates/passroad-rig/src/virtual_time.rs
+++ b/crates/passroad-rig/src/virtual_time.rs
@@ -395,6 +395,7 @@
             again: ask.again && self.plan.marked,
             write: false,
             play: 0,
+            uploads: false,
         };
         self.at(self.now + limit - margin / 2, Ev::Guard { cmd });
         self.at(self.now + limit, Ev::Away { cmd });
--- a/crates/passroad-routes/src/lib.rs
+++ b/crates/passroad-routes/src/lib.rs
@@ -253,6 +253,7 @@
                 again: false,
                 write: false,
                 play: 0,
+                uploads: false,
             };
             let report = Report { outstanding: Some(0.0), utilization: Some(busy), ..Report::default() };
             let mut actions = self.steered.decide(ms(self.now), Event::Arrived(arrival));
@@ -459,6 +460,7 @@
             again: false,
             write: false,
             play: 0,
+            uploads: false,
         };
         let mut actions = rig.steered.decide(ms(rig.now), Event::Arrived(arrival));
         let probed: Vec<_> = actions
--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -76,6 +76,7 @@
             again: line.flag("again_by_client")?,
             write: line.flag("write")?,
             play: 0,
+            uploads: false,
             cmd: self.commands.admit(&line.need("op_id")?.to_string()),
         }))
     }
--- /dev/null
+++ b/crates/passroad/src/body.rs
@@ -0,0 +1,358 @@
+//! Bodies on their way: held whole where they are short, else passed on as they come, each with its own clock.
+
+use crate::relay::Open;
+use axum::body::Body;
+use bytes::Bytes;
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use std::error::Error;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
+
+/// What is held whole, both ways.
+pub const LONGEST_HELD: usize = 64 << 10;
+pub const LONGEST_BODY: usize = 32 << 20;
+/// Clients send at least 64 kB a second; a fifth less is not held against one.
+const SLOWEST: f64 = 0.8 * 64_000.0; // bytes a second
+const BODY_GRACE: Duration = Duration::from_secs(1);
+/// An endpoint that gives, or takes, nothing of a long body for so long is not heard of again.
+const LONG_STALL: Duration = Duration::from_secs(6);
+
+type Fault = Box<dyn Error + Send + Sync>;
+
+/// Counts the time that is spent waiting for a client against the bytes that came.
+pub struct Patience {
+    waited: Duration,
+    since: Option<Instant>,
+    least: Duration, // of the wait, whatever comes
+    came: usize,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Patience {
+    pub fn new(least: Duration) -> Self {
+        let least = least.max(BODY_GRACE);
+        Patience { waited: Duration::ZERO, since: None, least, came: 0, timer: None }
+    }
+
+    fn all(&self) -> Duration {
+        let paced = BODY_GRACE + Duration::from_secs_f64(self.came as f64 / SLOWEST);
+        paced.max(self.least)
+    }
+
+    fn came(&mut self, bytes: usize) {
+        self.came += bytes;
+        self.waited += self.since.take().map_or(Duration::ZERO, |since| since.elapsed());
+    }
+
+    /// Nothing is there: ready once that has lasted too long.
+    fn poll_over(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let since = *self.since.get_or_insert_with(Instant::now);
+        let until = since + self.all().saturating_sub(self.waited);
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(until)));
+        if timer.deadline() != until {
+            timer.as_mut().reset(until);
+        }
+        timer.as_mut().poll(cx)
+    }
+
+    /// The next piece of a client's body.
+    pub fn poll_next(&mut self, body: &mut Body, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Ill>>> {
+        loop {
+            return match Pin::new(&mut *body).poll_frame(cx) {
+                Poll::Pending => {
+                    ready!(self.poll_over(cx));
+                    Poll::Ready(Some(Err(Ill::Slow)))
+                }
+                Poll::Ready(None) => Poll::Ready(None),
+                Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(Ill::Broken))),
+                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => {
+                        self.came(data.len());
+                        Poll::Ready(Some(Ok(data)))
+                    }
+                    // Trailers end here.
+                    Err(_) => continue,
+                },
+            };
+        }
+    }
+}
+
+/// What is wrong with a client's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ill {
+    Slow,
+    TooLong,
+    Broken,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Coming,
+    Whole(Instant),
+    Ill(Ill),
+}
+
+/// A client's long body, of which one relay is given all; what no relay takes is read and dropped.
+pub struct Coming {
+    rest: Mutex<Rest>,
+    hint: SizeHint,
+    came: AtomicUsize,
+    spent: AtomicBool, // bytes have gone out
+    drains: AtomicBool,
+    state: watch::Sender<State>,
+}
+
+struct Rest {
+    first: Option<Bytes>,
+    body: Body,
+    patience: Patience,
+}
+
+impl Coming {
+    /// `first` is what has been read of it.
+    pub fn new(first: Bytes, body: Body, patience: Patience) -> Arc<Self> {
+        let mut hint = SizeHint::new();
+        if let Some(left) = body.size_hint().exact() {
+            hint.set_exact(left + first.len() as u64);
+        }
+        let first = Some(first).filter(|first| !first.is_empty());
+        Arc::new(Coming {
+            rest: Mutex::new(Rest { first, body, patience }),
+            hint,
+            came: AtomicUsize::new(0),
+            spent: AtomicBool::new(false),
+            drains: AtomicBool::new(false),
+            state: watch::channel(State::Coming).0,
+        })
+    }
+
+    fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Ill>>> {
+        let mut rest = self.rest.lock().unwrap_or_else(PoisonError::into_inner);
+        let Rest { first, body, patience } = &mut *rest;
+        let next = match first.take() {
+            Some(first) => Some(Ok(first)),
+            None => ready!(patience.poll_next(body, cx)),
+        };
+        let next = match next {
+            Some(Ok(data)) if self.came.fetch_add(data.len(), Relaxed) + data.len() > LONGEST_BODY => {
+                Some(Err(Ill::TooLong))
+            }
+            next => next,
+        };
+        match &next {
+            Some(Ok(_)) => {}
+            Some(Err(ill)) => drop(self.state.send_replace(State::Ill(*ill))),
+            None => drop(self.state.send_replace(State::Whole(Instant::now()))),
+        }
+        Poll::Ready(next)
+    }
+
+    /// Whether part of it has gone out and is gone.
+    pub fn spent(&self) -> bool {
+        self.spent.load(Relaxed)
+    }
+
+    /// So many bytes at least are on the wire once it is written; none as long as it is not whole.
+    pub fn least(&self) -> Option<usize> {
+        self.since().map(|_| self.came.load(Relaxed))
+    }
+
+    /// Since when it is whole.
+    pub fn since(&self) -> Option<Instant> {
+        match *self.state.borrow() {
+            State::Whole(since) => Some(since),
+            _ => None,
+        }
+    }
+
+    async fn turned(&self, wanted: impl Fn(State) -> bool) -> State {
+        // The sender lives as long as this does.
+        let mut state = self.state.subscribe();
+        state.wait_for(|state| wanted(*state)).await.map_or(State::Coming, |state| *state)
+    }
+
+    /// Ends when all of it has come.
+    pub async fn whole(&self) {
+        self.turned(|state| matches!(state, State::Whole(_))).await;
+    }
+
+    /// Ends when it turns out that it can't be used.
+    pub async fn ill(&self) -> Ill {
+        match self.turned(|state| matches!(state, State::Ill(_))).await {
+            State::Ill(ill) => ill,
+            _ => Ill::Broken,
+        }
+    }
+
+    /// Ends when nothing has been taken of it for long, though it is not whole. Guards against an endpoint that stops
+    /// reading: nothing else would end its relay.
+    pub async fn stuck(&self) {
+        loop {
+            let before = self.came.load(Relaxed);
+            sleep(LONG_STALL).await;
+            if self.came.load(Relaxed) == before && *self.state.borrow() == State::Coming {
+                return;
+            }
+        }
+    }
+
+    /// Reads what is left for its client's sake, who may not read an answer before all is written. Nothing goes out
+    /// from here on.
+    pub async fn drain(&self) {
+        self.drains.store(true, Relaxed);
+        while let Some(Ok(_)) = std::future::poll_fn(|cx| self.poll_next(cx)).await {}
+    }
+
+    pub fn ended(&self) -> bool {
+        *self.state.borrow() != State::Coming
+    }
+
+    pub fn is_ill(&self) -> bool {
+        matches!(*self.state.borrow(), State::Ill(_))
+    }
+}
+
+/// A body as it goes out to an endpoint, or back to a client.
+pub enum Load {
+    Held(Option<Bytes>),
+    Upload(Arc<Coming>),
+    Long(Box<Long>),
+}
+
+impl From<Bytes> for Load {
+    fn from(bytes: Bytes) -> Self {
+        Load::Held(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Load::Held(None)
+    }
+}
+
+impl Load {
+    /// What is held of it.
+    pub fn held(self) -> Bytes {
+        match self {
+            Load::Held(Some(bytes)) => bytes,
+            _ => Bytes::new(),
+        }
+    }
+}
+
+/// The rest of a long answer. Its client can tell when it is cut off: the length or the last chunk is missing.
+pub struct Long {
+    pub first: Option<Bytes>,
+    pub rest: Incoming,
+    pub way: Open,
+    pub left: usize, // that may still come
+    pub stall: Option<Pin<Box<Sleep>>>,
+}
+
+impl Long {
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(first)));
+        }
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
+                let stall = self.stall.get_or_insert_with(|| Box::pin(sleep(LONG_STALL)));
+                ready!(stall.as_mut().poll(cx));
+                return Poll::Ready(Some(Err("the endpoint stopped halfway".into())));
+            };
+            self.stall = None;
+            let Some(frame) = frame else {
+                self.way.answered();
+                return Poll::Ready(None);
+            };
+            let Ok(data) = frame?.into_data() else { continue };
+            let Some(left) = self.left.checked_sub(data.len()) else {
+                return Poll::Ready(Some(Err("an answer without end".into())));
+            };
+            self.left = left;
+            return Poll::Ready(Some(Ok(data)));
+        }
+    }
+}
+
+impl hyper::body::Body for Load {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        let next = match self.get_mut() {
+            Load::Held(held) => held.take().map(Ok),
+            Load::Upload(coming) if coming.drains.load(Relaxed) => Some(Err("given up".into())),
+            Load::Upload(coming) => {
+                let next = ready!(coming.poll_next(cx));
+                coming.spent.fetch_or(next.is_some(), Relaxed);
+                next.map(|data| data.map_err(|ill| format!("the client's body: {ill:?}").into()))
+            }
+            Load::Long(long) => ready!(long.poll_next(cx)),
+        };
+        Poll::Ready(next.map(|data| data.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Load::Held(held) => held.is_none(),
+            _ => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Load::Held(held) => SizeHint::with_exact(held.as_ref().map_or(0, Bytes::len) as u64),
+            Load::Upload(coming) => coming.hint.clone(),
+            Load::Long(long) => {
+                let (first, mut hint) = (long.first.as_ref().map_or(0, Bytes::len) as u64, SizeHint::new());
+                if let Some(left) = long.rest.size_hint().exact() {
+                    hint.set_exact(left + first);
+                }
+                hint
+            }
+        }
+    }
+}
+
+/// An answer's body on its way to a client; `then` is called once it has been handed over, or dropped.
+pub struct Passing<F: FnOnce()> {
+    pub body: Body,
+    pub then: Option<F>,
+}
+
+impl<F: FnOnce() + Unpin> hyper::body::Body for Passing<F> {
+    type Data = Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl<F: FnOnce()> Drop for Passing<F> {
+    fn drop(&mut self) {
+        if let Some(then) = self.then.take() {
+            then();
+        }
+    }
+}
--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -1,19 +1,21 @@
 //! The life of one command, top to bottom; the module decides at each turn.
 
+use crate::body::{Coming, Load};
 use crate::desk::{Desk, Order};
 use crate::relay::{self, Cargo, Ended};
-use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::Response;
 use passroad_choice::{Arrival, Outcome};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
+
+const LATER: Duration = Duration::from_secs(86_400);
 
 /// The one final answer to a command.
 pub enum Answer {
-    Answered(Response<Bytes>),
+    Answered(Response<Load>),
     Declined { not_before: Option<Duration> },
     Terminated,
     OutOfTime,
@@ -31,7 +33,9 @@
 
 pub async fn run(desk: Arc<Desk>, need: Need, cargo: Cargo, front: oneshot::Sender<Answer>) {
     let (cargo, mut front) = (Arc::new(cargo), Some(front));
-    let mut limit = std::pin::pin!(sleep(need.last));
+    // Of a long body the time runs from when all of it has come.
+    let mut coming = cargo.coming().cloned();
+    let mut limit = std::pin::pin!(sleep(if coming.is_some() { LATER } else { need.last }));
     let mut seat = desk.admit(|cmd| Arrival {
         cmd,
         verb: need.verb,
@@ -42,6 +46,7 @@
         again: need.again,
         write: false,
         play: 0,
+        uploads: coming.is_some(),
     });
     let (mut relays, mut recalls) = (FuturesUnordered::new(), Vec::new());
     loop {
@@ -54,9 +59,12 @@
                     let (recall, recalled) = oneshot::channel();
                     recalls.push(Some(recall));
                     let (n, began, cargo) = (seat.newest(), Instant::now(), Arc::clone(&cargo));
-                    let within = within.min(limit.deadline().saturating_duration_since(began.into()));
+                    let left = limit.deadline().saturating_duration_since(began);
+                    let within = if coming.is_some() { need.budget } else { within.min(left) };
                     relays.push(async move {
-                        (n, relay::run(*link, cargo, within, recalled).await, began.elapsed())
+                        let ended = relay::run(*link, Arc::clone(&cargo), within, recalled).await;
+                        let since = cargo.coming().and_then(|coming| coming.since());
+                        (n, ended, since.map_or(began, |since| began.max(since)).elapsed())
                     });
                 }
                 Some(Order::Recall { relay }) => {
@@ -67,12 +75,20 @@
                 Some(Order::Terminate) => answer(&mut front, Answer::Terminated),
             },
             Some((n, ended, spent)) = relays.next() => {
+                if cargo.coming().is_some_and(|coming| coming.spent()) {
+                    seat.spent();
+                }
                 let won = front.is_some() && ended.outcome == Outcome::Answered;
                 seat.finished(n, &ended, spent, won || front.is_none());
                 if let (true, Ended { answer: Some(body), .. }) = (won, ended) {
                     answer(&mut front, Answer::Answered(body));
                 }
             }
+            () = whole(&coming), if coming.is_some() => {
+                coming = None;
+                limit.as_mut().reset(Instant::now() + need.last);
+                seat.whole();
+            }
             () = gone(&mut front), if front.is_some() => {
                 front = None;
                 seat.lapsed();
@@ -92,6 +108,14 @@
     }
 }
 
+/// Ends when all of a long body has come.
+async fn whole(coming: &Option<Arc<Coming>>) {
+    match coming {
+        Some(coming) => coming.whole().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Ends when the client has closed its connection.
 async fn gone(front: &mut Option<oneshot::Sender<Answer>>) {
     match front {
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -441,6 +441,14 @@
         self.desk.tell(Event::Lapsed { cmd: self.cmd });
     }
 
+    pub fn spent(&self) {
+        self.desk.tell(Event::Spent { cmd: self.cmd });
+    }
+
+    pub fn whole(&self) {
+        self.desk.tell(Event::Whole { cmd: self.cmd });
+    }
+
     pub fn finished(&mut self, relay: usize, ended: &relay::Ended, spent: Duration, concluded: bool) {
         self.out[relay] = false;
         let (outcome, report) = (ended.outcome, ended.report);
--- a/crates/passroad/src/frame.rs
+++ b/crates/passroad/src/frame.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
+use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -24,7 +25,8 @@
 struct Reading {
     part: Part,
     two_lengths: bool,
-    ahead: bool, // something came where nothing was due
+    head_since: Option<Instant>, // its first byte
+    ahead: bool,                 // something came where nothing was due
 }
 
 /// How far a connection's present request has come.
@@ -35,7 +37,8 @@
 
 impl Default for Frame {
     fn default() -> Self {
-        let reading = Reading { part: Part::Head(Vec::new()), two_lengths: false, ahead: false };
+        let reading =
+            Reading { part: Part::Head(Vec::new()), two_lengths: false, head_since: None, ahead: false };
         Frame { reading: Mutex::new(reading), comes: Notify::new() }
     }
 }
@@ -63,6 +66,12 @@
         matches!(&self.reading().part, Part::Head(head) if !head.is_empty())
     }
 
+    /// Where a head is awaited: since when a part of it has been there.
+    pub fn awaits_head(&self) -> Option<Option<Instant>> {
+        let reading = self.reading();
+        matches!(reading.part, Part::Head(_)).then_some(reading.head_since)
+    }
+
     /// Whether the request said that more would come.
     pub fn unread(&self) -> bool {
         matches!(&self.reading().part, Part::Body(_) | Part::Chunks)
@@ -89,7 +98,7 @@
     pub fn answered(&self) {
         let mut reading = self.reading();
         if matches!(reading.part, Part::Over) && !reading.ahead {
-            reading.part = Part::Head(Vec::new());
+            (reading.part, reading.head_since) = (Part::Head(Vec::new()), None);
         }
     }
 }
@@ -99,6 +108,7 @@
         while !bytes.is_empty() {
             match &mut self.part {
                 Part::Head(head) => {
+                    self.head_since.get_or_insert_with(Instant::now);
                     let before = head.len();
                     head.extend_from_slice(bytes);
                     let (size, part, two) = match heads_end(head) {
--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -1,10 +1,12 @@
 //! The connections of clients: let in, watched, given back. What comes over them is read in `intake`.
 
 use crate::Pace;
+use crate::body::Passing;
 use crate::frame::{Frame, LONGEST_HEAD, Watched};
 use crate::intake::{Intake, ready, take};
 use crate::stop::{Stage, Stages, reached};
 use axum::Router;
+use axum::body::Body;
 use axum::http::{HeaderValue, header};
 use axum::routing::get;
 use futures_util::FutureExt;
@@ -18,16 +20,15 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 use tower_service::Service;
 
 const BACKLOG: u32 = 1024;
-/// From when a connection is open or its last answer went out until the next head is there: also how long one with
-/// nothing open is kept.
+/// From a head's first byte to its last: also how long a connection with nothing open is kept.
 const HEAD_WITHIN: Duration = Duration::from_millis(2200);
-/// The same for a whole request, but the body of a late head has a moment.
-const WHOLE_WITHIN: Duration = Duration::from_millis(2800);
-const BODY_AT_LEAST: Duration = Duration::from_millis(500);
+/// The same for the first of a connection, with its body if that is short; a whole call is owed no more before.
+const FIRST_WITHIN: Duration = Duration::from_millis(2800);
+const LIBRARY_WITHIN: Duration = Duration::from_secs(30); // the library's own clock for heads, behind these
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 const LINGER: Duration = Duration::from_millis(50); // for a last answer to be read before what still comes is refused
 const ADDRESS_WITHIN: Duration = Duration::from_secs(3); // a process before this one may be ending
@@ -210,6 +211,7 @@
     waited: Duration,              // outside, at most
     answered: AtomicBool,          // once at least, and not for something that can't be used
     quiet: Mutex<Option<Instant>>, // since when there is nothing to answer; none while a command is in hand
+    turned: Notify,                // that has changed
 }
 
 impl Talk {
@@ -219,6 +221,7 @@
 
     pub fn set_quiet(&self, since: Option<Instant>) {
         self.quiet.lock().iter_mut().for_each(|quiet| **quiet = since);
+        self.turned.notify_one();
     }
 
     /// How long a command read now may have waited for its connection to be let in.
@@ -226,10 +229,32 @@
         if self.came.elapsed() < AT_ONCE { self.waited } else { Duration::ZERO }
     }
 
-    /// How long the rest of a request may still take.
+    /// How long the rest of a request may take at least.
     pub fn patience(&self) -> Duration {
-        let since = self.quiet.lock().ok().and_then(|since| *since);
-        since.map_or(BODY_AT_LEAST, |at| WHOLE_WITHIN.saturating_sub(at.elapsed()).max(BODY_AT_LEAST))
+        FIRST_WITHIN.saturating_sub(self.came.elapsed())
+    }
+
+    /// When there is to be a whole head; none while there is one.
+    fn due(&self) -> Option<Instant> {
+        let quiet = self.quiet.lock().ok().and_then(|since| *since)?;
+        match self.frame.awaits_head()? {
+            // Guards against one that begins late and goes on for long: its client is owed a word in time.
+            Some(since) if quiet == self.came => Some((since + HEAD_WITHIN).min(self.came + FIRST_WITHIN)),
+            Some(since) => Some(since + HEAD_WITHIN),
+            None => Some(quiet + HEAD_WITHIN),
+        }
+    }
+
+    /// Ends when a head has not come in time, or nothing has come for long.
+    async fn late(&self) {
+        loop {
+            match self.due() {
+                Some(at) if at <= Instant::now() => return,
+                // It may be later by then: a head has begun, or a command is in hand.
+                Some(at) => sleep_until(at.into()).await,
+                None => self.turned.notified().await,
+            }
+        }
     }
 }
 
@@ -244,6 +269,7 @@
             waited: full.map_or(Duration::ZERO, |since| since.elapsed()),
             answered: AtomicBool::new(false),
             quiet: Mutex::new(Some(came)),
+            turned: Notify::new(),
         });
         let kept = Mutex::new(None);
         let service = hyper::service::service_fn(|mut request: hyper::Request<hyper::body::Incoming>| {
@@ -267,19 +293,25 @@
                 }
                 kept.lock().iter_mut().for_each(|kept| **kept = keep.take());
                 talk.answered.fetch_or(usable, Relaxed);
-                talk.set_quiet(Some(Instant::now()));
-                talk.frame.answered();
-                Ok::<_, std::convert::Infallible>(answer)
+                let talk = Arc::clone(talk);
+                // Guards against a client that reads slowly taken for one that says nothing.
+                let then = move || {
+                    talk.frame.answered();
+                    talk.set_quiet(Some(Instant::now()));
+                };
+                let passing = |body| Body::new(Passing { body, then: Some(then) });
+                Ok::<_, std::convert::Infallible>(answer.map(passing))
             }
         });
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_WITHIN)
+            .header_read_timeout(LIBRARY_WITHIN)
             .max_buf_size(LONGEST_HEAD)
             .serve_connection(TokioIo::new(Watched { stream, talk: Arc::clone(&talk) }), service);
         let ended = tokio::select! {
             ended = &mut connection => Some(ended),
             () = crowded_out(front, &talk) => None,
+            () = talk.late() => None,
             () = reached(&mut stages, Stage::Leaving) => {
                 // One that was never answered may have its first command on the way.
                 if talk.answered.load(Relaxed) {
@@ -287,11 +319,14 @@
                 }
                 tokio::select! {
                     ended = &mut connection => Some(ended),
+                    () = talk.late() => None,
                     () = reached(&mut stages, Stage::Ending) => None,
                 }
             }
         };
-        if ended.is_none() {
+        let late =
+            ended.is_none() && talk.frame.in_head() && talk.due().is_some_and(|at| at <= Instant::now());
+        if ended.is_none() && !late {
             Pin::new(&mut connection).graceful_shutdown();
             // Only a client that is quiet in the middle of a request, or does not read its answer, is cut off.
             let patience = if talk.answered.load(Relaxed) { LAST_WORDS } else { AT_ONCE };
@@ -299,9 +334,7 @@
         }
         let stream = connection.into_parts().io.into_inner().stream;
         match ended {
-            Some(Err(fault)) if fault.is_timeout() && talk.frame.in_head() => {
-                drop(stream.try_write(TOO_SLOW))
-            }
+            None if late => drop(stream.try_write(TOO_SLOW)),
             Some(Ok(())) if talk.frame.unread() => sleep(LINGER).await,
             _ => {}
         }
--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -1,29 +1,28 @@
 //! One command off its connection and its answer back: what can't be used is turned away here.
 
+use crate::body::{Coming, Ill, LONGEST_BODY, LONGEST_HELD, Patience};
 use crate::command::{self, Answer, Need};
 use crate::desk::Desk;
 use crate::front::Talk;
-use crate::relay::{Cargo, KEY, LONGEST_BODY};
+use crate::relay::{Cargo, KEY};
 use crate::stop::{Stage, Stages};
 use axum::body::{Body, HttpBody};
 use axum::extract::{Extension, Request, State};
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use passroad_choice::door::mark;
 use passroad_choice::{Effect, StandingOrders, VerbOrder};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
-use tokio::time::timeout;
 
 const MARGIN: Duration = Duration::from_millis(10); // of a time limit, at most a twentieth
 const MOST_DIGITS: usize = 9; // of a time limit
 const STILL_BEFORE: Duration = Duration::from_millis(1200); // after other orders, verbs are named as before
 const SMALL_BODY: usize = 4 << 10; // needs no room of its own
-const BODIES_SHARE: usize = 8; // of the memory, for bodies that are not small
+const BODIES_SHARE: usize = 4; // of the memory, for bodies that are not small
 
 pub struct Intake {
     desk: Arc<Desk>,
@@ -95,13 +94,27 @@
     }
     talk.set_quiet(None);
     let (tell, told) = oneshot::channel();
+    let coming = cargo.coming().cloned();
     tokio::spawn(command::run(Arc::clone(&intake.desk), need, cargo, tell));
-    tokio::select! {
+    let answer = tokio::select! {
         biased;
         // Dropped with its connection, this tells the command that its client is gone.
         answer = told => word(answer.unwrap_or(Answer::Terminated)),
         // Guards against a request hidden behind another: clients send one at a time.
         () = talk.frame.ahead() => StatusCode::BAD_REQUEST.into_response(),
+        ill = ill(&coming) => status(ill).into_response(),
+    };
+    if let Some(coming) = coming.filter(|coming| !coming.ended()) {
+        tokio::spawn(async move { coming.drain().await });
+    }
+    answer
+}
+
+/// Ends when a long body turns out to be of no use.
+async fn ill(coming: &Option<Arc<Coming>>) -> Ill {
+    match coming {
+        Some(coming) => coming.ill().await,
+        None => std::future::pending().await,
     }
 }
 
@@ -127,7 +140,7 @@
         // At the start the module numbers verbs as the orders do.
         let numbers: Vec<_> = (0..orders.verbs.len()).collect();
         let table = Mutex::new(Arc::new(Table::of(orders, &numbers, Vec::new())));
-        let bodies = (memory / BODIES_SHARE / LONGEST_BODY).max(2);
+        let bodies = (memory / BODIES_SHARE / LONGEST_HELD).max(2);
         Intake { desk, table, stages, bodies: Arc::new(Semaphore::new(bodies)), open: Arc::default() }
     }
 
@@ -159,7 +172,7 @@
         let told = framing.iter().any(|name| parts.headers.contains_key(name));
         let keyed = parts.headers.contains_key(KEY);
         let carries = |verb: &VerbOrder| match verb.effect {
-            Effect::Pure => parts.method == Method::GET && length.exact() == Some(0),
+            Effect::Pure => parts.method == Method::GET && length.exact().is_none_or(|length| length == 0),
             Effect::Effectful => parts.method == Method::POST && told,
             Effect::Receipted => [Method::POST, Method::PUT].contains(&parts.method) && told && keyed,
         };
@@ -167,8 +180,13 @@
         let verb = verb.map_err(|()| StatusCode::BAD_REQUEST)?;
         let need = need(verb, &table.companies, &parts.headers).filter(|_| !talk.frame.two_lengths());
         let mut need = need.ok_or(StatusCode::BAD_REQUEST)?;
-        let body = timeout(talk.patience(), self.whole(body)).await;
-        let (body, room) = body.map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
+        let pure = verb.0.effect == Effect::Pure;
+        let mut patience = Patience::new(talk.patience());
+        let (body, room) = match length.exact() {
+            Some(0) => (Read::Whole(Bytes::new()), None),
+            Some(length) if length > LONGEST_HELD as u64 => (Read::Part(Bytes::new(), body), None),
+            _ => self.first_of(body, &mut patience).await?,
+        };
         if talk.frame.came_ahead() {
             return Err(StatusCode::BAD_REQUEST);
         }
@@ -177,26 +195,50 @@
             // Only here: to the module an odd budget tells that a client's earlier tries have spent the rest.
             need.last = need.budget.saturating_sub(waited);
         }
-        let cargo = Cargo::of(parts, body, room).ok_or(StatusCode::BAD_REQUEST)?;
-        Ok((need, cargo))
+        let (held, rest) = match body {
+            Read::Whole(body) if pure && !body.is_empty() => return Err(StatusCode::BAD_REQUEST),
+            Read::Part(..) if pure => return Err(StatusCode::BAD_REQUEST),
+            Read::Whole(body) => (body, None),
+            Read::Part(first, rest) => (Bytes::new(), Some(Coming::new(first, rest, patience))),
+        };
+        let cargo = Cargo::of(parts, held, room).ok_or(StatusCode::BAD_REQUEST)?;
+        Ok((need, rest.into_iter().fold(cargo, Cargo::with)))
     }
 
-    /// A body and, if it is more than small, its room. Guards against many long ones that fill the
-    /// memory: past a share of it they are declined.
-    async fn whole(&self, mut body: Body) -> Result<(Bytes, Option<OwnedSemaphorePermit>), StatusCode> {
-        let (mut whole, mut room) = (BytesMut::new(), None);
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
-            if whole.len() + data.len() > LONGEST_BODY {
-                return Err(StatusCode::PAYLOAD_TOO_LARGE);
-            }
-            if whole.len() + data.len() > SMALL_BODY && room.is_none() {
+    /// A body, or as much of it as is held, and its room if that is more than small. Guards against many that fill
+    /// the memory: past a share of it they are declined.
+    async fn first_of(
+        &self,
+        mut body: Body,
+        patience: &mut Patience,
+    ) -> Result<(Read, Option<OwnedSemaphorePermit>), StatusCode> {
+        let (mut held, mut room) = (BytesMut::new(), None);
+        while let Some(data) = std::future::poll_fn(|cx| patience.poll_next(&mut body, cx)).await {
+            let data = data.map_err(status)?;
+            if held.len() + data.len() > SMALL_BODY && room.is_none() {
                 let taken = Arc::clone(&self.bodies).try_acquire_owned();
                 room = Some(taken.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?);
             }
-            whole.extend_from_slice(&data);
+            held.extend_from_slice(&data);
+            if held.len() > LONGEST_HELD {
+                return Ok((Read::Part(held.freeze(), body), room));
+            }
         }
-        Ok((whole.freeze(), room))
+        Ok((Read::Whole(held.freeze()), room))
+    }
+}
+
+/// How much of a body was read ahead of its command.
+enum Read {
+    Whole(Bytes),
+    Part(Bytes, Body),
+}
+
+fn status(ill: Ill) -> StatusCode {
+    match ill {
+        Ill::Slow => StatusCode::REQUEST_TIMEOUT,
+        Ill::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        Ill::Broken => StatusCode::BAD_REQUEST,
     }
 }
 
@@ -243,7 +285,7 @@
 /// The answer as the client reads it.
 fn word(answer: Answer) -> Response {
     match answer {
-        Answer::Answered(answer) => answer.map(Body::from),
+        Answer::Answered(answer) => answer.map(Body::new),
         Answer::Declined { not_before } => {
             let mut answer = StatusCode::SERVICE_UNAVAILABLE.into_response();
             let after = not_before.map(|wait| format!("{:.3}", wait.as_secs_f64()));
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -1,6 +1,7 @@
 //! The sidecar. A command comes in at `front`, lives in `command`, goes out by `relay`; `probe` and `list` tell
 //! how the endpoints are; `desk` holds the decision module and hands what it decides to its owners.
 
+mod body;
 mod command;
 mod desk;
 mod frame;
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -1,9 +1,10 @@
 //! Discovery: one watch, renewed at once; when it breaks the module says when to call again.
 
 use crate::Pace;
+use crate::body::Load;
 use crate::desk::Desk;
 use crate::relay::{Client, Dialer};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy;
 use passroad_choice::{Event, ListKind, Mode};
@@ -189,7 +190,7 @@
         Some((from, hold)) => (format!("?from={from}&hold_ms={}", hold.as_millis()), hold),
         None => (String::new(), Duration::ZERO),
     };
-    let request = Request::get(format!("http://{at}/v1/servers{query}")).body(Full::default());
+    let request = Request::get(format!("http://{at}/v1/servers{query}")).body(Load::default());
     let call = async {
         let request = request.map_err(|e| Fault::Refused(e.to_string()))?;
         let refused = |e: &legacy::Error| e.is_connect();
--- a/crates/passroad/src/probe.rs
+++ b/crates/passroad/src/probe.rs
@@ -1,8 +1,8 @@
 //! One probe of one endpoint.
 
+use crate::body::Load;
 use crate::relay::{Client, Ended, Link, exchange, read_load};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{Request, Response};
 use passroad_choice::{Outcome, ReportsHow};
 use std::time::Duration;
@@ -30,11 +30,11 @@
 
 async fn ask(client: &Client, at: std::net::SocketAddr, reports: ReportsHow) -> Ended {
     let path = if reports == ReportsHow::Silent { "/healthz" } else { "/load" };
-    let Ok(request) = Request::get(format!("http://{at}{path}")).body(Full::default()) else {
+    let Ok(request) = Request::get(format!("http://{at}{path}")).body(Load::default()) else {
         return Outcome::Moot.into();
     };
-    let mut ended = exchange(client, request, path.len(), false).await;
-    let body = ended.answer.take().map(Response::into_body).unwrap_or_default();
+    let mut ended = exchange(client, request, &|| Some(path.len()), false).await;
+    let body = ended.answer.take().map(Response::into_body).unwrap_or_default().held();
     ended.report = ended.report.or_else(|| body_load(&body));
     ended
 }
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -1,7 +1,9 @@
 //! One relay to one endpoint, and the connections that relays and probes go over.
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use crate::body::{Coming, LONGEST_BODY, LONGEST_HELD, Load, Long};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{Uri, request};
 use hyper::{Request, Response, StatusCode};
@@ -23,13 +25,12 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::{Instant, Sleep};
 
-pub const LONGEST_BODY: usize = 64 << 10;
 const HELD_BACK: usize = 8; // connections that a process which gives way may open
 const MOST_IDLE: usize = 16; // connections kept to one endpoint
 /// Of the time after which endpoints close: the pool looks once in so long, so none stays for twice that.
 const IDLE_SHARE: f64 = 0.45;
 const LONGEST_HEAD: usize = 32 << 10; // of an answer, and what is buffered at once
-const LONGEST_ANSWER: usize = LONGEST_BODY + 2 * LONGEST_HEAD; // with all that comes ahead of it
+const LONGEST_AHEAD: usize = 4 * LONGEST_HEAD; // of all that comes until its head is read
 /// An endpoint writes an answer at once: one that stops halfway for so long is spoilt.
 const STALL: Duration = Duration::from_millis(100);
 /// A connection rests behind an answer, so that what does not belong there shows before the next command is sent.
@@ -40,7 +41,7 @@
 const LOAD: &str = "srv-load";
 const NEVER_RAN: &str = "srv-declined";
 
-pub type Client = legacy::Client<Dialer, Full<Bytes>>;
+pub type Client = legacy::Client<Dialer, Load>;
 type Fault = Box<dyn Error + Send + Sync>;
 
 /// Where an endpoint listens and the connections kept to it; they close with the last clone.
@@ -48,12 +49,13 @@
 pub struct Link {
     pub address: SocketAddr,
     pub client: Client,
+    dialer: Dialer,
     users: Arc<()>,
 }
 
 impl Link {
     pub fn new(address: SocketAddr, dialer: &Dialer) -> Self {
-        Link { address, client: dialer.client(), users: Arc::default() }
+        Link { address, client: dialer.client(), dialer: dialer.clone(), users: Arc::default() }
     }
 
     /// Whether nobody else has a clone.
@@ -66,7 +68,7 @@
 pub struct Ended {
     pub outcome: Outcome,
     pub report: Option<Report>,
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Response<Load>>,
 }
 
 impl From<Outcome> for Ended {
@@ -83,6 +85,7 @@
     pub id: HeaderValue,
     key: Option<HeaderValue>, // by which endpoints drop a repeat
     body: Bytes,
+    coming: Option<Arc<Coming>>,         // in place of it, if it is long
     _room: Option<OwnedSemaphorePermit>, // of a long body
 }
 
@@ -90,12 +93,33 @@
     pub fn of(parts: request::Parts, body: Bytes, room: Option<OwnedSemaphorePermit>) -> Option<Self> {
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_string();
         let (id, key) = (parts.headers.get(ID)?.clone(), parts.headers.get(KEY).cloned());
-        Some(Cargo { method: parts.method, target, id, key, body, _room: room })
+        Some(Cargo { method: parts.method, target, id, key, body, coming: None, _room: room })
     }
 
-    fn request(&self, to: SocketAddr, within: Duration) -> Option<Request<Full<Bytes>>> {
+    /// The same with a body that still comes.
+    pub fn with(self, coming: Arc<Coming>) -> Self {
+        Cargo { coming: Some(coming), ..self }
+    }
+
+    pub fn coming(&self) -> Option<&Arc<Coming>> {
+        self.coming.as_ref()
+    }
+
+    /// A length that it surely has on the wire; none as long as that is not known.
+    fn least(&self) -> Option<usize> {
+        let body = self.coming.as_ref().map_or(Some(self.body.len()), |coming| coming.least());
+        body.map(|body| self.target.len() + body)
+    }
+
+    /// None if it can't be sent, or not once more.
+    fn request(&self, to: SocketAddr, within: Duration) -> Option<Request<Load>> {
         let uri: Uri = format!("http://{to}{}", self.target).parse().ok()?;
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let load = match &self.coming {
+            None => self.body.clone().into(),
+            Some(coming) if !coming.spent() => Load::Upload(Arc::clone(coming)),
+            Some(_) => return None,
+        };
+        let mut request = Request::new(load);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = uri;
         let left = (within.as_millis() as u64).max(1);
@@ -135,11 +159,16 @@
 /// Sends a command to an endpoint and waits for its whole answer. Ends early on recall: what it holds is
 /// dropped, and that closes its connection.
 pub async fn run(link: Link, cargo: Arc<Cargo>, within: Duration, recall: oneshot::Receiver<()>) -> Ended {
+    // A connection of its own for a long body: a kept one that is of no use would have taken a part of it.
+    let client = cargo.coming().map_or_else(|| link.client.clone(), |_| link.dialer.client());
     let exchanged = async {
         // A kept connection that turns out to be of no use has taken nothing: the next one, or a new one, does.
         loop {
             let Some(request) = cargo.request(link.address, within) else { return Outcome::Moot.into() };
-            let ended = exchange(&link.client, request, cargo.target.len() + cargo.body.len(), true).await;
+            let ended = exchange(&client, request, &|| cargo.least(), true).await;
+            if cargo.coming().is_some_and(|coming| coming.is_ill()) {
+                return Outcome::Moot.into();
+            }
             if ended.outcome != Outcome::Moot {
                 return ended;
             }
@@ -149,20 +178,33 @@
         // Guards against a connection that comes up while the process stands still: past the time nothing goes out.
         biased;
         _ = recall => Outcome::Recalled.into(),
-        () = tokio::time::sleep(within) => Outcome::TimedOut.into(),
+        () = over(&cargo, within) => Outcome::TimedOut.into(),
+        // Not all of it was taken: it never ran.
+        () = stuck(&cargo) => Outcome::NoConnection.into(),
         ended = exchanged => ended,
     }
 }
 
-/// One request and its whole answer. `least` is a length that the request surely has on the wire.
+/// Its time runs from when all of it has come.
+async fn over(cargo: &Cargo, within: Duration) {
+    if let Some(coming) = cargo.coming() {
+        coming.whole().await;
+    }
+    tokio::time::sleep(within).await;
+}
+
+async fn stuck(cargo: &Cargo) {
+    match cargo.coming() {
+        Some(coming) => coming.stuck().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// One request and its answer, whole or, if that is long, as it comes. `least` tells a length that the request surely
+/// has on the wire, once that is known.
 /// `rests` tells whether its connection is to rest behind the answer. After a probe it does not, since the command that
 /// the probe was for goes out next, and most go where a probe has just been.
-pub async fn exchange(
-    client: &Client,
-    mut request: Request<Full<Bytes>>,
-    least: usize,
-    rests: bool,
-) -> Ended {
+pub async fn exchange(client: &Client, mut request: Request<Load>, least: Least<'_>, rests: bool) -> Ended {
     let way = capture_connection(&mut request);
     let ahead = Arc::new(Mutex::new(None));
     let told = Arc::clone(&ahead);
@@ -171,16 +213,38 @@
         told.lock().iter_mut().for_each(|at| **at = Some(Instant::now()));
     });
     let way = Open(way);
-    tokio::select! {
+    let (mut ended, rest) = tokio::select! {
         biased;
         ended = whole(client, request, &way, least, rests) => ended,
-        () = stalled(&way, &ahead) => spoilt("it stops halfway"),
+        () = stalled(&way, &ahead) => (spoilt("it stops halfway"), None),
+    };
+    if let Some(rest) = rest {
+        ended.answer = ended.answer.map(|answer| {
+            answer.map(|first| {
+                let first = first.held();
+                let left = LONGEST_BODY.saturating_sub(first.len());
+                Load::Long(Box::new(Long { first: Some(first), rest, way, left, stall: None }))
+            })
+        });
     }
+    ended
 }
 
+type Least<'a> = &'a (dyn Fn() -> Option<usize> + Sync);
+
 /// The connection of a request for as long as its outcome is awaited. Given up earlier, the connection writes nothing
 /// more: what still rests in it must not go out after the command has its final answer.
-struct Open(CaptureConnection);
+pub struct Open(CaptureConnection);
+
+impl Open {
+    /// The answer is read whole.
+    pub fn answered(&self) {
+        if let Some(meter) = meter(self) {
+            meter.done.store(true, Relaxed);
+            meter.rests.store(true, Relaxed);
+        }
+    }
+}
 
 impl std::ops::Deref for Open {
     type Target = CaptureConnection;
@@ -201,25 +265,29 @@
 
 async fn whole(
     client: &Client,
-    request: Request<Full<Bytes>>,
+    request: Request<Load>,
     way: &CaptureConnection,
-    least: usize,
+    least: Least<'_>,
     rests: bool,
-) -> Ended {
+) -> (Ended, Option<Incoming>) {
     let (parts, body) = match client.request(request).await {
         Ok(answer) => answer.into_parts(),
-        Err(fault) => return broke(&fault, way, least),
+        Err(fault) => return (broke(&fault, way, least()), None),
     };
     let report = parts.headers.get(LOAD).and_then(|v| v.to_str().ok()).and_then(read_load);
-    let body = match Limited::new(body, LONGEST_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(fault) if fault.downcast_ref::<hyper::Error>().is_some_and(|f| !f.is_parse()) => {
-            return Ended { report, ..Outcome::Broken.into() };
-        }
-        Err(fault) => return Ended { report, ..spoilt(&fault) },
+    if body.size_hint().lower() > LONGEST_BODY as u64 {
+        return (Ended { report, ..spoilt("it says that it is too long") }, None);
+    }
+    if let Some(meter) = meter(way) {
+        meter.may_hear.store(LONGEST_BODY + LONGEST_AHEAD, Relaxed);
+    }
+    let (held, rest) = match first_of(body).await {
+        Ok(read) => read,
+        Err(fault) if !fault.is_parse() => return (Ended { report, ..Outcome::Broken.into() }, None),
+        Err(fault) => return (Ended { report, ..spoilt(&fault) }, None),
     };
     // Before the connection can be given the next request: that needs a turn of its own task.
-    if let Some(meter) = meter(way) {
+    if let Some(meter) = meter(way).filter(|_| rest.is_none()) {
         meter.done.store(true, Relaxed);
         meter.rests.store(rests, Relaxed);
     }
@@ -230,10 +298,27 @@
         status if status.is_client_error() => Outcome::Unfit,
         _ => Outcome::Error,
     };
-    let mut answer = Response::new(body);
+    // Only what serves a command is passed on as it comes.
+    if rest.is_some() && outcome != Outcome::Answered {
+        return (Ended { report, ..outcome.into() }, None);
+    }
+    let mut answer = Response::new(held.into());
     *answer.status_mut() = parts.status;
     *answer.headers_mut() = end_to_end(parts.headers);
-    Ended { outcome, report, answer: Some(answer) }
+    (Ended { outcome, report, answer: Some(answer) }, rest)
+}
+
+/// As much of an answer as is held at once, and the rest if there is more.
+async fn first_of(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
+    let mut held = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        held.extend_from_slice(&data);
+        if held.len() > LONGEST_HELD {
+            return Ok((held.freeze(), Some(body)));
+        }
+    }
+    Ok((held.freeze(), None))
 }
 
 /// What came back is no answer, but the endpoint was reached and the command may have run.
@@ -243,7 +328,7 @@
 }
 
 /// What a request that failed proves.
-fn broke(fault: &legacy::Error, way: &CaptureConnection, least: usize) -> Ended {
+fn broke(fault: &legacy::Error, way: &CaptureConnection, least: Option<usize>) -> Ended {
     let below = fault.source().and_then(|s| s.downcast_ref::<hyper::Error>());
     let (meter, unstarted) = (meter(way), below.is_some_and(hyper::Error::is_canceled));
     if meter.as_ref().is_some_and(|meter| meter.worn.load(Relaxed)) {
@@ -253,7 +338,7 @@
     if fault.is_connect() || unstarted || meter.as_ref().is_some_and(|meter| meter.fewer_than(least)) {
         return Outcome::NoConnection.into();
     }
-    let endless = meter.is_some_and(|meter| meter.heard.load(Relaxed) > LONGEST_ANSWER);
+    let endless = meter.is_some_and(|meter| meter.heard.load(Relaxed) > LONGEST_AHEAD);
     if endless || below.is_some_and(hyper::Error::is_parse) {
         return spoilt(fault);
     }
@@ -306,7 +391,7 @@
     http: HttpConnector,
     within: Duration,
     idle: Duration,
-    longest: usize, // answer
+    bounded: bool, // what is heard ahead of an answer
     permits: Arc<Semaphore>,
 }
 
@@ -319,12 +404,12 @@
         http.set_nodelay(true);
         http.set_connect_timeout(Some(within));
         let (idle, permits) = (idle_close.mul_f64(IDLE_SHARE), Arc::new(Semaphore::new(most)));
-        Dialer { http, within, idle, longest: LONGEST_ANSWER, permits }
+        Dialer { http, within, idle, bounded: true, permits }
     }
 
     /// For whoever bounds by itself what it reads.
     pub fn unbounded(self) -> Self {
-        Dialer { longest: usize::MAX, ..self }
+        Dialer { bounded: false, ..self }
     }
 
     /// How long an idle connection is kept at least.
@@ -369,12 +454,12 @@
     }
 
     fn call(&mut self, to: Uri) -> Self::Future {
-        let (mut http, within, longest) = (self.http.clone(), self.within, self.longest);
+        let (mut http, within, bounded) = (self.http.clone(), self.within, self.bounded);
         let permits = Arc::clone(&self.permits);
         Box::pin(async move {
             let permit = tokio::time::timeout(within, permits.acquire_owned()).await??;
             let stream = http.call(to).await?.into_inner();
-            Ok(TokioIo::new(Wire { stream, meter: Arc::default(), longest, rest: None, _permit: permit }))
+            Ok(TokioIo::new(Wire { stream, meter: Arc::default(), bounded, rest: None, _permit: permit }))
         })
     }
 }
@@ -384,6 +469,7 @@
 struct Meter {
     written: AtomicUsize,         // of the request, taken by the system
     heard: AtomicUsize,           // since
+    may_hear: AtomicUsize,        // of that answer, once its head is read
     last: Mutex<Option<Instant>>, // when something was heard
     done: AtomicBool,             // the answer is read whole
     rests: AtomicBool,            // and the connection is to rest behind it
@@ -394,6 +480,7 @@
     /// Nothing of the next request is written, and nothing heard of its answer.
     fn begins(&self) {
         self.heard.store(0, Relaxed);
+        self.may_hear.store(0, Relaxed);
         self.written.store(0, Relaxed);
         self.done.store(false, Relaxed);
     }
@@ -408,8 +495,8 @@
         self.last.lock().ok().and_then(|last| last.filter(|_| self.heard.load(Relaxed) > 0))
     }
 
-    fn fewer_than(&self, least: usize) -> bool {
-        self.heard.load(Relaxed) == 0 && self.written.load(Relaxed) < least
+    fn fewer_than(&self, least: Option<usize>) -> bool {
+        self.heard.load(Relaxed) == 0 && least.is_none_or(|least| self.written.load(Relaxed) < least)
     }
 }
 
@@ -417,7 +504,7 @@
 pub struct Wire {
     stream: TcpStream,
     meter: Arc<Meter>,
-    longest: usize,
+    bounded: bool,
     rest: Option<Pin<Box<Sleep>>>, // between an answer and the next request
     _permit: OwnedSemaphorePermit,
 }
@@ -486,7 +573,8 @@
         // next request.
         let _ = socket2::SockRef::from(&self.stream).set_tcp_quickack(true);
         // Guards against an answer without end.
-        if count > 0 && self.meter.hears(count) > self.longest {
+        let most = self.meter.may_hear.load(Relaxed).max(LONGEST_AHEAD);
+        if count > 0 && self.meter.hears(count) > most && self.bounded {
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "an answer without end")));
         }
         Poll::Ready(Ok(()))
@@ -545,7 +633,7 @@
             meter.written.fetch_add(*n, Relaxed);
         });
         meter.heard.store(usize::from(heard), Relaxed);
-        assert_eq!(meter.fewer_than(100), never);
+        assert_eq!(meter.fewer_than(Some(100)), never);
     }
 
     #[rstest]
