--- a/crates/passroad/src/body.rs
+++ b/crates/passroad/src/body.rs
@@ -14,8 +14,10 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
-/// What is held whole, both ways.
+/// Of an answer that is held whole.
 pub const LONGEST_HELD: usize = 64 << 10;
+/// Of a command's body, as long as there is room: so its endpoint is chosen when it is there, and it can be sent again.
+pub const LONGEST_KEPT: usize = 1 << 20;
 pub const LONGEST_BODY: usize = 32 << 20;
 /// Clients send at least 64 kB a second; a fifth less is not held against one.
 const SLOWEST: f64 = 0.8 * 64_000.0; // bytes a second
@@ -147,9 +149,19 @@
             next => next,
         };
         match &next {
+            // Of a stated length the end is not asked for.
+            Some(Ok(_)) if self.hint.exact() == Some(self.came.load(Relaxed) as u64) => {
+                self.state.send_replace(State::Whole(Instant::now()));
+            }
             Some(Ok(_)) => {}
             Some(Err(ill)) => drop(self.state.send_replace(State::Ill(*ill))),
-            None => drop(self.state.send_replace(State::Whole(Instant::now()))),
+            None => {
+                self.state.send_if_modified(|state| {
+                    let new = *state == State::Coming;
+                    *state = if new { State::Whole(Instant::now()) } else { *state };
+                    new
+                });
+            }
         }
         Poll::Ready(next)
     }
@@ -214,8 +226,11 @@
         *self.state.borrow() != State::Coming
     }
 
-    pub fn is_ill(&self) -> bool {
-        matches!(*self.state.borrow(), State::Ill(_))
+    pub fn is_ill(&self) -> Option<Ill> {
+        match *self.state.borrow() {
+            State::Ill(ill) => Some(ill),
+            _ => None,
+        }
     }
 }
 
@@ -278,6 +293,10 @@
                 return Poll::Ready(Some(Err("an answer without end".into())));
             };
             self.left = left;
+            // Of a stated length the end is not asked for.
+            if self.rest.is_end_stream() {
+                self.way.answered();
+            }
             return Poll::Ready(Some(Ok(data)));
         }
     }
--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -1,6 +1,6 @@
 //! One command off its connection and its answer back: what can't be used is turned away here.
 
-use crate::body::{Coming, Ill, LONGEST_BODY, LONGEST_HELD, Patience};
+use crate::body::{Coming, Ill, LONGEST_BODY, LONGEST_KEPT, Patience};
 use crate::command::{self, Answer, Need};
 use crate::desk::Desk;
 use crate::front::Talk;
@@ -22,13 +22,14 @@
 const MOST_DIGITS: usize = 9; // of a time limit
 const STILL_BEFORE: Duration = Duration::from_millis(1200); // after other orders, verbs are named as before
 const SMALL_BODY: usize = 4 << 10; // needs no room of its own
-const BODIES_SHARE: usize = 4; // of the memory, for bodies that are not small
+const ROOM_SHARE: usize = 4; // of the memory, for bodies that are not small
+const ROOM: usize = 4 << 10; // one step of it
 
 pub struct Intake {
     desk: Arc<Desk>,
     table: Mutex<Arc<Table>>,
     stages: Stages,
-    bodies: Arc<Semaphore>,
+    room: Arc<Semaphore>,                   // for bodies that are held, in steps
     open: Arc<Mutex<HashSet<HeaderValue>>>, // ids of commands in hand
 }
 
@@ -104,6 +105,10 @@
         () = talk.frame.ahead() => StatusCode::BAD_REQUEST.into_response(),
         ill = ill(&coming) => status(ill).into_response(),
     };
+    // Whatever its command came to by then: that was the client's doing.
+    if let Some(ill) = coming.as_ref().and_then(|coming| coming.is_ill()) {
+        return status(ill).into_response();
+    }
     if let Some(coming) = coming.filter(|coming| !coming.ended()) {
         tokio::spawn(async move { coming.drain().await });
     }
@@ -140,8 +145,8 @@
         // At the start the module numbers verbs as the orders do.
         let numbers: Vec<_> = (0..orders.verbs.len()).collect();
         let table = Mutex::new(Arc::new(Table::of(orders, &numbers, Vec::new())));
-        let bodies = (memory / BODIES_SHARE / LONGEST_HELD).max(2);
-        Intake { desk, table, stages, bodies: Arc::new(Semaphore::new(bodies)), open: Arc::default() }
+        let room = Arc::new(Semaphore::new(memory / ROOM_SHARE / ROOM));
+        Intake { desk, table, stages, room, open: Arc::default() }
     }
 
     /// Takes other orders, whose verbs the module has numbered.
@@ -184,7 +189,6 @@
         let mut patience = Patience::new(talk.patience());
         let (body, room) = match length.exact() {
             Some(0) => (Read::Whole(Bytes::new()), None),
-            Some(length) if length > LONGEST_HELD as u64 => (Read::Part(Bytes::new(), body), None),
             _ => self.first_of(body, &mut patience).await?,
         };
         if talk.frame.came_ahead() {
@@ -205,27 +209,44 @@
         Ok((need, rest.into_iter().fold(cargo, Cargo::with)))
     }
 
-    /// A body, or as much of it as is held, and its room if that is more than small. Guards against many that fill
-    /// the memory: past a share of it they are declined.
+    /// A body whole, with its room if it is more than small; or as much of it as there is room for. Guards against
+    /// long ones that fill the memory: past a share of it they are passed on as they come.
     async fn first_of(
         &self,
         mut body: Body,
         patience: &mut Patience,
     ) -> Result<(Read, Option<OwnedSemaphorePermit>), StatusCode> {
         let (mut held, mut room) = (BytesMut::new(), None);
-        while let Some(data) = std::future::poll_fn(|cx| patience.poll_next(&mut body, cx)).await {
-            let data = data.map_err(status)?;
-            if held.len() + data.len() > SMALL_BODY && room.is_none() {
-                let taken = Arc::clone(&self.bodies).try_acquire_owned();
-                room = Some(taken.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?);
+        let stated = body.size_hint().exact().map(|length| length as usize);
+        if let Some(length) = stated.filter(|length| *length > SMALL_BODY) {
+            match self.room_for(length, &mut room) {
+                true => held.reserve(length),
+                false => return Ok((Read::Part(Bytes::new(), body), None)),
             }
-            held.extend_from_slice(&data);
-            if held.len() > LONGEST_HELD {
+        }
+        while let Some(data) = std::future::poll_fn(|cx| patience.poll_next(&mut body, cx)).await {
+            held.extend_from_slice(&data.map_err(status)?);
+            if stated.is_none() && held.len() > SMALL_BODY && !self.room_for(held.len(), &mut room) {
                 return Ok((Read::Part(held.freeze(), body), room));
             }
         }
         Ok((Read::Whole(held.freeze()), room))
     }
+
+    /// Takes room for so much, on top of what is taken.
+    fn room_for(&self, length: usize, room: &mut Option<OwnedSemaphorePermit>) -> bool {
+        let taken = room.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let more = length.div_ceil(ROOM).saturating_sub(taken) as u32;
+        if length > LONGEST_KEPT {
+            return false;
+        }
+        let Ok(more) = Arc::clone(&self.room).try_acquire_many_owned(more) else { return false };
+        match room {
+            Some(room) => room.merge(more),
+            None => *room = Some(more),
+        }
+        true
+    }
 }
 
 /// How much of a body was read ahead of its command.
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -35,6 +35,8 @@
 const STALL: Duration = Duration::from_millis(100);
 /// A connection rests behind an answer, so that what does not belong there shows before the next command is sent.
 const REST: Duration = Duration::from_millis(1);
+/// An answer of no stated length that is this old is passed on as it comes: only its end would tell how long it is.
+const MOMENT: Duration = Duration::from_millis(10);
 const ID: HeaderName = HeaderName::from_static("req-id");
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const MARK: HeaderName = HeaderName::from_static("req-deadline-ms");
@@ -166,7 +168,7 @@
         loop {
             let Some(request) = cargo.request(link.address, within) else { return Outcome::Moot.into() };
             let ended = exchange(&client, request, &|| cargo.least(), true).await;
-            if cargo.coming().is_some_and(|coming| coming.is_ill()) {
+            if cargo.coming().is_some_and(|coming| coming.is_ill().is_some()) {
                 return Outcome::Moot.into();
             }
             if ended.outcome != Outcome::Moot {
@@ -308,17 +310,26 @@
     (Ended { outcome, report, answer: Some(answer) }, rest)
 }
 
-/// As much of an answer as is held at once, and the rest if there is more.
+/// As much of an answer as is held at once, and the rest if there is more. One that says it is long is passed on from
+/// its first bytes; one that says nothing is, if it has not ended after a moment.
 async fn first_of(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
     let mut held = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    let stated = body.size_hint().exact();
+    let most = if stated.is_some_and(|length| length > LONGEST_HELD as u64) { 0 } else { LONGEST_HELD };
+    let mut moment = std::pin::pin!(tokio::time::sleep(MOMENT));
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = &mut moment, if stated.is_none() && !held.is_empty() => return Ok((held.freeze(), Some(body))),
+        };
+        let Some(frame) = frame else { return Ok((held.freeze(), None)) };
         let Ok(data) = frame?.into_data() else { continue };
         held.extend_from_slice(&data);
-        if held.len() > LONGEST_HELD {
+        if held.len() > most {
             return Ok((held.freeze(), Some(body)));
         }
     }
-    Ok((held.freeze(), None))
 }
 
 /// What came back is no answer, but the endpoint was reached and the command may have run.
--- /dev/null
+++ b/crates/passroad/tests/long_bodies.rs
@@ -0,0 +1,319 @@
+//! Long and slow bodies through the program on loopback sockets.
+
+mod stand_ins;
+
+use rstest::rstest;
+use stand_ins::*;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// A body in which no two places look alike.
+fn body(length: usize) -> Vec<u8> {
+    (0..length as u32).map(|n| (n.wrapping_mul(2_654_435_761) >> 24) as u8).collect()
+}
+
+fn head(id: &str, framing: &str) -> String {
+    format!("POST /book HTTP/1.1\r\nHost: b\r\nReq-Id: {id}\r\nReq-Deadline-Ms: 900\r\n{framing}\r\n\r\n")
+}
+
+fn stated(length: usize) -> String {
+    format!("Content-Length: {length}")
+}
+
+/// A sidecar of little memory before some endpoints.
+fn small(endpoints: &[SocketAddr]) -> Sidecar {
+    let list: Vec<_> =
+        endpoints.iter().enumerate().map(|(n, at)| member(&format!("s-{n}"), *at, "up")).collect();
+    let (address, list) = (nowhere(), list.join(","));
+    let text = told(address, nowhere(), &list, SETTINGS)
+        .replace("\"sockets\":64", "\"sockets\":400,\"memory_mb\":8");
+    Sidecar::start(address, &text)
+}
+
+/// Answers with the length of what came.
+fn counts() -> StandIn {
+    stand_in(|message, to| {
+        answer(to, "200 OK", "", message.body.len().to_string().as_bytes());
+        true
+    })
+}
+
+#[rstest]
+#[case::stated(false)]
+#[case::in_chunks(true)]
+fn a_long_body_arrives_as_it_was(#[case] chunked: bool) {
+    let endpoint = counts();
+    let sidecar = small(&[endpoint.address]);
+    let (mut client, sent) = (sidecar.client(), body(5_000_000));
+    let text = match chunked {
+        false => [head("a", &stated(sent.len())).as_bytes(), &sent].concat(),
+        true => {
+            let mut text = head("a", "Transfer-Encoding: chunked").into_bytes();
+            for (n, piece) in sent.chunks(70_001).enumerate() {
+                text.extend(format!("{:x};mark={n}\r\n", piece.len()).as_bytes());
+                text.extend(piece);
+                text.extend(b"\r\n");
+            }
+            text.extend(b"0\r\nSum: 1\r\n\r\n");
+            text
+        }
+    };
+    client.get_mut().write_all(&text).unwrap();
+    let answer = Message::read(&mut client).unwrap();
+    assert_eq!((answer.word(), &answer.body[..]), ("200", &b"5000000"[..]));
+    assert!(endpoint.seen.lock().unwrap()[0].body == sent);
+    // The connection is as good as ever, or ends where only the library knows how far the body went.
+    match chunked {
+        false => assert_eq!(ask(&mut client, &look("b")).unwrap().word(), "200"),
+        true => assert!(closes(&mut client)),
+    }
+}
+
+#[rstest]
+#[case::stated(false)]
+#[case::in_chunks(true)]
+fn a_long_answer_arrives_as_it_was(#[case] chunked: bool) {
+    let sent = body(5_000_000);
+    let given = sent.clone();
+    let endpoint = stand_in(move |_, to| {
+        if chunked {
+            let _ = to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for piece in given.chunks(70_001) {
+                let _ = to.write_all(&[format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat());
+            }
+            let _ = to.write_all(b"0\r\n\r\n");
+        } else {
+            answer(to, "200 OK", "", &given);
+        }
+        true
+    });
+    let sidecar = small(&[endpoint.address]);
+    let mut client = sidecar.client();
+    for id in ["a", "b"] {
+        let got = ask(&mut client, &look(id)).unwrap();
+        assert!(got.word() == "200" && got.body == sent, "{}", got.body.len());
+    }
+}
+
+// Sixty clients, each with six megabytes, at a sidecar that may hold eight in all.
+#[rstest]
+#[case::of_writers(true)]
+#[case::of_readers(false)]
+fn memory_does_not_follow_the_length_of_bodies(#[case] writers: bool) {
+    let given = body(6_000_000);
+    let endpoint = stand_in(move |message, to| {
+        match writers {
+            true => answer(to, "200 OK", "", message.body.len().to_string().as_bytes()),
+            false => answer(to, "200 OK", "", &given),
+        }
+        true
+    });
+    let sidecar = small(&[endpoint.address]);
+    let clients: Vec<_> = (0..60)
+        .map(|n| {
+            let mut client = sidecar.client();
+            spawn(move || {
+                let sent = body(6_000_000);
+                if writers {
+                    client.get_mut().write_all(head(&n.to_string(), &stated(sent.len())).as_bytes()).unwrap();
+                    for piece in sent.chunks(600_000) {
+                        client.get_mut().write_all(piece).unwrap();
+                        sleep(20 * MS);
+                    }
+                    return Message::read(&mut client).is_some_and(|answer| answer.body == b"6000000");
+                }
+                client.get_mut().write_all(look(&n.to_string()).as_bytes()).unwrap();
+                let (mut got, mut piece) = (0, vec![0; 300_000]);
+                while got < sent.len() {
+                    match client.read(&mut piece) {
+                        Ok(0) | Err(_) => return false,
+                        Ok(n) => got += n,
+                    }
+                    sleep(2 * MS);
+                }
+                true
+            })
+        })
+        .collect();
+    // Some may be declined, as the endpoint is busy with the others.
+    let served = clients.into_iter().map(|client| client.join().unwrap()).filter(|served| *served).count();
+    assert!(served > 10 && sidecar.memory() < 40, "{served} served, {} MB", sidecar.memory());
+}
+
+// A client that takes longer than its time limit to write is not late: its time runs from its last byte.
+#[rstest]
+#[case::held(300_000)]
+#[case::passed_on(1_200_000)]
+fn the_time_of_a_command_runs_from_its_last_byte(#[case] length: usize) {
+    let endpoint = counts();
+    let sidecar = small(&[endpoint.address]);
+    let (mut client, sent) = (sidecar.client(), body(length));
+    client.get_mut().write_all(head("a", &stated(length)).as_bytes()).unwrap();
+    for piece in sent.chunks(length / 12) {
+        client.get_mut().write_all(piece).unwrap();
+        sleep(100 * MS);
+    }
+    assert_eq!(Message::read(&mut client).unwrap().word(), "200");
+}
+
+// The first bytes of a long answer are in time, the rest comes when it comes.
+#[rstest]
+fn a_long_answer_is_not_cut_at_the_time_limit() {
+    let endpoint = stand_in(|_, to| {
+        let _ = to.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 150000\r\n\r\n");
+        for _ in 0..15 {
+            let _ = to.write_all(&[b'x'; 10_000]);
+            sleep(100 * MS);
+        }
+        true
+    });
+    let sidecar = small(&[endpoint.address]);
+    assert_eq!(sidecar.ask(&look("a")).body.len(), 150_000);
+}
+
+#[rstest]
+#[case::stated("Content-Length: 150000\r\n\r\n")]
+#[case::in_chunks("Transfer-Encoding: chunked\r\n\r\n249f0\r\n")]
+fn of_a_long_answer_that_breaks_off_the_client_can_tell(#[case] framing: &'static str) {
+    let endpoint = stand_in(move |_, to| {
+        let _ = to.write_all(format!("HTTP/1.1 200 OK\r\n{framing}").as_bytes());
+        let _ = to.write_all(&[b'x'; 100_000]);
+        let _ = to.shutdown(std::net::Shutdown::Both);
+        false
+    });
+    let sidecar = small(&[endpoint.address]);
+    let mut client = sidecar.client();
+    client.get_mut().write_all(look("a").as_bytes()).unwrap();
+    let mut all = Vec::new();
+    let _ = client.read_to_end(&mut all);
+    let text = String::from_utf8_lossy(&all);
+    assert!(text.starts_with("HTTP/1.1 200 OK") && !text.ends_with("0\r\n\r\n"), "{}", all.len());
+    assert!(all.len() > 100_000 && all.len() < 150_000, "{}", all.len());
+}
+
+// What was taken from the client is gone: the command can't go elsewhere, but it never ran.
+#[rstest]
+fn a_long_body_that_its_endpoint_broke_off_is_declined_and_not_sent_again() {
+    let breaks = || {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                spawn(move || {
+                    let mut piece = [0; 50_000];
+                    let count = stream.read(&mut piece).unwrap_or(0);
+                    match piece[..count].starts_with(b"GET /load") {
+                        true => answer(&mut stream, "200 OK", "", b"TEXT inflight=0, queue=0, util=0.1"),
+                        false => drop(stream.read(&mut piece)),
+                    }
+                });
+            }
+        });
+        at
+    };
+    let sidecar = small(&[breaks(), breaks()]);
+    let mut client = sidecar.client();
+    let (length, sent) = (4_000_000, body(4_000_000));
+    client.get_mut().write_all(head("a", &stated(length)).as_bytes()).unwrap();
+    // Its client may read only when all is written.
+    client.get_mut().write_all(&sent).unwrap();
+    assert_eq!(Message::read(&mut client).unwrap().word(), "503");
+}
+
+#[rstest]
+fn a_long_body_that_found_no_connection_goes_elsewhere() {
+    let endpoint = counts();
+    let list = [nowhere(), endpoint.address];
+    let sidecar = small(&list);
+    for n in 0..6 {
+        let (mut client, sent) = (sidecar.client(), body(2_000_000));
+        client.get_mut().write_all(head(&n.to_string(), &stated(sent.len())).as_bytes()).unwrap();
+        client.get_mut().write_all(&sent).unwrap();
+        assert_eq!(Message::read(&mut client).unwrap().word(), "200");
+    }
+}
+
+// Two seconds for a head, also behind a quiet time on a kept connection; 64 kB a second for a body.
+#[rstest]
+fn slow_clients_have_their_time() {
+    let endpoint = counts();
+    let sidecar = small(&[endpoint.address]);
+    let mut client = sidecar.client();
+    assert_eq!(ask(&mut client, &look("a")).unwrap().word(), "200");
+    sleep(1200 * MS);
+    let text = head("b", &stated(64_000));
+    for piece in text.as_bytes().chunks(text.len() / 9) {
+        client.get_mut().write_all(piece).unwrap();
+        sleep(180 * MS);
+    }
+    for piece in body(64_000).chunks(6_400) {
+        client.get_mut().write_all(piece).unwrap();
+        sleep(100 * MS);
+    }
+    assert_eq!(Message::read(&mut client).unwrap().word(), "200");
+}
+
+#[rstest]
+#[case::held(60_000)]
+#[case::passed_on(3_000_000)]
+fn a_body_that_trickles_is_given_up(#[case] length: usize) {
+    let endpoint = counts();
+    let sidecar = small(&[endpoint.address]);
+    let (began, mut client) = (Instant::now(), sidecar.client());
+    client.get_mut().write_all(head("a", &stated(length)).as_bytes()).unwrap();
+    let mut writer = client.get_ref().try_clone().unwrap();
+    spawn(move || {
+        while writer.write_all(b"x").is_ok() {
+            sleep(50 * MS);
+        }
+    });
+    assert_eq!(Message::read(&mut client).unwrap().word(), "408");
+    assert!((2000 * MS..4000 * MS).contains(&began.elapsed()), "{:?}", began.elapsed());
+    assert_eq!(endpoint.count(), 0);
+}
+
+#[rstest]
+#[case::stated(&stated(0))]
+#[case::in_chunks("Transfer-Encoding: chunked\r\n\r\n0")]
+fn a_get_may_say_that_it_has_no_body(#[case] framing: &str) {
+    let endpoint = counts();
+    let sidecar = small(&[endpoint.address]);
+    let text = head("a", framing).replace("POST /book", "GET /look");
+    assert_eq!(sidecar.ask(&text).word(), "200");
+    let more = head("b", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0").replace("POST /book", "GET /look");
+    assert_eq!(sidecar.ask(&more).word(), "400");
+}
+
+#[rstest]
+fn who_expects_to_be_told_to_go_on_is_told() {
+    let endpoint = counts();
+    let sidecar = small(&[endpoint.address]);
+    let mut client = sidecar.client();
+    let head = head("a", &format!("Expect: 100-continue\r\n{}", stated(2_000_000)));
+    assert_eq!(ask(&mut client, &head).unwrap().word(), "100");
+    client.get_mut().write_all(&body(2_000_000)).unwrap();
+    assert_eq!(Message::read(&mut client).unwrap().word(), "200");
+}
+
+// Whoever still reads an answer is no quiet client.
+#[rstest]
+fn a_slow_reader_is_not_given_up_while_others_wait() {
+    let given = body(20_000_000);
+    let long = stand_in(move |_, to| {
+        answer(to, "200 OK", "", &given);
+        true
+    });
+    let sidecar = small(&[long.address]);
+    let mut reader = sidecar.client();
+    reader.get_mut().write_all(look("a").as_bytes()).unwrap();
+    let mut first = [0; 1000];
+    reader.read_exact(&mut first).unwrap();
+    let crowd: Vec<_> = (0..400).filter_map(|_| TcpStream::connect(sidecar.address).ok()).collect();
+    sleep(Duration::from_millis(2500));
+    let mut rest = Vec::new();
+    BufReader::new(&mut reader).read_to_end(&mut rest).unwrap_or_default();
+    assert!(rest.len() > 19_999_000, "{}", rest.len());
+    drop(crowd);
+}
--- a/crates/passroad/tests/stand_ins/mod.rs
+++ b/crates/passroad/tests/stand_ins/mod.rs
@@ -29,8 +29,21 @@
             }
         }
         let mut message = Message { head, body: Vec::new(), at: Instant::now() };
+        let chunked = message.header("transfer-encoding").is_some();
         message.body.resize(message.header("content-length").map_or(0, |n| n.parse().unwrap()), 0);
         from.read_exact(&mut message.body).ok()?;
+        while chunked {
+            let mut size = String::new();
+            from.read_line(&mut size).ok()?;
+            let size = usize::from_str_radix(size.trim(), 16).ok()?;
+            let begun = message.body.len();
+            message.body.resize(begun + size + 2, 0);
+            from.read_exact(&mut message.body[begun..]).ok()?;
+            message.body.truncate(begun + size);
+            if size == 0 {
+                break;
+            }
+        }
         Some(message)
     }
 
@@ -331,6 +344,13 @@
         self.signal("HUP");
     }
 
+    /// The most memory that it has held, in MB.
+    pub fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() / 1024
+    }
+
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
