--- a/crates/passroad/src/body.rs
+++ b/crates/passroad/src/body.rs
@@ -330,7 +330,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Load::Held(held) => SizeHint::with_exact(held.as_ref().map_or(0, Bytes::len) as u64),
-            Load::Upload(coming) => coming.hint.clone(),
+            Load::Upload(coming) => coming.hint,
             Load::Long(long) => {
                 let (first, mut hint) = (long.first.as_ref().map_or(0, Bytes::len) as u64, SizeHint::new());
                 if let Some(left) = long.rest.size_hint().exact() {
