--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -119,6 +119,7 @@
             Event::Steered { weights } => self.steer(weights),
             Event::Retuned(orders) => self.retune(Balancer::duty(*orders)),
             Event::Cordoned { endpoint, out } => self.cordon(endpoint, out),
+            Event::Inherited { memory, slots } => self.inherit(*memory, &slots),
             Event::Arrived(arrival) => self.take(arrival),
             Event::Whole { cmd } => self.whole(cmd),
             Event::Spent { cmd } => {
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -813,6 +813,61 @@
     assert_eq!(numbers(&b.decide(NOW + 60 * CALM, retuned(&["w", "x"], Effect::Pure, 3))), [1, 2]);
 }
 
+// ---- taking another's place ----
+
+// Slots of endpoints and verbs may be others; what was learnt goes by their names.
+#[rstest]
+fn what_another_instance_learnt_holds_and_what_it_had_out_does_not() {
+    let mut old = sidecar(Effect::Pure, 2);
+    old.decide(NOW, retuned(&["w", "v"], Effect::Pure, 3));
+    old.endpoints.iter_mut().for_each(|e| e.known = true);
+    let e = &mut old.endpoints[1];
+    (e.pace.mean, e.limit, e.up_since, e.out) = (3.0, 7.0, Some(NOW - CALM), vec![NOW]);
+    e.by_verb = vec![Few::default(), Few { bad: 1, seen: 4, ..Few::default() }];
+    (old.window, old.duty.verbs[0].usual.mean, old.out_now) = (5.0, 0.7, 1.0);
+    let memory = old.memory(|at| Some(format!("s-{at}")));
+    assert_eq!(memory.ids().collect::<Vec<_>>(), ["s-0", "s-1"]);
+    let mut new = sidecar(Effect::Pure, 1);
+    new.endpoints[0].banned = Some(NOW);
+    new.decide(NOW, Event::Inherited { memory: Box::new(memory), slots: vec![None, Some(0)] });
+    let e = &new.endpoints[0];
+    assert_eq!((e.pace.mean, e.limit, e.up_since), (3.0, 7.0, Some(NOW - CALM)));
+    assert_eq!((e.out.len(), e.banned, new.out_now), (0, Some(NOW), 0.0));
+    assert_eq!((new.window, new.duty.verbs[0].usual.mean), (5.0, 0.7));
+    assert_eq!(e.by_verb.iter().map(|few| few.seen).collect::<Vec<_>>(), [0]);
+}
+
+// upgrade+hand: a new process, which had seen no rate yet, gave cold endpoints next to nothing for eight seconds.
+#[rstest]
+fn right_after_an_upgrade_cold_endpoints_get_as_many_passes_as_before() {
+    let passes = |b: &mut Balancer| {
+        (0..400)
+            .filter(|n| {
+                b.now = NOW + *n * Duration::from_millis(5);
+                b.arrivals.add(b.now, 4 * CALM);
+                b.endpoints[0].pass_until = Duration::ZERO;
+                b.draw_pass();
+                b.endpoints[0].pass_until > b.now
+            })
+            .count()
+    };
+    let mut old = sidecar(Effect::Pure, 4);
+    old.endpoints.iter_mut().for_each(|e| e.known = true);
+    old.endpoints[0].start_cold(NOW);
+    old.survey();
+    (0..1600).for_each(|n| {
+        let at = NOW - Duration::from_millis(5) * (1600 - n);
+        old.arrivals.add(at, 4 * CALM);
+        old.warm_served.add(at, 4 * CALM);
+    });
+    let memory = Box::new(old.memory(|at| Some(at.to_string())));
+    let mut new = sidecar(Effect::Pure, 4);
+    new.endpoints[0].start_cold(NOW);
+    new.decide(NOW, Event::Inherited { memory, slots: (0..4).map(Some).collect() });
+    let (before, after) = (passes(&mut old), passes(&mut new));
+    assert!(after > 0 && after.abs_diff(before) < before / 3 + 3, "{before} and {after}");
+}
+
 // ---- out by hand ----
 
 fn cordoned(endpoint: EndpointIx, out: bool) -> Event {
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -8,6 +8,8 @@
 mod state;
 pub mod watch;
 
+pub use state::Memory;
+
 use std::time::Duration;
 
 /// Slot of an endpoint; may be given out anew after [`Action::Release`].
@@ -184,6 +186,11 @@
         endpoint: EndpointIx,
         out: bool,
     },
+    /// What another instance learnt that was here before; its endpoints by the slots that they have now, if any.
+    Inherited {
+        memory: Box<Memory>,
+        slots: Vec<Option<EndpointIx>>,
+    },
     Arrived(Arrival),
     /// Part of a body that is not kept has gone out: no other relay can be given it.
     Spent {
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -3,9 +3,11 @@
 
 use crate::choice::{KEY_SLOTS, LEAST_GAIN};
 use crate::{Action, Arrival, CmdIx, Effect, EndpointIx, Group, Outcome, VerbOrder};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 const LATER: Duration = Duration::from_secs(86_400); // the time of a command whose body still comes
+const LONGEST_PAUSE: Duration = Duration::from_secs(60); // of an endpoint that can't be reached
 const SLOT_RESTS: Duration = Duration::from_secs(60); // a verb's, before another has it
 pub const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
 pub const ALARM_QUEUE: u64 = 1;
@@ -13,7 +15,7 @@
 pub const ALARM_GOAL: u64 = 3;
 
 /// A mean and a spread over the last few seconds.
-#[derive(Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Pace {
     pub mean: f64,
     pub spread: f64,
@@ -46,7 +48,7 @@
 }
 
 /// A count that fades.
-#[derive(Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Faded {
     sum: f64,
     at: Duration,
@@ -134,7 +136,7 @@
 }
 
 /// The last few outcomes, one bit each.
-#[derive(Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Few {
     pub bad: u32,
     pub seen: u32,
@@ -233,31 +235,37 @@
     }
 }
 
-/// For one endpoint.
+/// For one endpoint. What is out and open from here is no other instance's.
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Endpoint {
     pub mark: u64,
     pub zone: usize,
     pub kind: usize,
     pub cell: usize,
     pub rating: f64,
-    pub nominal: f64,               // the most that a live weight came to
-    pub size: f64,                  // rating against the mean of the listed
-    pub known: bool,                // its slot is given out
-    pub up: bool,                   // by the list
-    pub listed: bool,               // and not out by hand
-    pub gone: bool,                 // for good; a draining one is not listed either
-    pub banned: Option<Duration>,   // out by hand, since then
-    pub owed: Option<Duration>,     // called back: from then on a send is due to it
-    pub met: bool,                  // it is in view
-    pub plays: Vec<f64>,            // its weight in each play, where routes are told
+    pub nominal: f64,             // the most that a live weight came to
+    pub size: f64,                // rating against the mean of the listed
+    pub known: bool,              // its slot is given out
+    pub up: bool,                 // by the list
+    pub listed: bool,             // and not out by hand
+    pub gone: bool,               // for good; a draining one is not listed either
+    pub banned: Option<Duration>, // out by hand, since then
+    pub owed: Option<Duration>,   // called back: from then on a send is due to it
+    #[serde(skip)]
+    pub met: bool, // it is in view
+    #[serde(skip)]
+    pub plays: Vec<f64>, // its weight in each play, where routes are told
     pub up_since: Option<Duration>, // cold from here, if it started lately
-    pub pass_until: Duration,       // a cold one may get one send until then
+    #[serde(skip)]
+    pub pass_until: Duration, // a cold one may get one send until then
     pub heard: Option<Duration>,
-    pub holds: f64,         // last reported, and own sends and answers since
-    pub errs: f64,          // share of errors that it reports
-    pub credit: f64,        // how far its reports fit what it does
+    pub holds: f64,  // last reported, and own sends and answers since
+    pub errs: f64,   // share of errors that it reports
+    pub credit: f64, // how far its reports fit what it does
+    #[serde(skip)]
     pub out: Vec<Duration>, // when own relays that are still out were sent
     pub sends: Faded,
+    #[serde(skip)]
     pub used: Option<Duration>, // last relay; a connection is open from here
     pub pace: Pace,
     pub last: Few,         // of its outcomes
@@ -268,6 +276,7 @@
     pub limit: f64,    // as it was when last changed
     pub tried: Duration,
     pub last_cut: Duration,
+    #[serde(skip)]
     pub probing: Option<Duration>,
     pub misses: u32,      // times in a row that it could not be reached
     pub try_at: Duration, // no trial before
@@ -348,6 +357,38 @@
     }
 }
 
+/// What one instance has learnt, for the one that takes its place. Times are by a clock that both share.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Memory {
+    endpoints: Vec<(String, Endpoint)>,
+    verbs: Vec<(String, usize, Habit)>, // each with its slot
+    mix: Vec<Faded>,
+    usual: Pace,
+    rtt: Duration,
+    sends: [Faded; 2],
+    warm_served: Faded,
+    arrivals: Faded,
+    numbers: [f64; 6],
+    marked: bool,
+}
+
+/// What was seen of a verb.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Habit {
+    budget: Duration,
+    budget_votes: u32,
+    asked: Faded,
+    served: Faded,
+    usual: Pace,
+}
+
+impl Memory {
+    /// The endpoints that it speaks of.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.endpoints.iter().map(|(id, _)| id.as_str())
+    }
+}
+
 /// Where a command may go.
 pub type May<'a> = &'a dyn Fn(&Endpoint) -> bool;
 
@@ -511,6 +552,69 @@
         self.survey();
     }
 
+    /// What was learnt here; `name` tells what an endpoint is called outside.
+    pub fn memory(&self, name: impl Fn(EndpointIx) -> Option<String>) -> Memory {
+        let known = self.endpoints.iter().enumerate().filter(|(_, e)| e.known);
+        let habit = |v: &VerbDuty| Habit {
+            budget: v.budget,
+            budget_votes: v.budget_votes,
+            asked: v.asked,
+            served: v.served,
+            usual: v.usual,
+        };
+        let verbs = self.duty.verbs.iter().enumerate().filter(|(_, v)| v.retired.is_none());
+        Memory {
+            endpoints: known.filter_map(|(at, e)| Some((name(at)?, e.clone()))).collect(),
+            verbs: verbs.map(|(at, v)| (v.name.clone(), at, habit(v))).collect(),
+            mix: self.mix.clone(),
+            usual: self.usual,
+            rtt: self.rtt,
+            sends: [self.sends, self.all_sends],
+            warm_served: self.warm_served,
+            arrivals: self.arrivals,
+            numbers: [self.limit, self.window, self.worth, self.well, self.faith, self.spare],
+            marked: self.marked,
+        }
+    }
+
+    /// Takes over what another instance learnt. What it had out is its own, and what the list says is newer here.
+    pub(crate) fn inherit(&mut self, memory: Memory, slots: &[Option<EndpointIx>]) {
+        let (now, count) = (self.now, memory.endpoints.len());
+        let mut from = vec![None; self.duty.verbs.len()];
+        for (name, slot, habit) in memory.verbs {
+            let Some(at) = self.duty.verbs.iter().position(|v| v.retired.is_none() && v.name == name) else {
+                continue;
+            };
+            let v = &mut self.duty.verbs[at];
+            (v.budget, v.budget_votes) = (habit.budget, habit.budget_votes);
+            (v.asked, v.served, v.usual) = (habit.asked, habit.served, habit.usual);
+            from[at] = Some(slot);
+        }
+        for ((_, old), at) in memory.endpoints.into_iter().zip(slots) {
+            let Some(e) = at.and_then(|at| self.endpoints.get_mut(at)) else { continue };
+            let by_verb = from.iter().map(|slot| slot.and_then(|slot| old.by_verb.get(slot)).copied());
+            let by_verb = by_verb.map(Option::unwrap_or_default).collect();
+            // Guards against times of a clock that ran ahead: an endpoint would stay cold, or untried, for as long.
+            let up_since = e.up_since.max(old.up_since.map(|up| up.min(now)));
+            let try_at = old.try_at.min(now + LONGEST_PAUSE);
+            let new = std::mem::replace(e, Endpoint { by_verb, up_since, try_at, ..old });
+            (e.mark, e.zone, e.kind, e.cell) = (new.mark, new.zone, new.kind, new.cell);
+            (e.rating, e.nominal, e.size, e.known) =
+                (new.rating, new.nominal.max(e.nominal), new.size, new.known);
+            (e.up, e.listed, e.gone, e.banned) = (new.up, new.listed, new.gone, new.banned);
+            (e.out, e.used, e.probing, e.met, e.plays) = (new.out, new.used, new.probing, new.met, new.plays);
+        }
+        if memory.mix.len() == self.mix.len() {
+            self.mix = memory.mix;
+        }
+        (self.usual, self.rtt, self.marked) = (memory.usual, memory.rtt, memory.marked);
+        ([self.sends, self.all_sends], self.warm_served) = (memory.sends, memory.warm_served);
+        self.arrivals = memory.arrivals;
+        [self.limit, self.window, self.worth, self.well, self.faith, self.spare] = memory.numbers;
+        self.log(format!("what was learnt of {count} endpoints is taken over"));
+        self.survey();
+    }
+
     /// Multiply-with-carry; a number from 0 up to 1.
     pub(crate) fn chance(&mut self) -> f64 {
         self.dice = (self.dice & 0xffff_ffff) * 4_294_957_665 + (self.dice >> 32);
--- a/crates/passroad-choice/src/watch.rs
+++ b/crates/passroad-choice/src/watch.rs
@@ -2,7 +2,7 @@
 //! done is counted by kind and dropped; after each event it is brought back to what was done.
 
 use crate::choice::Balancer;
-use crate::{Action, CmdIx, EndpointIx, Event, StandingOrders};
+use crate::{Action, CmdIx, EndpointIx, Event, Memory, StandingOrders};
 use std::fmt;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
@@ -50,6 +50,11 @@
         Watched { lead: Balancer::new(orders), beside }
     }
 
+    /// What the module that decides has learnt.
+    pub fn memory(&self, name: impl Fn(EndpointIx) -> Option<String>) -> Memory {
+        self.lead.memory(name)
+    }
+
     pub fn counts(&self) -> Option<Counts> {
         self.beside.as_deref().map(|(_, counts)| *counts)
     }
--- a/crates/passroad-routes/src/lib.rs
+++ b/crates/passroad-routes/src/lib.rs
@@ -12,7 +12,7 @@
 pub use zone::Health;
 
 use passroad_choice::watch::{Counts, Watched};
-use passroad_choice::{Action, CmdIx, EndpointIx, Event, ListKind, StandingOrders};
+use passroad_choice::{Action, CmdIx, EndpointIx, Event, ListKind, Memory, StandingOrders};
 use std::time::Duration;
 
 /// What a relay's end says of its command.
@@ -83,6 +83,11 @@
         (actions, verbs)
     }
 
+    /// What the module has learnt; `name` tells what an endpoint is called outside.
+    pub fn memory(&self, name: impl Fn(EndpointIx) -> Option<String>) -> Memory {
+        self.balancer.memory(name)
+    }
+
     /// What the watched orders would have made of the decisions so far, where there are any.
     pub fn counts(&self) -> Option<Counts> {
         self.balancer.counts()
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -7,7 +7,7 @@
 use crate::{probe, relay};
 use passroad_choice::door::{Door, mark};
 use passroad_choice::{
-    Action, Arrival, CmdIx, EndpointIx, Event, ListKind, Listing, Mode, ReportsHow, StandingOrders,
+    Action, Arrival, CmdIx, EndpointIx, Event, ListKind, Listing, Memory, Mode, ReportsHow, StandingOrders,
 };
 use passroad_routes::{RouteOrders, Steered};
 use std::collections::{BTreeSet, HashSet, VecDeque};
@@ -240,6 +240,8 @@
             bans: held.banned.iter().cloned().collect(),
             left: held.left.order.iter().copied().collect(),
             descriptors,
+            learnt: serde_json::to_value(held.balancer.memory(|at| held.endpoints.name(at).cloned()))
+                .unwrap_or_default(),
         }
     }
 
@@ -252,6 +254,14 @@
         for id in &known.bans {
             self.cordon(id, true, true);
         }
+        match serde_json::from_value::<Memory>(known.learnt) {
+            Ok(memory) => {
+                let mut held = self.held();
+                let slots = memory.ids().map(|id| held.endpoints.find(id)).collect();
+                self.decide(&mut held, Event::Inherited { memory: Box::new(memory), slots });
+            }
+            Err(fault) => log::warn!("what the process before has learnt is not taken over: {fault}"),
+        }
         known.revision
     }
 
--- a/crates/passroad/src/handover.rs
+++ b/crates/passroad/src/handover.rs
@@ -42,6 +42,9 @@
     /// Marks of ids that have left the list.
     pub left: Vec<u64>,
     pub descriptors: usize,
+    /// What the module has learnt; of another form it is passed over alone.
+    #[serde(default)]
+    pub learnt: serde_json::Value,
 }
 
 /// A line between the two.
--- a/crates/passroad/tests/stand_ins/mod.rs
+++ b/crates/passroad/tests/stand_ins/mod.rs
@@ -29,7 +29,7 @@
             }
         }
         let mut message = Message { head, body: Vec::new(), at: Instant::now() };
-        let chunked = message.header("transfer-encoding").is_some();
+        let mut chunked = message.header("transfer-encoding").is_some();
         message.body.resize(message.header("content-length").map_or(0, |n| n.parse().unwrap()), 0);
         from.read_exact(&mut message.body).ok()?;
         while chunked {
@@ -40,9 +40,7 @@
             message.body.resize(begun + size + 2, 0);
             from.read_exact(&mut message.body[begun..]).ok()?;
             message.body.truncate(begun + size);
-            if size == 0 {
-                break;
-            }
+            chunked = size > 0;
         }
         Some(message)
     }
