--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -8,6 +8,8 @@
 mod state;
 pub mod watch;
 
+pub use state::Memory;
+
 use std::time::Duration;
 
 /// Slot of an endpoint; may be given out anew after [`Action::Release`].
@@ -162,6 +164,8 @@
     pub write: bool,
     /// Which of the weights told by [`Event::Steered`] hold for it; without routes there is one play, nought.
     pub play: usize,
+    /// Its body still comes: its time begins with [`Event::Whole`].
+    pub uploads: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -182,7 +186,20 @@
         endpoint: EndpointIx,
         out: bool,
     },
+    /// What another instance learnt that was here before; its endpoints by the slots that they have now, if any.
+    Inherited {
+        memory: Box<Memory>,
+        slots: Vec<Option<EndpointIx>>,
+    },
     Arrived(Arrival),
+    /// Part of a body that is not kept has gone out: no other relay can be given it.
+    Spent {
+        cmd: CmdIx,
+    },
+    /// All of a body that still came is there.
+    Whole {
+        cmd: CmdIx,
+    },
     StreamStarted {
         cmd: CmdIx,
         relay: usize,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -3,8 +3,11 @@
 
 use crate::choice::{KEY_SLOTS, LEAST_GAIN};
 use crate::{Action, Arrival, CmdIx, Effect, EndpointIx, Group, Outcome, VerbOrder};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+const LATER: Duration = Duration::from_secs(86_400); // the time of a command whose body still comes
+const LONGEST_PAUSE: Duration = Duration::from_secs(60); // of an endpoint that can't be reached
 const SLOT_RESTS: Duration = Duration::from_secs(60); // a verb's, before another has it
 pub const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
 pub const ALARM_QUEUE: u64 = 1;
@@ -12,7 +15,7 @@
 pub const ALARM_GOAL: u64 = 3;
 
 /// A mean and a spread over the last few seconds.
-#[derive(Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Pace {
     pub mean: f64,
     pub spread: f64,
@@ -45,7 +48,7 @@
 }
 
 /// A count that fades.
-#[derive(Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Faded {
     sum: f64,
     at: Duration,
@@ -133,7 +136,7 @@
 }
 
 /// The last few outcomes, one bit each.
-#[derive(Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Few {
     pub bad: u32,
     pub seen: u32,
@@ -189,7 +192,9 @@
     pub waits: bool,
     pub over: bool,
     pub streams: bool,
-    pub rounds: u32, // of heartbeats after the first
+    pub coming: bool, // its body is
+    pub once: bool,   // no other relay can be given its body
+    pub rounds: u32,  // of heartbeats after the first
     pub relays: Vec<Relay>,
 }
 
@@ -200,8 +205,8 @@
             play: a.play,
             key: None,
             came: now,
-            due,
-            leave: now + a.budget,
+            due: due + if a.uploads { LATER } else { Duration::ZERO },
+            leave: now + a.budget + if a.uploads { LATER } else { Duration::ZERO },
             value: 0.0,
             best: 1.0,
             hold_until: now,
@@ -209,37 +214,58 @@
             waits: true,
             over: false,
             streams: false,
+            coming: a.uploads,
+            once: false,
             rounds: 0,
             relays: Vec::new(),
         }
     }
+
+    /// Its body is there: its time runs from here, and that of its relays; where these are.
+    pub fn begin(&mut self, now: Duration) -> Vec<EndpointIx> {
+        let late = now.saturating_sub(self.came);
+        (self.due, self.leave) = (self.due + late - LATER, self.leave + late - LATER);
+        self.coming = false;
+        let out = self.relays.iter_mut().filter(|r| r.outcome.is_none());
+        let begun = out.map(|r| {
+            r.sent = now;
+            r.endpoint
+        });
+        begun.collect()
+    }
 }
 
-/// For one endpoint.
+/// For one endpoint. What is out and open from here is no other instance's.
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Endpoint {
     pub mark: u64,
     pub zone: usize,
     pub kind: usize,
     pub cell: usize,
     pub rating: f64,
-    pub nominal: f64,               // the most that a live weight came to
-    pub size: f64,                  // rating against the mean of the listed
-    pub known: bool,                // its slot is given out
-    pub up: bool,                   // by the list
-    pub listed: bool,               // and not out by hand
-    pub gone: bool,                 // for good; a draining one is not listed either
-    pub banned: Option<Duration>,   // out by hand, since then
-    pub owed: Option<Duration>,     // called back: from then on a send is due to it
-    pub met: bool,                  // it is in view
-    pub plays: Vec<f64>,            // its weight in each play, where routes are told
+    pub nominal: f64,             // the most that a live weight came to
+    pub size: f64,                // rating against the mean of the listed
+    pub known: bool,              // its slot is given out
+    pub up: bool,                 // by the list
+    pub listed: bool,             // and not out by hand
+    pub gone: bool,               // for good; a draining one is not listed either
+    pub banned: Option<Duration>, // out by hand, since then
+    pub owed: Option<Duration>,   // called back: from then on a send is due to it
+    #[serde(skip)]
+    pub met: bool, // it is in view
+    #[serde(skip)]
+    pub plays: Vec<f64>, // its weight in each play, where routes are told
     pub up_since: Option<Duration>, // cold from here, if it started lately
-    pub pass_until: Duration,       // a cold one may get one send until then
+    #[serde(skip)]
+    pub pass_until: Duration, // a cold one may get one send until then
     pub heard: Option<Duration>,
-    pub holds: f64,         // last reported, and own sends and answers since
-    pub errs: f64,          // share of errors that it reports
-    pub credit: f64,        // how far its reports fit what it does
+    pub holds: f64,  // last reported, and own sends and answers since
+    pub errs: f64,   // share of errors that it reports
+    pub credit: f64, // how far its reports fit what it does
+    #[serde(skip)]
     pub out: Vec<Duration>, // when own relays that are still out were sent
     pub sends: Faded,
+    #[serde(skip)]
     pub used: Option<Duration>, // last relay; a connection is open from here
     pub pace: Pace,
     pub last: Few,         // of its outcomes
@@ -250,6 +276,7 @@
     pub limit: f64,    // as it was when last changed
     pub tried: Duration,
     pub last_cut: Duration,
+    #[serde(skip)]
     pub probing: Option<Duration>,
     pub misses: u32,      // times in a row that it could not be reached
     pub try_at: Duration, // no trial before
@@ -330,6 +357,38 @@
     }
 }
 
+/// What one instance has learnt, for the one that takes its place. Times are by a clock that both share.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Memory {
+    endpoints: Vec<(String, Endpoint)>,
+    verbs: Vec<(String, usize, Habit)>, // each with its slot
+    mix: Vec<Faded>,
+    usual: Pace,
+    rtt: Duration,
+    sends: [Faded; 2],
+    warm_served: Faded,
+    arrivals: Faded,
+    numbers: [f64; 6],
+    marked: bool,
+}
+
+/// What was seen of a verb.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Habit {
+    budget: Duration,
+    budget_votes: u32,
+    asked: Faded,
+    served: Faded,
+    usual: Pace,
+}
+
+impl Memory {
+    /// The endpoints that it speaks of.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.endpoints.iter().map(|(id, _)| id.as_str())
+    }
+}
+
 /// Where a command may go.
 pub type May<'a> = &'a dyn Fn(&Endpoint) -> bool;
 
@@ -431,6 +490,17 @@
         }
     }
 
+    /// Which endpoints are in play, and with which base weight, is decided before; the draw is here.
+    pub(crate) fn steer(&mut self, weights: Vec<(usize, EndpointIx, f64)>) {
+        self.steered = true;
+        for (play, endpoint, weight) in weights {
+            let Some(e) = self.endpoints.get_mut(endpoint) else { continue };
+            e.plays.resize(e.plays.len().max(play + 1), 0.0);
+            e.plays[play] = weight.clamp(0.0, 1e6);
+        }
+        self.survey();
+    }
+
     /// Other orders: verbs that did not change keep their slots, all others get some that no command holds.
     pub(crate) fn retune(&mut self, mut duty: DutySheet) {
         let (new, now) = (std::mem::take(&mut duty.verbs), self.now);
@@ -482,6 +552,69 @@
         self.survey();
     }
 
+    /// What was learnt here; `name` tells what an endpoint is called outside.
+    pub fn memory(&self, name: impl Fn(EndpointIx) -> Option<String>) -> Memory {
+        let known = self.endpoints.iter().enumerate().filter(|(_, e)| e.known);
+        let habit = |v: &VerbDuty| Habit {
+            budget: v.budget,
+            budget_votes: v.budget_votes,
+            asked: v.asked,
+            served: v.served,
+            usual: v.usual,
+        };
+        let verbs = self.duty.verbs.iter().enumerate().filter(|(_, v)| v.retired.is_none());
+        Memory {
+            endpoints: known.filter_map(|(at, e)| Some((name(at)?, e.clone()))).collect(),
+            verbs: verbs.map(|(at, v)| (v.name.clone(), at, habit(v))).collect(),
+            mix: self.mix.clone(),
+            usual: self.usual,
+            rtt: self.rtt,
+            sends: [self.sends, self.all_sends],
+            warm_served: self.warm_served,
+            arrivals: self.arrivals,
+            numbers: [self.limit, self.window, self.worth, self.well, self.faith, self.spare],
+            marked: self.marked,
+        }
+    }
+
+    /// Takes over what another instance learnt. What it had out is its own, and what the list says is newer here.
+    pub(crate) fn inherit(&mut self, memory: Memory, slots: &[Option<EndpointIx>]) {
+        let (now, count) = (self.now, memory.endpoints.len());
+        let mut from = vec![None; self.duty.verbs.len()];
+        for (name, slot, habit) in memory.verbs {
+            let Some(at) = self.duty.verbs.iter().position(|v| v.retired.is_none() && v.name == name) else {
+                continue;
+            };
+            let v = &mut self.duty.verbs[at];
+            (v.budget, v.budget_votes) = (habit.budget, habit.budget_votes);
+            (v.asked, v.served, v.usual) = (habit.asked, habit.served, habit.usual);
+            from[at] = Some(slot);
+        }
+        for ((_, old), at) in memory.endpoints.into_iter().zip(slots) {
+            let Some(e) = at.and_then(|at| self.endpoints.get_mut(at)) else { continue };
+            let by_verb = from.iter().map(|slot| slot.and_then(|slot| old.by_verb.get(slot)).copied());
+            let by_verb = by_verb.map(Option::unwrap_or_default).collect();
+            // Guards against times of a clock that ran ahead: an endpoint would stay cold, or untried, for as long.
+            let up_since = e.up_since.max(old.up_since.map(|up| up.min(now)));
+            let try_at = old.try_at.min(now + LONGEST_PAUSE);
+            let new = std::mem::replace(e, Endpoint { by_verb, up_since, try_at, ..old });
+            (e.mark, e.zone, e.kind, e.cell) = (new.mark, new.zone, new.kind, new.cell);
+            (e.rating, e.nominal, e.size, e.known) =
+                (new.rating, new.nominal.max(e.nominal), new.size, new.known);
+            (e.up, e.listed, e.gone, e.banned) = (new.up, new.listed, new.gone, new.banned);
+            (e.out, e.used, e.probing, e.met, e.plays) = (new.out, new.used, new.probing, new.met, new.plays);
+        }
+        if memory.mix.len() == self.mix.len() {
+            self.mix = memory.mix;
+        }
+        (self.usual, self.rtt, self.marked) = (memory.usual, memory.rtt, memory.marked);
+        ([self.sends, self.all_sends], self.warm_served) = (memory.sends, memory.warm_served);
+        self.arrivals = memory.arrivals;
+        [self.limit, self.window, self.worth, self.well, self.faith, self.spare] = memory.numbers;
+        self.log(format!("what was learnt of {count} endpoints is taken over"));
+        self.survey();
+    }
+
     /// Multiply-with-carry; a number from 0 up to 1.
     pub(crate) fn chance(&mut self) -> f64 {
         self.dice = (self.dice & 0xffff_ffff) * 4_294_957_665 + (self.dice >> 32);
@@ -492,6 +625,27 @@
         self.out.push(Action::Log(line));
     }
 
+    /// One more relay is at work there, unless its body still comes.
+    pub(crate) fn book(&mut self, at: EndpointIx, sent: Duration, coming: bool) {
+        if coming {
+            return;
+        }
+        let e = &mut self.endpoints[at];
+        e.out.push(sent);
+        e.holds = e.holds.max(0.0) + 1.0;
+        self.out_now += 1.0;
+    }
+
+    pub(crate) fn unbook(&mut self, at: EndpointIx, sent: Duration, coming: bool) {
+        if coming {
+            return;
+        }
+        let e = &mut self.endpoints[at];
+        e.holds -= 1.0;
+        e.out.iter().position(|held| *held == sent).map(|gone| e.out.swap_remove(gone));
+        self.out_now -= 1.0;
+    }
+
     /// Notes an outcome among the last few. One line when most of them are bad, and one when most are good again, of
     /// all verbs and of this one.
     pub(crate) fn judge(&mut self, at: EndpointIx, verb: usize, outcome: Outcome, few: u32) {
