In an upgrade an id is open in one process only, and both share the room for bodies

Over the link each process tells which ids it has open; half of the room for held bodies is the other's. `passroad check` names the operators' address. Not taken: a claim that waits for the other's word (docs/service-design.md). Tests: an_id_that_is_open_in_one_process..., commands and answers cut at every byte.

--- /dev/null
+++ b/crates/passroad/src/claims.rs
@@ -0,0 +1,116 @@
+//! Ids of commands in hand, here and in the process beside this one during an upgrade: two commands of one id would be
+//! one to an endpoint.
+
+use axum::http::HeaderValue;
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// What the process beside this one is told of an id: taken, or given back.
+pub type Turned = (bool, String);
+
+#[derive(Default)]
+struct Ids {
+    here: HashSet<HeaderValue>,
+    beside: HashSet<String>,
+    tell: Vec<UnboundedSender<Turned>>,
+}
+
+#[derive(Default)]
+pub struct Claims(Mutex<Ids>);
+
+/// An id for as long as its command is open.
+pub struct Claim(HeaderValue, Arc<Claims>);
+
+impl Claims {
+    fn ids(&self) -> MutexGuard<'_, Ids> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// None where it is taken.
+    pub fn claim(self: &Arc<Self>, id: &HeaderValue) -> Option<Claim> {
+        let mut ids = self.ids();
+        if !ids.beside.is_empty() && id.to_str().is_ok_and(|id| ids.beside.contains(id)) {
+            return None;
+        }
+        let new = ids.here.insert(id.clone());
+        new.then(|| {
+            ids.say(true, id);
+            Claim(id.clone(), Arc::clone(self))
+        })
+    }
+
+    /// From here on all that turns is told; what is open first.
+    pub fn follow(&self) -> UnboundedReceiver<Turned> {
+        let (tell, told) = unbounded_channel();
+        let mut ids = self.ids();
+        for id in ids.here.iter().filter_map(|id| id.to_str().ok()) {
+            let _ = tell.send((true, id.into()));
+        }
+        ids.tell.push(tell);
+        told
+    }
+
+    pub fn beside(&self, taken: bool, id: String) {
+        let mut ids = self.ids();
+        if taken {
+            ids.beside.insert(id);
+        } else {
+            ids.beside.remove(&id);
+        }
+    }
+
+    /// The process beside this one has ended.
+    pub fn alone(&self) {
+        let mut ids = self.ids();
+        ids.beside.clear();
+        ids.tell.retain(|tell| !tell.is_closed());
+    }
+}
+
+impl Ids {
+    fn say(&self, taken: bool, id: &HeaderValue) {
+        for tell in &self.tell {
+            if let Ok(id) = id.to_str() {
+                let _ = tell.send((taken, id.into()));
+            }
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        let mut ids = self.1.ids();
+        ids.here.remove(&self.0);
+        ids.say(false, &self.0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    fn an_id_that_is_open_beside_is_not_taken_here() {
+        let (here, there) = (Arc::<Claims>::default(), Arc::<Claims>::default());
+        let id = HeaderValue::from_static("a");
+        let open = there.claim(&id).unwrap();
+        let mut told = there.follow();
+        let mut hear = || {
+            while let Ok((taken, id)) = told.try_recv() {
+                here.beside(taken, id);
+            }
+        };
+        hear();
+        assert!(here.claim(&id).is_none() && there.claim(&id).is_none());
+        drop(open);
+        hear();
+        assert!(here.claim(&id).is_some());
+        let _open = there.claim(&id).unwrap();
+        hear();
+        assert!(here.claim(&id).is_none());
+        here.alone();
+        assert!(here.claim(&id).is_some());
+    }
+}
--- a/crates/passroad/src/handover.rs
+++ b/crates/passroad/src/handover.rs
@@ -1,6 +1,7 @@
 //! An upgrade: a process that starts takes the listening socket and what is known from the one beside it, and the two
 //! tell each other of bans until the old one ends.
 
+use crate::claims::Claims;
 use crate::desk::Desk;
 use crate::list::Member;
 use crate::stop::{Stage, Stages};
@@ -58,6 +59,9 @@
     Back(String),
     /// The last ban or call back is in effect here, too.
     Done,
+    /// A command of this id is open here, or no longer.
+    Taken(String),
+    Given(String),
 }
 
 /// What came over from the process before.
@@ -164,6 +168,7 @@
 /// The process's part in upgrades, before and after it.
 pub struct Handover {
     desk: Arc<Desk>,
+    claims: Arc<Claims>,
     stages: Stages,
     listen: SocketAddr,
     socket: OwnedFd, // a copy, to be handed on
@@ -175,13 +180,14 @@
 impl Handover {
     pub fn new(
         desk: Arc<Desk>,
+        claims: Arc<Claims>,
         stages: Stages,
         socket: TcpListener,
         room: Box<dyn Room>,
     ) -> Result<Arc<Self>, String> {
         let listen = socket.local_addr().map_err(|e| e.to_string())?;
         let (links, away) = (Mutex::default(), watch::channel(false).0);
-        Ok(Arc::new(Handover { desk, stages, listen, socket: socket.into(), room, links, away }))
+        Ok(Arc::new(Handover { desk, claims, stages, listen, socket: socket.into(), room, links, away }))
     }
 
     /// Bans an endpoint or calls it back, here and in the process beside this one. False for an id never listed.
@@ -280,6 +286,7 @@
             Ok(Ok(told)) => {
                 log::info!("the next process was handed the listening socket");
                 self.run(stream, told, true).await;
+                self.claims.alone();
                 if self.away.send_replace(false) {
                     self.room.give_way(false);
                     log::info!("the next process has ended; clients are taken here again");
@@ -317,6 +324,7 @@
         let (tell, told) = mpsc::unbounded_channel();
         self.links.lock().unwrap_or_else(PoisonError::into_inner).push(tell);
         self.run(stream, told, old).await;
+        self.claims.alone();
         self.links.lock().unwrap_or_else(PoisonError::into_inner).retain(|link| !link.is_closed());
     }
 
@@ -325,6 +333,7 @@
         let (from, mut to) = stream.into_split();
         let mut from = BufReader::new(from).lines();
         let mut open: VecDeque<oneshot::Sender<()>> = VecDeque::new();
+        let mut ids = self.claims.follow();
         loop {
             tokio::select! {
                 line = from.next_line() => {
@@ -338,6 +347,14 @@
                         }
                         Ok(Line::Out(id)) => self.desk.cordon(&id, true, true),
                         Ok(Line::Back(id)) => self.desk.cordon(&id, false, true),
+                        Ok(Line::Taken(id)) => {
+                            self.claims.beside(true, id);
+                            continue;
+                        }
+                        Ok(Line::Given(id)) => {
+                            self.claims.beside(false, id);
+                            continue;
+                        }
                         Ok(Line::Done) => {
                             open.pop_front().map(|done| done.send(()));
                             continue;
@@ -348,6 +365,12 @@
                         return;
                     }
                 }
+                Some((taken, id)) = ids.recv() => {
+                    let line = if taken { Line::Taken(id) } else { Line::Given(id) };
+                    if to.write_all(&text(&line)).await.is_err() {
+                        return;
+                    }
+                }
                 Some((line, done)) = told.recv() => {
                     open.push_back(done);
                     if to.write_all(&text(&line)).await.is_err() {
--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -1,6 +1,7 @@
 //! One command off its connection and its answer back: what can't be used is turned away here.
 
 use crate::body::{Coming, Ill, LONGEST_BODY, LONGEST_KEPT, Patience};
+use crate::claims::Claims;
 use crate::command::{self, Answer, Need};
 use crate::desk::Desk;
 use crate::front::Talk;
@@ -13,7 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use passroad_choice::door::mark;
 use passroad_choice::{Effect, StandingOrders, VerbOrder};
-use std::collections::HashSet;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
@@ -29,8 +30,10 @@
     desk: Arc<Desk>,
     table: Mutex<Arc<Table>>,
     stages: Stages,
-    room: Arc<Semaphore>,                   // for bodies that are held, in steps
-    open: Arc<Mutex<HashSet<HeaderValue>>>, // ids of commands in hand
+    room: Arc<Semaphore>, // for bodies that are held, in steps
+    claims: Arc<Claims>,
+    half: usize,       // of the room
+    left: AtomicUsize, // of it, to another process
 }
 
 /// What commands may name, and under which number the module knows it.
@@ -87,7 +90,7 @@
         Err(status) => return status.into_response(),
     };
     // Guards against the id of another client's open command: the two would be one to an endpoint.
-    let Some(_claim) = Claim::on(&cargo.id, &intake.open) else {
+    let Some(_claim) = intake.claims.claim(&cargo.id) else {
         return StatusCode::CONFLICT.into_response();
     };
     if need.last.is_zero() {
@@ -123,30 +126,21 @@
     }
 }
 
-/// An id for as long as its command is open.
-struct Claim(HeaderValue, Arc<Mutex<HashSet<HeaderValue>>>);
-
-impl Claim {
-    fn on(id: &HeaderValue, open: &Arc<Mutex<HashSet<HeaderValue>>>) -> Option<Claim> {
-        let new = open.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
-        new.then(|| Claim(id.clone(), Arc::clone(open)))
-    }
-}
-
-impl Drop for Claim {
-    fn drop(&mut self) {
-        self.1.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.0);
-    }
-}
-
 impl Intake {
     /// `memory` in bytes, of which a share may hold bodies.
-    pub fn new(desk: Arc<Desk>, orders: &StandingOrders, memory: usize, stages: Stages) -> Self {
+    pub fn new(
+        desk: Arc<Desk>,
+        orders: &StandingOrders,
+        memory: usize,
+        claims: Arc<Claims>,
+        stages: Stages,
+    ) -> Self {
         // At the start the module numbers verbs as the orders do.
         let numbers: Vec<_> = (0..orders.verbs.len()).collect();
         let table = Mutex::new(Arc::new(Table::of(orders, &numbers, Vec::new())));
-        let room = Arc::new(Semaphore::new(memory / ROOM_SHARE / ROOM));
-        Intake { desk, table, stages, room, open: Arc::default() }
+        let steps = memory / ROOM_SHARE / ROOM;
+        let (room, half) = (Arc::new(Semaphore::new(steps)), steps / 2);
+        Intake { desk, table, stages, room, claims, half, left: AtomicUsize::new(0) }
     }
 
     /// Takes other orders, whose verbs the module has numbered.
@@ -156,6 +150,14 @@
         *table = Arc::new(Table::of(orders, numbers, before));
     }
 
+    /// Leaves half of the room to another process, or has all of it again. What is taken already stays so.
+    pub fn share(&self, shared: bool) {
+        match shared {
+            true => drop(self.left.fetch_add(self.room.forget_permits(self.half), Relaxed)),
+            false => self.room.add_permits(self.left.swap(0, Relaxed)),
+        }
+    }
+
     fn table(&self) -> Arc<Table> {
         Arc::clone(&self.table.lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -2,6 +2,7 @@
 //! how the endpoints are; `desk` holds the decision module and hands what it decides to its owners.
 
 mod body;
+mod claims;
 mod command;
 mod desk;
 mod frame;
@@ -136,11 +137,13 @@
     all_in: usize,
     to_come: usize, // connections out, once the process before has ended
     held_back: Mutex<usize>,
+    intake: Arc<intake::Intake>,
 }
 
 impl handover::Room for Room {
     fn give_way(&self, away: bool) {
         self.front.take(!away);
+        self.intake.share(away);
         let mut held_back = self.held_back.lock().unwrap_or_else(PoisonError::into_inner);
         if away {
             *held_back += self.dialer.hold_back();
@@ -151,6 +154,7 @@
 
     fn whole(&self) {
         self.front.widen(self.all_in);
+        self.intake.share(false);
         self.dialer.widen(self.to_come);
     }
 }
@@ -212,7 +216,10 @@
     };
     tokio::spawn(Arc::clone(&desk).beat());
     tokio::spawn(list::follow(Arc::clone(&desk), at, paces.clone(), revision, called));
-    let intake = Arc::new(intake::Intake::new(Arc::clone(&desk), &orders, start.memory, stages.clone()));
+    let claims = Arc::<claims::Claims>::default();
+    let taken = Arc::clone(&claims);
+    let intake =
+        Arc::new(intake::Intake::new(Arc::clone(&desk), &orders, start.memory, taken, stages.clone()));
     let retune = {
         let (desk, intake) = (Arc::clone(&desk), Arc::clone(&intake));
         move |start: &start::Start| {
@@ -232,9 +239,14 @@
             all_in,
             to_come: all_out - now_out,
             held_back: Mutex::default(),
+            intake: Arc::clone(&intake),
         };
         let socket = front::copy(&listener)?;
-        let handover = handover::Handover::new(Arc::clone(&desk), stages.clone(), socket, Box::new(room))?;
+        if before.is_some() {
+            intake.share(true);
+        }
+        let handover =
+            handover::Handover::new(Arc::clone(&desk), claims, stages.clone(), socket, Box::new(room))?;
         management::open(door, handover, place.map(|place| (before, place)), stages)?;
     }
     front::serve(listener, front, intake, paces).await;
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -103,7 +103,8 @@
         Some(routes) => format!("{} routes to {} pools", routes.routes.len(), routes.pools.len()),
         None => "no routes".into(),
     };
-    Ok(format!("{}: {verbs} verbs, {zones} zones, {routes}{watch}: nothing is wrong", start.name))
+    let door = start.management.map_or_else(String::new, |at| format!(", operators at {at}"));
+    Ok(format!("{}: {verbs} verbs, {zones} zones, {routes}{door}{watch}: nothing is wrong", start.name))
 }
 
 /// Reads the file of routes that `LB_ROUTES` names, against the settings that it is to work with.
--- a/crates/passroad/tests/long_bodies.rs
+++ b/crates/passroad/tests/long_bodies.rs
@@ -286,6 +286,53 @@
     assert_eq!(sidecar.ask(&more).word(), "400");
 }
 
+// Whatever a system does to the bytes on their way.
+#[rstest]
+#[case::stated(&format!("{}fourteen bytes", head("a", &stated(14))))]
+#[case::in_chunks(&format!("{}5;a=\"b\"\r\nfourt\r\n9\r\neen bytes\r\n0\r\nSum: 1\r\n\r\n", head("a", "Transfer-Encoding: chunked")))]
+fn a_command_may_be_cut_at_every_byte(#[case] text: &str) {
+    let endpoint = counts();
+    let sidecar = small(&[endpoint.address]);
+    let mut client = sidecar.client();
+    client.get_mut().set_nodelay(true).unwrap();
+    for byte in text.as_bytes() {
+        client.get_mut().write_all(&[*byte]).unwrap();
+        sleep(MS);
+    }
+    assert_eq!(Message::read(&mut client).unwrap().body, b"14");
+    assert_eq!(endpoint.seen.lock().unwrap()[0].body, b"fourteen bytes");
+}
+
+// Answers likewise, also such as end with their connection or come behind 1xx.
+#[rstest]
+#[case::stated("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nfourteen bytes")]
+#[case::in_chunks(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nfourt\r\n9\r\neen bytes\r\n0\r\nSum: 1\r\n\r\n"
+)]
+#[case::to_the_end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfourteen bytes")]
+#[case::behind_another(
+    "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nfourteen bytes"
+)]
+fn an_answer_may_be_cut_at_every_byte(#[case] text: &'static str) {
+    let endpoint = stand_in(move |_, to| {
+        let _ = to.set_nodelay(true);
+        for byte in text.as_bytes() {
+            let _ = to.write_all(&[*byte]);
+            sleep(MS);
+        }
+        !text.contains("close")
+    });
+    let sidecar = small(&[endpoint.address]);
+    let mut client = sidecar.client();
+    let answer = ask(&mut client, &look("a")).unwrap();
+    match answer.header("content-length") {
+        Some(_) => assert_eq!(answer.body, b"fourteen bytes"),
+        // Passed on as it came: no length was stated.
+        None => assert_eq!(answer.header("transfer-encoding").as_deref(), Some("chunked")),
+    }
+    assert_eq!(answer.body, b"fourteen bytes");
+}
+
 #[rstest]
 fn who_expects_to_be_told_to_go_on_is_told() {
     let endpoint = counts();
--- a/crates/passroad/tests/upgrades.rs
+++ b/crates/passroad/tests/upgrades.rs
@@ -165,6 +165,31 @@
     assert_eq!(operate(door, "GET", "/admin/health", ""), "200");
 }
 
+// An endpoint would take the two for one.
+#[rstest]
+fn an_id_that_is_open_in_one_process_is_turned_away_in_the_other() {
+    let gate = Gate::default();
+    let own = gate.clone();
+    let slow = stand_in(move |_, to| {
+        own.pass();
+        answer(to, "200 OK", "", b"ok");
+        true
+    });
+    let (address, shared) = (nowhere(), shared());
+    let text = told(address, nowhere(), &member("s-1", slow.address, "up"), &patient());
+    let text = text.replace("\"sockets\":64", "\"sockets\":256");
+    let old = Sidecar::start_beside(address, nowhere(), &text, &shared.0);
+    let mut first = old.client();
+    first.get_mut().write_all(patiently(&book("a")).as_bytes()).unwrap();
+    until(|| slow.count() == 1);
+    let new = Sidecar::start_beside(address, nowhere(), &text, &shared.0);
+    until(|| new.ask(&patiently(&book("a"))).word() == "409");
+    assert_eq!(slow.count(), 1);
+    gate.open();
+    assert_eq!(Message::read(&mut first).unwrap().word(), "200");
+    until(|| new.ask(&patiently(&book("a"))).word() == "200");
+}
+
 // Together two processes hold no more than one may.
 #[rstest]
 fn descriptors_of_both_stay_within_the_limit() {
