--- a/crates/passroad-rig/src/experiment.rs
+++ b/crates/passroad-rig/src/experiment.rs
@@ -341,6 +341,7 @@
     Silence,
     Die,
     Drain,
+    Cordon,
     Deploy,
     DiscoveryLate,
     DiscoveryDown,
@@ -438,11 +439,17 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
     Trouble(usize, Turn),
-    Cut { endpoint: usize, instances: Vec<bool>, on: bool },
+    Cut {
+        endpoint: usize,
+        instances: Vec<bool>,
+        on: bool,
+    },
     Die(usize),
     Start(usize),
     Drain(usize),
     Leave(usize),
+    /// By operators, at all sidecars: out, or called back.
+    Cordon(usize, bool),
     DiscoveryBy(Duration),
     DiscoveryDown(bool),
     DiscoveryMalformed(bool),
@@ -837,6 +844,7 @@
                         both(cut(true), cut(false));
                     }
                     Kinds::Die => both(Change::Die(e), Change::Start(e)),
+                    Kinds::Cordon => both(Change::Cordon(e, true), Change::Cordon(e, false)),
                     Kinds::Drain => both(Change::Drain(e), Change::Leave(e)),
                     _ => {}
                 }
--- a/crates/passroad-rig/src/ledger.rs
+++ b/crates/passroad-rig/src/ledger.rs
@@ -60,6 +60,12 @@
         instance: usize,
         endpoint: usize,
     },
+    /// An instance has said yes to operators: this endpoint is out by hand, or back.
+    Cordoned {
+        instance: usize,
+        endpoint: usize,
+        out: bool,
+    },
     /// A process that starts cold.
     Started {
         endpoint: usize,
@@ -154,6 +160,7 @@
     pub probes: Vec<(Duration, usize)>,
     wrong: Vec<(Duration, String)>, // what breaks the first rule by itself
     away: HashMap<(usize, usize), Vec<(Duration, bool)>>, // by instance and endpoint: told away, or up again
+    banned: HashMap<(usize, usize), Vec<(Duration, bool)>>, // the same by operators
     starts: HashMap<usize, Vec<Duration>>,
 }
 
@@ -265,6 +272,9 @@
                 Entry::Ran { relay } => books.relays[*relay].ran = Some(at),
                 Entry::ToldAway { instance, endpoint } => books.turn(*instance, *endpoint, at, true),
                 Entry::ToldUp { instance, endpoint } => books.turn(*instance, *endpoint, at, false),
+                Entry::Cordoned { instance, endpoint, out } => {
+                    books.banned.entry((*instance, *endpoint)).or_default().push((at, *out));
+                }
                 Entry::Started { endpoint } => books.starts.entry(*endpoint).or_default().push(at),
                 Entry::Probed { endpoint } => books.probes.push((at, *endpoint)),
                 Entry::Killed { instance } => {
@@ -410,6 +420,16 @@
     fn drains(&self, facts: &Facts, out: &mut Vec<Breach>) {
         for r in &self.relays {
             let instance = self.commands[r.cmd].instance;
+            // The yes is said once it is in effect: there is no grace.
+            let bans = self.banned.get(&(instance, r.endpoint)).into_iter().flatten();
+            if let Some((told, true)) = bans.rev().find(|(told, _)| *told < r.at) {
+                let ago = r.at - *told;
+                let what = format!(
+                    "endpoint {} was sent to {ago:?} after instance {instance} took it out",
+                    r.endpoint
+                );
+                out.push(Breach { rule: Rule::NothingToDrained, at: r.at, what });
+            }
             let Some(turns) = self.away.get(&(instance, r.endpoint)) else { continue };
             if let Some((told, true)) = turns.iter().rev().find(|(told, _)| *told <= r.at)
                 && r.at > *told + facts.grace
@@ -497,6 +517,8 @@
     const PROVEN: Entry = Entry::Ended { relay: 0, proven: true };
     const RAN: Entry = Entry::Ran { relay: 0 };
     const AGAIN: Entry = Entry::Ran { relay: 1 };
+    const OUT: Entry = Entry::Cordoned { instance: 0, endpoint: 0, out: true };
+    const BACK: Entry = Entry::Cordoned { instance: 0, endpoint: 0, out: false };
     const AWAY: Entry = Entry::ToldAway { instance: 0, endpoint: 0 };
     const UP: Entry = Entry::ToldUp { instance: 0, endpoint: 0 };
     const LEFT: Entry = Entry::Left { cmd: 0 };
@@ -546,6 +568,10 @@
         vec![(0, AWAY), (400, asked(0, 0)), (501, sent(0, 0)), (510, answered(Answered))],
         Rule::NothingToDrained
     )]
+    #[case::out_by_hand(
+        vec![(0, OUT), (400, asked(0, 0)), (401, sent(0, 0)), (410, answered(Answered))],
+        Rule::NothingToDrained
+    )]
     #[case::held_back(vec![(0, asked(0, 0)), (900, answered(Declined))], Rule::AnsweredAtOnce)]
     #[case::held_back_after_a_relay(
         vec![(0, asked(0, 1)), (1, sent(0, 0)), (100, ENDED), (900, answered(Terminated))],
@@ -573,6 +599,7 @@
     #[case::answered_at_its_limit(vec![(0, asked(0, 1)), (1, sent(0, 0)), (2, RAN), (1000, answered(Answered))])]
     #[case::left(vec![(0, asked(0, 1)), (9, LEFT)])]
     #[case::killed(vec![(0, asked(0, 1)), (9, KILLED)])]
+    #[case::called_back(vec![(0, OUT), (1, BACK), (2, asked(0, 0)), (3, sent(0, 0)), (9, answered(Answered))])]
     #[case::after_a_proof(
         vec![(0, asked(0, 1)), (1, sent(0, 0)), (2, PROVEN), (3, sent(1, 1)), (4, AGAIN), (9, answered(Answered))]
     )]
--- a/crates/passroad-rig/src/main.rs
+++ b/crates/passroad-rig/src/main.rs
@@ -189,7 +189,7 @@
                 None => built_in()?,
             };
             let told = serde_json::json!({
-                "name": "sample", "listen": "127.0.0.1:7800", "discovery": "127.0.0.1:7900", "seed": "8c1f30d27a5be964",
+                "name": "sample", "listen": "127.0.0.1:7800", "discovery": "127.0.0.1:7900", "management": "127.0.0.1:7950", "seed": "8c1f30d27a5be964",
                 "limits": { "sockets": 1024, "memory_mb": 64 }, "settings": plan.settings(0),
             });
             println!("{}", serde_json::to_string_pretty(&told).map_err(|e| e.to_string())?);
--- a/crates/passroad-rig/src/virtual_time.rs
+++ b/crates/passroad-rig/src/virtual_time.rs
@@ -638,6 +638,12 @@
                 self.fleet.endpoints[endpoint].drain();
                 self.list_change(endpoint, Mode::Stopping);
             }
+            Change::Cordon(endpoint, out) => {
+                for instance in 0..self.instances.len() {
+                    self.tell(instance, Event::Cordoned { endpoint, out });
+                    self.note(Entry::Cordoned { instance, endpoint, out });
+                }
+            }
             Change::Leave(endpoint) => {
                 self.die(endpoint);
                 self.list_change(endpoint, Mode::Deleted);
