--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -20,6 +20,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
+use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout};
 use tower_service::Service;
 
@@ -245,14 +246,26 @@
         }
     }
 
-    /// Ends when a head has not come in time, or nothing has come for long.
+    /// Ends when a head has not come in time, or nothing has come for long. Guards against a connection that is ended
+    /// though a command has come over it that is not read yet: what the system holds is looked at once more before.
     async fn late(&self) {
+        let mut looked = false;
         loop {
             match self.due() {
-                Some(at) if at <= Instant::now() => return,
+                Some(at) if at <= Instant::now() && looked => return,
+                Some(at) if at <= Instant::now() => {
+                    looked = true;
+                    yield_now().await;
+                }
                 // It may be later by then: a head has begun, or a command is in hand.
-                Some(at) => sleep_until(at.into()).await,
-                None => self.turned.notified().await,
+                Some(at) => {
+                    looked = false;
+                    sleep_until(at.into()).await;
+                }
+                None => {
+                    looked = false;
+                    self.turned.notified().await;
+                }
             }
         }
     }
@@ -309,6 +322,7 @@
             .max_buf_size(LONGEST_HEAD)
             .serve_connection(TokioIo::new(Watched { stream, talk: Arc::clone(&talk) }), service);
         let ended = tokio::select! {
+            biased;
             ended = &mut connection => Some(ended),
             () = crowded_out(front, &talk) => None,
             () = talk.late() => None,
@@ -318,6 +332,7 @@
                     Pin::new(&mut connection).graceful_shutdown();
                 }
                 tokio::select! {
+                    biased;
                     ended = &mut connection => Some(ended),
                     () = talk.late() => None,
                     () = reached(&mut stages, Stage::Ending) => None,
@@ -358,3 +373,42 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+    use std::io::{Read, Write};
+
+    // herd: a command that came in the very turn in which its connection had been quiet for long enough was not read,
+    // and its connection ended. The process stands still here while both happen.
+    #[rstest]
+    #[tokio::test]
+    async fn what_has_come_by_the_end_of_a_quiet_time_is_read() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (_serving, stages) = watch::channel(Stage::Serving);
+        let front = Front::new(100, 100, stages);
+        let router = Router::new().fallback(async || "ok");
+        let request = b"GET / HTTP/1.1\r\nHost: b\r\n\r\n";
+        let mut clients = Vec::new();
+        for _ in 0..10 {
+            let mut client = std::net::TcpStream::connect(address).unwrap();
+            client.write_all(request).unwrap();
+            open(listener.accept().await.unwrap().0, &router, &front, None);
+            clients.push(client);
+        }
+        let until = Instant::now() + HEAD_WITHIN;
+        sleep(HEAD_WITHIN - Duration::from_millis(100)).await;
+        for client in &mut clients {
+            assert!(client.read(&mut [0; 1000]).unwrap() > 0);
+            client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+            client.write_all(request).unwrap();
+        }
+        std::thread::sleep(until + Duration::from_millis(50) - Instant::now());
+        sleep(Duration::from_millis(50)).await;
+        for client in &mut clients {
+            assert!(client.read(&mut [0; 1000]).unwrap() > 0);
+        }
+    }
+}
