Passes of a process that has just started go by the rate of the time it has seen

Seen: herd restarts seven in ten sidecars; each counted its rates over eight seconds that it had not lived, and gave cold endpoints next to nothing.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -506,8 +506,8 @@
     fn draw_pass(&mut self) {
         let since = self.now.saturating_sub(std::mem::replace(&mut self.pass_at, self.now));
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
-        let arrivals = 0.3 * self.arrivals.rate(self.now, 4 * CALM) / self.listed;
-        let sends = self.warm_served.rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
+        let arrivals = 0.3 * self.arrivals.fair_rate(self.now, 4 * CALM) / self.listed;
+        let sends = self.warm_served.fair_rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
         let gain = self.duty.cold_share * sends.max(arrivals) * since.min(self.duty.tip_after).as_secs_f64();
         let (count, nth, luck) = (self.colds.len() as f64, self.chance(), self.chance());
         let due = |at: &EndpointIx| self.endpoints[*at].owed.is_some_and(|from| self.now >= from);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -264,7 +264,8 @@
     let mut b = sidecar(Effect::Pure, 60);
     b.endpoints[30..].iter_mut().for_each(|e| e.start_cold(NOW));
     b.survey();
-    (0..30).for_each(|_| b.warm_served.add(NOW, 4 * CALM));
+    let long = |n: u32| NOW - n * Duration::from_millis(266);
+    (0..300).rev().for_each(|n| b.warm_served.add(long(n), 4 * CALM));
     let (mut drawn, each) = (0.0, b.duty.cold_share * b.warm_served.rate(NOW, 4 * CALM) / 30.0 * 0.2);
     for _ in 0..2000 {
         b.pass_at = NOW - Duration::from_millis(100);
@@ -813,6 +814,18 @@
     assert_eq!(numbers(&b.decide(NOW + 60 * CALM, retuned(&["w", "x"], Effect::Pure, 3))), [1, 2]);
 }
 
+// herd: seven in ten sidecars are killed in a release; started again, each counted its rates as over eight seconds and gave
+// cold endpoints next to nothing. A crowd that waited is no rate either.
+#[rstest]
+#[case::steady(50, 40.0, 60.0)]
+#[case::at_once(0, 0.0, 110.0)]
+fn a_rate_counts_over_the_time_that_there_was(#[case] apart: u64, #[case] least: f64, #[case] most: f64) {
+    let mut count = Faded::default();
+    (0..=100).for_each(|n| count.add(NOW + Duration::from_millis(n * apart * 2 / 5), 4 * CALM));
+    let rate = count.fair_rate(NOW + Duration::from_millis(100 * apart * 2 / 5), 4 * CALM);
+    assert!((least..=most).contains(&rate), "{rate}");
+}
+
 // ---- taking another's place ----
 
 // Slots of endpoints and verbs may be others; what was learnt goes by their names.
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -72,6 +72,14 @@
         self.rate(now, over) * over.as_secs_f64() / young
     }
 
+    /// Counts a second of the time that there was to count in; the first only starts the clock.
+    pub fn fair_rate(&self, now: Duration, over: Duration) -> f64 {
+        let before = fade(now, self.from, over);
+        (self.sum * fade(now, self.at, over) - before).max(0.0)
+            / over.as_secs_f64()
+            / (1.0 - before).max(0.12)
+    }
+
     /// Counts a second.
     pub fn rate(&self, now: Duration, over: Duration) -> f64 {
         self.sum * fade(now, self.at, over) / over.as_secs_f64()
