--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -85,6 +85,7 @@
             listen: orders.list_on_request,
             list_every: orders.ask_every,
             heartbeats: if asks { heartbeats } else { 0 },
+            asks: 0.007 / orders.probe_price.max(1e-4),
             fresh: goal / 30,
             trust: goal / 4,
             // Without heartbeats there is nothing newer to be had.
@@ -122,9 +123,7 @@
             Event::Inherited { memory, slots } => self.inherit(*memory, &slots),
             Event::Arrived(arrival) => self.take(arrival),
             Event::Whole { cmd } => self.whole(cmd),
-            Event::Spent { cmd } => {
-                self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.once = true)
-            }
+            Event::Spent { cmd } => self.spent(cmd),
             Event::StreamStarted { cmd, .. } => {
                 self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.streams = true);
             }
@@ -459,7 +458,8 @@
     fn heartbeat(&mut self, of: Option<(usize, usize)>) -> Duration {
         self.look_around();
         // None where they are not allowed, also not of an endpoint with a pass.
-        let may = |e: &Endpoint| self.duty.heartbeats > 0 && self.open(e);
+        let asks = self.duty.heartbeats > 0 && (self.duty.asks >= 1.0 || self.chance() < self.duty.asks);
+        let may = |e: &Endpoint| asks && self.open(e);
         let mut weights = self.weigh(&self.met, of, None, &may);
         for (e, w) in self.view().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -826,6 +826,26 @@
     assert!((least..=most).contains(&rate), "{rate}");
 }
 
+// herd: a probe cost a tenth of what a command is worth, and each command sent one and more: an eighth of the service.
+#[rstest]
+#[case::cheap(0.002, 900..=9000)]
+#[case::dear(0.07, 50..=200)]
+fn where_a_probe_costs_more_than_a_command_is_worth_few_send_one(
+    #[case] price: f64,
+    #[case] expected: std::ops::RangeInclusive<usize>,
+) {
+    let mut b = sidecar(Effect::Pure, 8);
+    b.duty = Balancer::duty(StandingOrders { probe_price: price, ..orders(Effect::Pure) });
+    let mut probes = 0;
+    for n in 0..1000 {
+        b.now = NOW + CALM * n;
+        b.heartbeat(None);
+        probes += b.out.drain(..).filter(|a| matches!(a, Action::Probe { .. })).count();
+        b.endpoints.iter_mut().for_each(|e| e.probing = None);
+    }
+    assert!(expected.contains(&probes), "{probes}");
+}
+
 // ---- taking another's place ----
 
 // Slots of endpoints and verbs may be others; what was learnt goes by their names.
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -459,6 +459,7 @@
     pub listen: bool,
     pub list_every: Duration,
     pub heartbeats: usize,  // probes that one command is worth
+    pub asks: f64,          // the same where it is less than one, as a chance
     pub fresh: Duration,    // a report needs no heartbeat for so long
     pub trust: Duration,    // so long a cut stands, and a first pause
     pub believe: Duration,  // trust in a report falls to a third in this
@@ -633,6 +634,10 @@
         self.out.push(Action::Log(line));
     }
 
+    pub(crate) fn spent(&mut self, cmd: CmdIx) {
+        self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.once = true);
+    }
+
     /// One more relay is at work there, unless its body still comes.
     pub(crate) fn book(&mut self, at: EndpointIx, sent: Duration, coming: bool) {
         if coming {
