A connection that was of use is kept for 10 s where few are: its end crossed what its client wrote

Traced: a log in files with a line at each connection's end shows none ended with a command in hand, no crash, no second process. What is left is the end of quiet connections (after 2.2 s, and here a client comes about once a second) while the process waits for its core: what the client writes between the look and the end is lost.

Change: front.rs, a connection that was of use is kept for 10 s while at most half of the places for such are taken, else 2.2 s as before.

--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -29,6 +29,8 @@
 const HEAD_WITHIN: Duration = Duration::from_millis(2200);
 /// The same for the first of a connection, with its body if that is short; a whole call is owed no more before.
 const FIRST_WITHIN: Duration = Duration::from_millis(2800);
+/// How long a connection that was of use is kept with nothing open, as long as few are.
+const KEPT_WITHIN: Duration = Duration::from_secs(10);
 const LIBRARY_WITHIN: Duration = Duration::from_secs(30); // the library's own clock for heads, behind these
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 const LINGER: Duration = Duration::from_millis(50); // for a last answer to be read before what still comes is refused
@@ -110,6 +112,10 @@
         self.left.notify_one();
     }
 
+    fn few_kept(&self) -> bool {
+        self.kept.load(Relaxed) <= self.most_kept / 2
+    }
+
     fn stage(&self) -> Stage {
         *self.stages.borrow()
     }
@@ -236,22 +242,25 @@
     }
 
     /// When there is to be a whole head; none while there is one.
-    fn due(&self) -> Option<Instant> {
+    fn due(&self, front: &Front) -> Option<Instant> {
         let quiet = self.quiet.lock().ok().and_then(|since| *since)?;
         match self.frame.awaits_head()? {
             // Guards against one that begins late and goes on for long: its client is owed a word in time.
             Some(since) if quiet == self.came => Some((since + HEAD_WITHIN).min(self.came + FIRST_WITHIN)),
             Some(since) => Some(since + HEAD_WITHIN),
+            // Guards against an end that crosses what a client writes: where few come and the process waits for its core
+            // there is time for that. So those that were of use are kept well past the usual pause between commands.
+            None if self.answered.load(Relaxed) && front.few_kept() => Some(quiet + KEPT_WITHIN),
             None => Some(quiet + HEAD_WITHIN),
         }
     }
 
     /// Ends when a head has not come in time, or nothing has come for long. Guards against a connection that is ended
     /// though a command has come over it that is not read yet: what the system holds is looked at once more before.
-    async fn late(&self) {
+    async fn late(&self, front: &Front) {
         let mut looked = false;
         loop {
-            match self.due() {
+            match self.due(front) {
                 Some(at) if at <= Instant::now() && looked => return,
                 Some(at) if at <= Instant::now() => {
                     looked = true;
@@ -260,7 +269,8 @@
                 // It may be later by then: a head has begun, or a command is in hand.
                 Some(at) => {
                     looked = false;
-                    sleep_until(at.into()).await;
+                    // More may be kept by then.
+                    sleep_until(at.min(Instant::now() + HEAD_WITHIN).into()).await;
                 }
                 None => {
                     looked = false;
@@ -325,7 +335,7 @@
             biased;
             ended = &mut connection => Some(ended),
             () = crowded_out(front, &talk) => None,
-            () = talk.late() => None,
+            () = talk.late(front) => None,
             () = reached(&mut stages, Stage::Leaving) => {
                 // One that was never answered may have its first command on the way.
                 if talk.answered.load(Relaxed) {
@@ -334,13 +344,13 @@
                 tokio::select! {
                     biased;
                     ended = &mut connection => Some(ended),
-                    () = talk.late() => None,
+                    () = talk.late(front) => None,
                     () = reached(&mut stages, Stage::Ending) => None,
                 }
             }
         };
         let late =
-            ended.is_none() && talk.frame.in_head() && talk.due().is_some_and(|at| at <= Instant::now());
+            ended.is_none() && talk.frame.in_head() && talk.due(front).is_some_and(|at| at <= Instant::now());
         if ended.is_none() && !late {
             Pin::new(&mut connection).graceful_shutdown();
             // Only a client that is quiet in the middle of a request, or does not read its answer, is cut off.
@@ -388,7 +398,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (_serving, stages) = watch::channel(Stage::Serving);
-        let front = Front::new(100, 100, stages);
+        // So few may be kept that none is for long.
+        let front = Front::new(100, 10, stages);
         let router = Router::new().fallback(async || "ok");
         let request = b"GET / HTTP/1.1\r\nHost: b\r\n\r\n";
         let mut clients = Vec::new();
