--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -85,6 +85,7 @@
             listen: orders.list_on_request,
             list_every: orders.ask_every,
             heartbeats: if asks { heartbeats } else { 0 },
+            asks: 0.007 / orders.probe_price.max(1e-4),
             fresh: goal / 30,
             trust: goal / 4,
             // Without heartbeats there is nothing newer to be had.
@@ -122,9 +123,7 @@
             Event::Inherited { memory, slots } => self.inherit(*memory, &slots),
             Event::Arrived(arrival) => self.take(arrival),
             Event::Whole { cmd } => self.whole(cmd),
-            Event::Spent { cmd } => {
-                self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.once = true)
-            }
+            Event::Spent { cmd } => self.spent(cmd),
             Event::StreamStarted { cmd, .. } => {
                 self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.streams = true);
             }
@@ -459,7 +458,8 @@
     fn heartbeat(&mut self, of: Option<(usize, usize)>) -> Duration {
         self.look_around();
         // None where they are not allowed, also not of an endpoint with a pass.
-        let may = |e: &Endpoint| self.duty.heartbeats > 0 && self.open(e);
+        let asks = self.duty.heartbeats > 0 && (self.duty.asks >= 1.0 || self.chance() < self.duty.asks);
+        let may = |e: &Endpoint| asks && self.open(e);
         let mut weights = self.weigh(&self.met, of, None, &may);
         for (e, w) in self.view().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
@@ -506,8 +506,8 @@
     fn draw_pass(&mut self) {
         let since = self.now.saturating_sub(std::mem::replace(&mut self.pass_at, self.now));
         // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
-        let arrivals = 0.3 * self.arrivals.rate(self.now, 4 * CALM) / self.listed;
-        let sends = self.warm_served.rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
+        let arrivals = 0.3 * self.arrivals.fair_rate(self.now, 4 * CALM) / self.listed;
+        let sends = self.warm_served.fair_rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
         let gain = self.duty.cold_share * sends.max(arrivals) * since.min(self.duty.tip_after).as_secs_f64();
         let (count, nth, luck) = (self.colds.len() as f64, self.chance(), self.chance());
         let due = |at: &EndpointIx| self.endpoints[*at].owed.is_some_and(|from| self.now >= from);
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -72,6 +72,14 @@
         self.rate(now, over) * over.as_secs_f64() / young
     }
 
+    /// Counts a second of the time that there was to count in; the first only starts the clock.
+    pub fn fair_rate(&self, now: Duration, over: Duration) -> f64 {
+        let before = fade(now, self.from, over);
+        (self.sum * fade(now, self.at, over) - before).max(0.0)
+            / over.as_secs_f64()
+            / (1.0 - before).max(0.12)
+    }
+
     /// Counts a second.
     pub fn rate(&self, now: Duration, over: Duration) -> f64 {
         self.sum * fade(now, self.at, over) / over.as_secs_f64()
@@ -451,6 +459,7 @@
     pub listen: bool,
     pub list_every: Duration,
     pub heartbeats: usize,  // probes that one command is worth
+    pub asks: f64,          // the same where it is less than one, as a chance
     pub fresh: Duration,    // a report needs no heartbeat for so long
     pub trust: Duration,    // so long a cut stands, and a first pause
     pub believe: Duration,  // trust in a report falls to a third in this
@@ -625,6 +634,10 @@
         self.out.push(Action::Log(line));
     }
 
+    pub(crate) fn spent(&mut self, cmd: CmdIx) {
+        self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.once = true);
+    }
+
     /// One more relay is at work there, unless its body still comes.
     pub(crate) fn book(&mut self, at: EndpointIx, sent: Duration, coming: bool) {
         if coming {
