Read once more: a decline that nothing gives, a yes that can't be no, a key list told twice

Cause: since long bodies pass through, no body is turned away for want of room, but intake.rs kept that answer and its time; the link of two processes asked `cordon` for a word that was always yes; `aim_stretch` stood in the list of keys and beside it.

Change: the dead answer is gone, `Desk::turn` takes a ban from the other process, the stop's last accepts read as they act.

--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -252,7 +252,7 @@
         self.listed(ListKind::Remembered, &list);
         known.left.into_iter().for_each(|mark| self.held().left.note(mark));
         for id in &known.bans {
-            self.cordon(id, true, true);
+            self.turn(id, true);
         }
         match serde_json::from_value::<Memory>(known.learnt) {
             Ok(memory) => {
@@ -266,19 +266,25 @@
     }
 
     /// Takes an endpoint out of use, or calls it back; in effect on return. False for an id that was never listed.
-    /// Told by the process beside this one it is one that was.
-    pub fn cordon(self: &Arc<Self>, id: &str, out: bool, listed: bool) -> bool {
-        let mut held = self.held();
-        if !listed && held.endpoints.find(id).is_none() && !held.left.has(id) {
-            return false;
+    pub fn cordon(self: &Arc<Self>, id: &str, out: bool) -> bool {
+        let held = self.held();
+        let known = held.endpoints.find(id).is_some() || held.left.has(id);
+        drop(held);
+        if known {
+            self.turn(id, out);
         }
+        known
+    }
+
+    /// The same for an id that another process knows.
+    pub fn turn(self: &Arc<Self>, id: &str, out: bool) {
+        let mut held = self.held();
         let turned = if out { held.banned.insert(id.to_string()) } else { held.banned.remove(id) };
         if turned {
             let endpoint = held.endpoints.admit(&id.to_string());
             log::info!(endpoint = endpoint, id = id; "endpoint {endpoint} ({id}) is {} by hand", if out { "out" } else { "back" });
             self.decide(&mut held, Event::Cordoned { endpoint, out });
         }
-        true
     }
 
     /// Takes other orders whole, or not at all: the verb of each, as commands are to name it from here on.
--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -155,10 +155,10 @@
         }
     }
     // What waits is the other process's where there is one.
-    while let Some(Ok((stream, _))) =
-        Some(()).filter(|()| *taking.borrow()).and_then(|()| listener.accept().now_or_never())
-    {
-        open(stream, &router, &front, full);
+    if *taking.borrow() {
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            open(stream, &router, &front, full);
+        }
     }
     drop(listener);
     // Whoever is left has an answer by the longest limit.
--- a/crates/passroad/src/handover.rs
+++ b/crates/passroad/src/handover.rs
@@ -192,7 +192,7 @@
 
     /// Bans an endpoint or calls it back, here and in the process beside this one. False for an id never listed.
     pub async fn cordon(&self, id: &str, out: bool) -> bool {
-        if !self.desk.cordon(id, out, false) {
+        if !self.desk.cordon(id, out) {
             return false;
         }
         let mut waits = Vec::new();
@@ -338,15 +338,15 @@
             tokio::select! {
                 line = from.next_line() => {
                     let Ok(Some(line)) = line else { return };
-                    let answer = match serde_json::from_str(&line) {
+                    match serde_json::from_str(&line) {
                         Ok(Line::Ready) if old => {
                             self.away.send_replace(true);
                             self.room.give_way(true);
                             log::info!("the next process takes clients");
                             continue;
                         }
-                        Ok(Line::Out(id)) => self.desk.cordon(&id, true, true),
-                        Ok(Line::Back(id)) => self.desk.cordon(&id, false, true),
+                        Ok(Line::Out(id)) => self.desk.turn(&id, true),
+                        Ok(Line::Back(id)) => self.desk.turn(&id, false),
                         Ok(Line::Taken(id)) => {
                             self.claims.beside(true, id);
                             continue;
@@ -360,8 +360,8 @@
                             continue;
                         }
                         _ => return log::warn!("upgrade: the process beside this one says what can't be read"),
-                    };
-                    if answer && to.write_all(&text(&Line::Done)).await.is_err() {
+                    }
+                    if to.write_all(&text(&Line::Done)).await.is_err() {
                         return;
                     }
                 }
--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -42,18 +42,15 @@
     before: Vec<(VerbOrder, usize)>, // of the orders before
     since: Instant,
     companies: Vec<String>,
-    return_after: Option<Duration>, // for whom there is no room, where that may be said
 }
 
 impl Table {
     fn of(orders: &StandingOrders, numbers: &[usize], before: Vec<(VerbOrder, usize)>) -> Self {
-        let goal = orders.verbs.iter().map(|v| v.goal).min().unwrap_or_default();
         Table {
             verbs: orders.verbs.iter().cloned().zip(numbers.iter().copied()).collect(),
             before,
             since: Instant::now(),
             companies: orders.companies.iter().map(|c| c.name.clone()).collect(),
-            return_after: orders.max_retry_after.map(|most| most.min(goal)),
         }
     }
 
@@ -83,10 +80,6 @@
 ) -> Response {
     let (need, cargo) = match intake.read(request, &talk).await {
         Ok(read) => read,
-        // No room for a long body: declined as the module would.
-        Err(StatusCode::SERVICE_UNAVAILABLE) => {
-            return word(Answer::Declined { not_before: intake.table().return_after });
-        }
         Err(status) => return status.into_response(),
     };
     // Guards against the id of another client's open command: the two would be one to an endpoint.
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -215,7 +215,7 @@
     match (before, now) {
         (Object(before), Object(now)) => before.iter().find_map(|(key, held)| {
             let path = format!("{path}/{key}");
-            if OPTIONAL.iter().any(|optional| *optional == path || path.ends_with("/aim_stretch")) {
+            if OPTIONAL.iter().any(|optional| path.ends_with(optional)) {
                 return None;
             }
             match now.get(key) {
