Tests of the module for bodies that still come and for what has gone out

Cause: both hard cases of long bodies were tested over sockets only. Change: three tests, which fail without the booking at the whole body and without the word that bytes have gone; the program is unchanged.

--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -846,6 +846,42 @@
     assert!(expected.contains(&probes), "{probes}");
 }
 
+// ---- long bodies ----
+
+/// A command whose body still comes, with its relay out.
+fn uploading() -> Balancer {
+    let mut b = sidecar(Effect::Effectful, 1);
+    let Event::Arrived(a) = arrival(0) else { unreachable!() };
+    b.decide(NOW, Event::Arrived(Arrival { uploads: true, ..a }));
+    b
+}
+
+// bulk+slow+pieces: bodies that came for seconds counted as work; half of all commands were declined.
+#[rstest]
+fn a_body_that_comes_is_no_work_yet_and_its_time_begins_when_it_is_whole() {
+    let mut b = uploading();
+    assert_eq!((b.endpoints[0].out.len(), b.out_now), (0, 0.0));
+    let later = NOW + 5 * CALM;
+    b.decide(later, Event::Whole { cmd: 0 });
+    let c = b.held(0).unwrap();
+    assert_eq!((c.due, c.leave), (later + Duration::from_millis(400), later + Duration::from_millis(500)));
+    assert_eq!((b.endpoints[0].out.len(), b.out_now), (1, 1.0));
+    b.decide(later, finished(0, Outcome::Answered));
+    assert_eq!((b.endpoints[0].out.len(), b.out_now), (0, 0.0));
+}
+
+#[rstest]
+#[case::kept(false)]
+#[case::gone(true)]
+fn a_body_that_has_gone_out_is_not_sent_again_and_its_command_declined(#[case] spent: bool) {
+    let mut b = uploading();
+    if spent {
+        b.decide(NOW, Event::Spent { cmd: 0 });
+    }
+    let out = b.decide(NOW, finished(0, Outcome::NoConnection));
+    assert_eq!(out.iter().any(|a| matches!(a, Action::Decline { cmd: 0, .. })), spent, "{out:?}");
+}
+
 // ---- taking another's place ----
 
 // Slots of endpoints and verbs may be others; what was learnt goes by their names.
