--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -10,7 +10,7 @@
 //!   relays   time-outs, further relays and second copies, under a budget
 //!   waiting  a short queue, best utility first; what can't make it is declined at once
 //!   warm-up  a cold endpoint gets a send on a pass only: its ramp x the own rate to warm ones, by chance
-//!   list     subscribe or ask with jitter and back-off; what drains or is gone gets nothing new
+//!   list     subscribe or ask with jitter and back-off; what drains, is gone or out by hand gets nothing new
 
 pub use crate::state::Balancer;
 use crate::state::{
