Slow answers discredit only what a relay went by: no overload of thin traffic hides itself

Ruled out: reports that lie (they fit what was out, 7.68 for 9); reports that are only too old (median 0.1 to 0.25 s, and their mean holds); limits (1.0 at the end: what counted as load was under them). At fault: credit() in finish and slow_answer. Any slow answer discredited its endpoint and the fleet. With fifteen commands a second a sidecar goes by old reports, which said nothing of now, and cold endpoints are slow as told. Change: the step weighs as much as the report did that the relay went by, nothing where the endpoint is cold.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -299,14 +299,12 @@
 
     fn hear(&mut self, at: EndpointIx, report: Option<Report>) {
         let (Some(e), Some(report)) = (self.endpoints.get_mut(at), report) else { return };
-        let mut step = 0.0;
-        if let Some(holds) = report.outstanding {
-            let margin = 2 * (self.duty.fresh + self.rtt + self.duty.tick);
-            let sure = e.out.iter().filter(|sent| self.now.saturating_sub(**sent) > margin).count() as f64;
-            if sure > 0.0 {
-                step = if holds < 0.5 * sure { -0.25 } else { 0.02 };
-            }
-        }
+        let margin = 2 * (self.duty.fresh + self.rtt + self.duty.tick);
+        let sure = e.out.iter().filter(|sent| self.now.saturating_sub(**sent) > margin).count() as f64;
+        let step = match report.outstanding.filter(|_| sure > 0.0) {
+            Some(holds) if holds < 0.5 * sure => -0.25,
+            known => known.map_or(0.0, |_| 0.02),
+        };
         // A share of time stands for as many as a single server holds that is busy for it.
         let busy = report.utilization.map(|u| u.clamp(0.0, 1.0)).map(|u| u / (1.1 - u));
         let told = report.backlog.filter(|_| !self.duty.live_weights).map(|b| b + busy.unwrap_or(0.0));
@@ -322,7 +320,8 @@
     }
 
     /// Guards against stuck or lying reports, which draw all to what seems empty: what an endpoint says is
-    /// held against own relays known to be there, against refusals as full, and against the times it takes.
+    /// held against own relays known to be there, against refusals as full, and against the times it takes where a
+    /// relay went by it. Thin traffic goes by old ones, and cold endpoints are slow: that discredits nothing.
     fn credit(&mut self, at: EndpointIx, step: f64) {
         let e = &mut self.endpoints[at];
         e.credit = (e.credit + step).clamp(0.0, 1.0);
@@ -634,9 +633,7 @@
                 idle = self.knows_idle();
                 continue;
             }
-            if free && !lost && !shut.contains(&play) {
-                shut.push(play);
-            }
+            shut.extend((free && !lost && !shut.contains(&play)).then_some(play));
             // Guards against sitting on what will be declined anyway: past the room, the answer is now.
             if lost || self.closed || f64::from(line) >= room {
                 self.give_up(cmd);
@@ -737,12 +734,14 @@
 
     fn send(&mut self, cmd: CmdIx, at: EndpointIx) {
         let (now, usual) = (self.now, self.usual_load());
-        let ahead = self.load(&self.endpoints[at], usual) / self.endpoints[at].size;
+        let e = &self.endpoints[at];
+        let ahead = self.load(e, usual) / e.size;
+        let told = e.heard.filter(|_| !self.cold(e)).map_or(0.0, |at| fade(now, at, self.duty.believe));
         self.meet(at);
         let Some(c) = self.commands[cmd].as_mut() else { return };
         let (first, coming, due, verb) = (c.relays.is_empty(), c.coming, c.due, c.verb);
         c.waits = false;
-        c.relays.push(Relay { endpoint: at, sent: now, ahead, outcome: None });
+        c.relays.push(Relay { endpoint: at, sent: now, ahead, told, outcome: None });
         let within = c.leave.saturating_sub(now).max(self.duty.tick);
         self.out.push(Action::Relay { cmd, endpoint: at, within });
         let e = &mut self.endpoints[at];
@@ -842,7 +841,7 @@
                 } else if spent < goal / 2 && r.ahead + 1.0 >= limit {
                     self.set_limit(at, (limit + GROWTH / limit).min(64.0));
                 }
-                self.credit(at, if pace > 3.0 * self.usual.mean { -0.1 } else { 0.0 });
+                self.credit(at, if pace > 3.0 * self.usual.mean { -0.1 * r.told } else { 0.0 });
                 self.reached(at);
                 self.judge(at, verb, outcome, OUTCOMES);
             }
@@ -883,7 +882,7 @@
     fn slow_answer(&mut self, r: &Relay, verb: usize, spent: Duration) {
         let pace = self.duty.verbs[verb].pace(r, spent).max(1.0);
         self.endpoints[r.endpoint].pace.note(self.now, pace, 2 * CALM);
-        self.credit(r.endpoint, if pace > 2.0 * self.usual.mean { -0.1 } else { 0.0 });
+        self.credit(r.endpoint, if pace > 2.0 * self.usual.mean { -0.1 * r.told } else { 0.0 });
         // Guards against an endpoint that lets work hang while its probes are fine.
         self.judge(r.endpoint, verb, Outcome::TimedOut, OUTCOMES);
         self.cut(r.endpoint);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -99,6 +99,28 @@
     assert_eq!((b.endpoints[0].credit, b.faith), (1.0, 1.0));
 }
 
+// join+vast: a hundred sidecars with fifteen commands a second each went by reports of a quarter of a second ago; what was
+// slow then, or cold, discredited all reports, load seemed nought (0.02 for 8 held), and the fleet drove itself under.
+#[rstest]
+#[case::just_heard(Duration::ZERO, false, true)]
+#[case::heard_long_ago(Duration::from_secs(1), false, false)]
+#[case::cold(Duration::ZERO, true, false)]
+fn a_slow_answer_discredits_only_what_was_told(
+    #[case] ago: Duration,
+    #[case] cold: bool,
+    #[case] lost: bool,
+) {
+    let mut b = sidecar(Effect::Pure, 1);
+    b.endpoints[0].heard = Some(NOW - ago);
+    if cold {
+        b.endpoints[0].start_cold(NOW - Duration::from_secs(1));
+    }
+    b.commands = vec![Some(command())];
+    b.send(0, 0);
+    b.finish(0, 0, Outcome::TimedOut, Duration::from_millis(400));
+    assert_eq!(b.faith < 0.99, lost, "{}", b.faith);
+}
+
 // A first form counted discredited endpoints as fuller than the mean and shut the whole fleet.
 #[rstest]
 fn a_fleet_without_credit_still_serves() {
@@ -696,7 +718,7 @@
 fn an_endpoint_whose_connections_break_was_reached(#[case] outcome: Outcome, #[case] misses: u32) {
     let mut b = with_relay(Effect::Pure, 1);
     for _ in 0..3 {
-        let relay = Relay { endpoint: 0, sent: NOW, ahead: 0.0, outcome: None };
+        let relay = Relay { endpoint: 0, sent: NOW, ahead: 0.0, told: 0.0, outcome: None };
         b.commands[0] = Some(Command { waits: false, relays: vec![relay], ..command() });
         b.finish(0, 0, outcome, Duration::from_millis(5));
         b.checked(0, outcome, Duration::from_millis(5), None);
@@ -1137,7 +1159,7 @@
 /// One command with one relay out, at endpoint 0.
 fn with_relay(effect: Effect, endpoints: usize) -> Balancer {
     let mut b = sidecar(effect, endpoints);
-    let relay = Relay { endpoint: 0, sent: NOW, ahead: 0.0, outcome: None };
+    let relay = Relay { endpoint: 0, sent: NOW, ahead: 0.0, told: 0.0, outcome: None };
     b.commands[0] = Some(Command { waits: false, relays: vec![relay], ..command() });
     b
 }
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -175,6 +175,7 @@
     pub endpoint: EndpointIx,
     pub sent: Duration,
     pub ahead: f64, // what the endpoint was thought to hold
+    pub told: f64,  // of that, the weight of what it had reported itself
     pub outcome: Option<Outcome>,
 }
 
