--- a/crates/passroad-rig/src/experiment.rs
+++ b/crates/passroad-rig/src/experiment.rs
@@ -326,6 +326,8 @@
     every: Option<Time>,
     #[serde(default)]
     repeat: Option<usize>,
+    #[serde(default)]
+    relays: Option<usize>,
 }
 
 #[derive(Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
@@ -349,6 +351,8 @@
     SidecarKill,
     SidecarStop,
     SidecarReload,
+    SidecarUpgrade,
+    SidecarRetune,
 }
 
 #[derive(Deserialize, Debug)]
@@ -456,6 +460,10 @@
     SidecarKill(usize),
     SidecarStop(usize),
     SidecarReload(usize),
+    /// The next process takes over beside it.
+    SidecarUpgrade(usize),
+    /// Other settings on SIGHUP: so many relays a command.
+    SidecarRetune(usize, usize),
 }
 
 #[derive(Debug, Clone)]
@@ -605,7 +613,14 @@
         }
         changes.sort_by_key(|(at, _)| *at);
         let needs = changes.iter().any(|(_, c)| {
-            matches!(c, Change::SidecarKill(_) | Change::SidecarStop(_) | Change::SidecarReload(_))
+            matches!(
+                c,
+                Change::SidecarKill(_)
+                    | Change::SidecarStop(_)
+                    | Change::SidecarReload(_)
+                    | Change::SidecarUpgrade(_)
+                    | Change::SidecarRetune(..)
+            )
         });
         if needs && told.sockets != Some(Sockets::Needed) {
             return self.wrong(&(0..0), "sockets = \"needed\" is missing: a fault here is one of processes");
@@ -874,6 +889,13 @@
                 Kinds::SidecarKill => out.extend(of.iter().map(|n| (from, Change::SidecarKill(*n)))),
                 Kinds::SidecarStop => out.extend(of.iter().map(|n| (from, Change::SidecarStop(*n)))),
                 Kinds::SidecarReload => out.extend(of.iter().map(|n| (from, Change::SidecarReload(*n)))),
+                Kinds::SidecarUpgrade => out.extend(of.iter().map(|n| (from, Change::SidecarUpgrade(*n)))),
+                Kinds::SidecarRetune => {
+                    let Some(relays) = f.relays.filter(|relays| *relays > 0) else {
+                        return self.wrong(&place, "fault sidecar-retune: relays is missing, or nought");
+                    };
+                    out.extend(of.iter().map(|n| (from, Change::SidecarRetune(*n, relays))));
+                }
                 _ if at.is_empty() => {
                     return self.wrong(&place, format!("fault {kind}: concerns no endpoint"));
                 }
@@ -1079,6 +1101,8 @@
     )]
     #[case::no_such_verb(&format!("{SMALL}[[fault]]\nkind = \"hang\"\nat = \"1s\"\nverb = \"buy\"\n"), 38, "unknown 'buy'")]
     #[case::processes(&format!("{SMALL}[[fault]]\nkind = \"sidecar-kill\"\nat = \"1s\"\n"), 1, "sockets = \"needed\"")]
+    #[case::upgrades(&format!("{SMALL}[[fault]]\nkind = \"sidecar-upgrade\"\nat = \"1s\"\n"), 1, "sockets = \"needed\"")]
+    #[case::retuned_to_what(&format!("sockets = \"needed\"\n{SMALL}[[fault]]\nkind = \"sidecar-retune\"\nat = \"1s\"\n"), 39, "relays is missing")]
     #[case::no_policy(&SMALL.replace("instances = 3", "policies = [\"best\"]"), 5, "unknown 'best'")]
     #[case::no_bound(&format!("{SMALL}[[hold]]\nmetric = \"served\"\n"), 38, "without either it can't fail")]
     #[case::no_metric(&format!("{SMALL}[[hold]]\nmetric = \"luck\"\nat_most = 1\n"), 39, "unknown variant `luck`")]
--- a/crates/passroad-rig/src/ledger.rs
+++ b/crates/passroad-rig/src/ledger.rs
@@ -420,9 +420,11 @@
     fn drains(&self, facts: &Facts, out: &mut Vec<Breach>) {
         for r in &self.relays {
             let instance = self.commands[r.cmd].instance;
-            // The yes is said once it is in effect: there is no grace.
+            // The yes is said once it is in effect: there is no grace but for what is on its way.
             let bans = self.banned.get(&(instance, r.endpoint)).into_iter().flatten();
-            if let Some((told, true)) = bans.rev().find(|(told, _)| *told < r.at) {
+            if let Some((told, true)) = bans.rev().find(|(told, _)| *told < r.at)
+                && r.at > *told + facts.slack
+            {
                 let ago = r.at - *told;
                 let what = format!(
                     "endpoint {} was sent to {ago:?} after instance {instance} took it out",
--- a/crates/passroad-rig/src/sockets/mod.rs
+++ b/crates/passroad-rig/src/sockets/mod.rs
@@ -116,6 +116,11 @@
             Change::SidecarStop(n) => {
                 drop(tokio::spawn(stop(Arc::clone(&clients), Arc::clone(&sidecars), *n)))
             }
+            Change::SidecarUpgrade(n) => {
+                drop(tokio::spawn(upgrade(Arc::clone(&clients), Arc::clone(&sidecars), *n)))
+            }
+            Change::SidecarRetune(n, relays) => sidecars[*n].lock().await.retune(*relays)?,
+            Change::Cordon(endpoint, out) => cordon(&scene, &sidecars, *endpoint, *out).await,
             Change::SidecarReload(n) => sidecars[*n].lock().await.signal(rustix::process::Signal::HUP)?,
             Change::Trouble(n, _)
             | Change::Die(n)
@@ -224,6 +229,33 @@
     begin_again(&clients, &mut sidecar, n).await;
 }
 
+/// The next process beside the one that runs; clients are told nothing.
+async fn upgrade(clients: Arc<Clients>, sidecars: Sidecars, n: usize) {
+    let ended = sidecars[n].lock().await.upgrade().await;
+    if !matches!(ended, Ok(Some(0))) {
+        log::error!("sidecar {n}: its upgrade came to {ended:?}");
+        clients.scene.note(Entry::Crashed { instance: n });
+    }
+}
+
+/// Operators call all sidecars, one after the other.
+async fn cordon(scene: &Scene, sidecars: &Sidecars, endpoint: usize, out: bool) {
+    let (path, body) =
+        (if out { "/admin/cordon" } else { "/admin/uncordon" }, format!(r#"{{"id":"e{endpoint}"}}"#));
+    for (instance, sidecar) in sidecars.iter().enumerate() {
+        let told = Entry::Cordoned { instance, endpoint, out };
+        // Back from the call on; out from the yes on.
+        if !out {
+            scene.note(told.clone());
+        }
+        match sidecar.lock().await.call(path, &body).await {
+            true if out => scene.note(told),
+            true => {}
+            false => log::error!("sidecar {instance} said no to {path} of endpoint {endpoint}"),
+        }
+    }
+}
+
 async fn begin_again(clients: &Clients, sidecar: &mut Sidecar, n: usize) {
     match sidecar.start().await {
         Ok(()) => clients.sides[n].away.store(false, Relaxed),
--- a/crates/passroad-rig/src/sockets/sidecar.rs
+++ b/crates/passroad-rig/src/sockets/sidecar.rs
@@ -4,7 +4,7 @@
 use super::discovery::Discovery;
 use super::http::Talk;
 use super::scene::{Scene, address};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
@@ -14,9 +14,11 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// How long a start, or an orderly end, may take.
 /// The file of routes, where a day has one.
 pub const ROUTES: &str = "routes.toml";
+/// How long an operator's call may take.
+const CALL_WITHIN: Duration = Duration::from_secs(1);
+/// How long a start, or an orderly end, may take.
 const PATIENCE: Duration = Duration::from_secs(8);
 
 /// Which program is started.
@@ -31,6 +33,7 @@
     program: Program,
     folder: PathBuf,
     n: usize,
+    told: Value, // its configuration
     child: Option<Child>,
     starts: usize,
 }
@@ -54,23 +57,65 @@
         // A port that is free at this address now; nobody else comes to an address of this rig.
         let listen = std::net::TcpListener::bind(SocketAddr::new(address(248, n), 0))?.local_addr()?;
         let plan = &scene.plan;
-        let text = json!({
+        let told = json!({
             "name": format!("rig-{n}"), "listen": listen.to_string(),
             "discovery": discovery.address(n).to_string(), "seed": format!("{seed:x}"),
             "limits": { "sockets": 1024, "memory_mb": 64 }, "known": discovery.known(n),
             "settings": plan.settings(plan.zone_of(n)),
         });
-        std::fs::write(folder.join(format!("{n}.json")), text.to_string())?;
         let (program, folder) = (program.clone(), folder.to_path_buf());
-        Ok(Sidecar { address: listen, program, folder, n, child: None, starts: 0 })
+        Ok(Sidecar { address: listen, program, folder, n, told, child: None, starts: 0 })
     }
 
     pub fn log(&self) -> PathBuf {
         self.folder.join(format!("{}.log", self.n))
     }
 
+    fn write(&self) -> io::Result<()> {
+        std::fs::write(self.folder.join(format!("{}.json", self.n)), self.told.to_string())
+    }
+
     /// Starts the process and waits until it takes commands.
     pub async fn start(&mut self) -> io::Result<()> {
+        self.child = Some(self.spawn()?);
+        self.come_up("/healthz").await
+    }
+
+    /// The next process takes over beside this one, which is then stopped; what that ended with.
+    pub async fn upgrade(&mut self) -> io::Result<Option<i32>> {
+        let next = self.spawn()?;
+        let mut old = self.child.replace(next);
+        if let Err(fault) = self.come_up("/admin/health").await {
+            self.kill();
+            self.child = old;
+            return Err(fault);
+        }
+        let new = std::mem::replace(&mut self.child, old.take());
+        let ended = self.stop().await;
+        self.child = new;
+        ended
+    }
+
+    /// Other settings while it runs.
+    pub fn retune(&mut self, relays: usize) -> io::Result<()> {
+        self.told["settings"]["allowed"]["max_relays"] = relays.into();
+        self.write()?;
+        self.signal(rustix::process::Signal::HUP)
+    }
+
+    /// An operator's call; whether it was a yes.
+    pub async fn call(&self, path: &str, body: &str) -> bool {
+        let Some(door) = self.told["management"].as_str() else { return false };
+        let text =
+            format!("POST {path} HTTP/1.1\r\nHost: rig\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        matches!(ask(door, text).await, Some(200))
+    }
+
+    fn spawn(&mut self) -> io::Result<Child> {
+        // Each process has a door of its own.
+        let door = std::net::TcpListener::bind(SocketAddr::new(self.address.ip(), 0))?.local_addr()?;
+        self.told["management"] = door.to_string().into();
+        self.write()?;
         let log = File::options().create(true).append(true).open(self.log())?;
         let mut command = Command::new(&self.program.path);
         let routes = self.folder.join(ROUTES);
@@ -83,6 +128,7 @@
             .args(&self.program.arguments)
             .env_remove("LB_LISTEN")
             .env_remove("LB_DISCOVERY")
+            .env("TMPDIR", &self.folder)
             .env("LB_CONFIG", self.folder.join(format!("{}.json", self.n)))
             // Its end tells the process that the rig is gone.
             .stdin(Stdio::piped())
@@ -90,10 +136,13 @@
             .stderr(log)
             .spawn()
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", self.program.path.display())))?;
-        self.child = Some(child);
         self.starts += 1;
+        Ok(child)
+    }
+
+    async fn come_up(&mut self, path: &str) -> io::Result<()> {
         let began = Instant::now();
-        while !self.ready().await {
+        while !self.ready(path).await {
             let ended = self.child.as_mut().map(Child::try_wait).transpose()?.flatten();
             if ended.is_some() || began.elapsed() > PATIENCE {
                 let said = std::fs::read_to_string(self.log()).unwrap_or_default();
@@ -106,13 +155,11 @@
         Ok(())
     }
 
-    async fn ready(&self) -> bool {
-        let ask = async {
-            let mut talk = Talk::new(TcpStream::connect(self.address).await?);
-            talk.write(b"GET /healthz HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n").await?;
-            talk.answer().await
-        };
-        matches!(timeout(Duration::from_millis(200), ask).await, Ok(Ok(Some(m))) if m.status == 200)
+    /// At its operators' door: another process may have the clients' address, too.
+    async fn ready(&self, path: &str) -> bool {
+        let text = format!("GET {path} HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n");
+        let door = self.told["management"].as_str().filter(|_| path.starts_with("/admin"));
+        ask(door.unwrap_or(&self.address.to_string()), text).await == Some(200)
     }
 
     pub fn signal(&self, signal: rustix::process::Signal) -> io::Result<()> {
@@ -165,6 +212,16 @@
     }
 }
 
+/// One call: the status, where one came.
+async fn ask(at: &str, text: String) -> Option<u16> {
+    let call = async {
+        let mut talk = Talk::new(TcpStream::connect(at).await?);
+        talk.write(text.as_bytes()).await?;
+        talk.answer().await
+    };
+    timeout(CALL_WITHIN, call).await.ok()?.ok()?.map(|message| message.status)
+}
+
 impl Drop for Sidecar {
     fn drop(&mut self) {
         self.kill();
--- a/crates/passroad-rig/src/virtual_time.rs
+++ b/crates/passroad-rig/src/virtual_time.rs
@@ -660,7 +660,11 @@
                 }
             }
             // Of processes, which there are none of here: the checker leaves them to days on sockets.
-            Change::SidecarKill(_) | Change::SidecarStop(_) | Change::SidecarReload(_) => {}
+            Change::SidecarKill(_)
+            | Change::SidecarStop(_)
+            | Change::SidecarReload(_)
+            | Change::SidecarUpgrade(_)
+            | Change::SidecarRetune(..) => {}
         }
     }
 
