Test of long bodies: whoever reads waits until the others can write no more, not the clock

The verdict hung on how many of sixty were fast enough.

Change: ten clients of twelve megabytes, each with an endpoint of its own; whoever is to read takes the first pieces only when those who write get no further or have written all. A sidecar that takes whatever comes lets them write all and holds it. All ten have to be served whole, so progress is proven by count; memory by the process's own peak.

--- a/crates/passroad/tests/long_bodies.rs
+++ b/crates/passroad/tests/long_bodies.rs
@@ -4,8 +4,10 @@
 
 use rstest::rstest;
 use stand_ins::*;
-use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -101,54 +103,116 @@
     }
 }
 
-// Sixty clients, each with six megabytes, at a sidecar that may hold eight in all.
+/// Waits until those who write get no further, as all that lies between is full, or have written all; two seconds at
+/// most, as the sidecar hears for six seconds of no endpoint that takes nothing.
+fn until_full(written: &AtomicUsize, all: usize) {
+    let (mut before, began, mut still) = (0, Instant::now(), 0);
+    while still < 20 && began.elapsed() < 2000 * MS && written.load(SeqCst) < all {
+        let now = written.load(SeqCst);
+        still = if now == before { still + 1 } else { 0 };
+        before = now;
+        sleep(10 * MS);
+    }
+}
+
+/// Writes in pieces and counts what was taken.
+fn pour(to: &mut TcpStream, bytes: &[u8], written: &AtomicUsize) {
+    for piece in bytes.chunks(100_000) {
+        if to.write_all(piece).is_err() {
+            return;
+        }
+        written.fetch_add(piece.len(), SeqCst);
+    }
+}
+
+/// Reads so many bytes, the first pieces only when those who write get no further; how many came.
+fn sip(from: &mut impl Read, bytes: usize, written: &AtomicUsize, all: usize) -> usize {
+    let (mut got, mut piece) = (0, vec![0; 200_000]);
+    for n in 0.. {
+        if n < 6 {
+            until_full(written, all);
+        }
+        match from.read(&mut piece) {
+            Ok(0) | Err(_) => break,
+            Ok(count) => got += count,
+        }
+        if got >= bytes {
+            break;
+        }
+    }
+    got
+}
+
+// Ten clients, each with twelve megabytes, at a sidecar that may hold eight in all; whoever is to read waits until the
+// others can write no more. A sidecar that takes whatever comes lets them write all, and holds it.
 #[rstest]
 #[case::of_writers(true)]
 #[case::of_readers(false)]
 fn memory_does_not_follow_the_length_of_bodies(#[case] writers: bool) {
-    let given = body(6_000_000);
-    let endpoint = stand_in(move |message, to| {
-        match writers {
-            true => answer(to, "200 OK", "", message.body.len().to_string().as_bytes()),
-            false => answer(to, "200 OK", "", &given),
-        }
-        true
-    });
-    let sidecar = small_with(&[endpoint.address], &patient());
-    let clients: Vec<_> = (0..60)
+    const EACH: usize = 12_000_000;
+    const ALL: usize = 10 * EACH;
+    let (written, sent) = (Arc::new(AtomicUsize::new(0)), Arc::new(body(EACH)));
+    let endpoint = || {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let (written, sent) = (Arc::clone(&written), Arc::clone(&sent));
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (written, sent) = (Arc::clone(&written), Arc::clone(&sent));
+                spawn(move || {
+                    let (mut from, mut to) = (BufReader::new(stream.try_clone().unwrap()), stream);
+                    loop {
+                        let mut head = String::new();
+                        while !head.ends_with("\r\n\r\n") {
+                            if from.read_line(&mut head).unwrap_or(0) == 0 {
+                                return;
+                            }
+                        }
+                        if head.contains("/load ") {
+                            answer(&mut to, "200 OK", "", b"TEXT inflight=0, queue=0, util=0.1");
+                        } else if writers {
+                            let got = sip(&mut from, EACH, &written, ALL);
+                            answer(&mut to, "200 OK", "", got.to_string().as_bytes());
+                        } else {
+                            let _ = write!(to, "HTTP/1.1 200 OK\r\nContent-Length: {EACH}\r\n\r\n");
+                            pour(&mut to, &sent, &written);
+                        }
+                    }
+                });
+            }
+        });
+        at
+    };
+    let endpoints: Vec<_> = (0..10).map(|_| endpoint()).collect();
+    let sidecar = small_with(&endpoints, &patient());
+    let clients: Vec<_> = (0..10)
         .map(|n| {
             let mut client = sidecar.client();
+            client.get_ref().set_read_timeout(None).unwrap();
+            let (written, sent) = (Arc::clone(&written), Arc::clone(&sent));
             spawn(move || {
-                let sent = body(6_000_000);
+                let id = n.to_string();
                 if writers {
-                    client
-                        .get_mut()
-                        .write_all(patiently(&head(&n.to_string(), &stated(sent.len()))).as_bytes())
-                        .unwrap();
-                    for piece in sent.chunks(600_000) {
-                        // On a busy machine some are too slow.
-                        if client.get_mut().write_all(piece).is_err() {
-                            return false;
-                        }
-                        sleep(20 * MS);
-                    }
-                    return Message::read(&mut client).is_some_and(|answer| answer.body == b"6000000");
+                    let head = patiently(&head(&id, &stated(EACH)));
+                    client.get_mut().write_all(head.as_bytes()).unwrap();
+                    pour(client.get_mut(), &sent, &written);
+                    return Message::read(&mut client).map(|m| String::from_utf8_lossy(&m.body).into_owned());
                 }
-                client.get_mut().write_all(patiently(&look(&n.to_string())).as_bytes()).unwrap();
-                let (mut got, mut piece) = (0, vec![0; 300_000]);
-                while got < sent.len() {
-                    match client.read(&mut piece) {
-                        Ok(0) | Err(_) => return false,
-                        Ok(n) => got += n,
+                client.get_mut().write_all(patiently(&look(&id)).as_bytes()).unwrap();
+                let mut line = String::new();
+                while line != "\r\n" {
+                    line.clear();
+                    if client.read_line(&mut line).ok()? == 0 {
+                        return None;
                     }
-                    sleep(2 * MS);
                 }
-                true
+                Some(sip(&mut client, EACH, &written, ALL).to_string())
             })
         })
         .collect();
-    let served = clients.into_iter().map(|client| client.join().unwrap()).filter(|served| *served).count();
-    assert!(served > 30 && sidecar.memory() < 40, "{served} served, {} MB", sidecar.memory());
+    let got: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    assert_eq!(got, vec![Some(EACH.to_string()); 10]);
+    assert!(sidecar.memory() < 40, "{} MB", sidecar.memory());
 }
 
 // A client that takes longer than its time limit to write is not late: its time runs from its last byte.
@@ -206,7 +270,7 @@
 #[rstest]
 fn a_long_body_that_its_endpoint_broke_off_is_declined_and_not_sent_again() {
     let breaks = || {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
         spawn(move || {
             for mut stream in listener.incoming().flatten() {
