--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -463,7 +463,7 @@
         // what nothing takes, as often as that finds something open.
         let odds = if of.is_none() { (self.found * self.duty.finds).max(0.05) } else { 0.0 };
         let asks = self.duty.heartbeats > 0 && (self.duty.asks || self.chance() < odds);
-        let may = |e: &Endpoint| self.open(e);
+        let may = |e: &Endpoint| self.open(e) && of.is_none_or(|(verb, _)| self.duty.verbs[verb].placed(e));
         let mut weights = if asks { self.weigh(&self.met, of, None, &may) } else { Vec::new() };
         for (e, w) in self.view().zip(&mut weights) {
             let known = e.heard.is_some_and(|at| self.now.saturating_sub(at) <= self.duty.fresh);
@@ -618,10 +618,11 @@
         let room = (self.sends.young_rate(self.now, CALM) * self.duty.patience.as_secs_f64()).max(1.0);
         let mut idle = self.knows_idle();
         let mut line = 0; // those that nothing took; the rest only await heartbeats
-        let mut shut = Vec::new(); // plays in which nothing took a command that is worth more
+        let mut shut = Vec::new(); // places in which nothing took a command that is worth more
         for cmd in waiting {
             let Some(c) = self.held(cmd).filter(|c| c.waits && !c.over) else { continue };
-            let (free, lost, play) = (c.relays.is_empty(), now >= c.last_call, c.play);
+            let bound = self.duty.verbs[c.verb].bound().then_some(c.verb);
+            let (free, lost, play) = (c.relays.is_empty(), now >= c.last_call, (c.play, bound));
             // More rounds of heartbeats where none of those asked is idle.
             let held = c.hold_until > now && pending && !idle;
             let again = !held && !idle && c.rounds < ROUNDS && !self.shedding;
@@ -694,14 +695,14 @@
                 Group::Cell => e.zone == home.zone && e.cell == home.cell,
             })
         };
-        let may = |e: &Endpoint| self.open(e) && drops_repeats(e);
+        let may = |e: &Endpoint| self.open(e) && drops_repeats(e) && v.placed(e);
         // A second copy is a luxury: it goes only where there is room for the least worth.
         let value = if copy { 0.0 } else { (c.value / c.best).clamp(0.0, 1.0) };
         let homes = if home.is_none() { self.homes(c) } else { Vec::new() };
         let ats = match home {
             None if !homes.is_empty() => homes.iter().map(|(at, _)| *at).collect(),
-            None => self.met.clone(),
-            Some(_) => (0..self.endpoints.len()).collect(),
+            None if !v.bound() => self.met.clone(),
+            _ => (0..self.endpoints.len()).collect(),
         };
         let risk = if v.effect == Effect::Effectful { 5.0 * RISK } else { RISK };
         let mut weights = self.weigh(&ats, Some((c.verb, c.play)), Some((value, risk)), &may);
@@ -722,7 +723,8 @@
         let part = rate(&self.keys[key as usize % KEY_SLOTS]) / rate(&self.arrivals).max(1e-9);
         let wide = (HOMES * part * self.listed).max(1.0);
         let ready = |(at, e): &(usize, &Endpoint)| {
-            e.listed && self.now >= e.try_at && self.open(e) && !c.relays.iter().any(|r| r.endpoint == *at)
+            let here = e.listed && self.now >= e.try_at && self.open(e) && self.duty.verbs[c.verb].placed(e);
+            here && !c.relays.iter().any(|r| r.endpoint == *at)
         };
         let place = |(at, e): (usize, &Endpoint)| match self.cold(e) {
             true => (0.0, at),
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -1108,6 +1108,49 @@
     assert_eq!(relays(&out), [1]);
 }
 
+// sundsvall-galleries: a verb bound to a kind went to whatever was idle, on each of the four quick days.
+#[rstest]
+#[case::of_that_kind(None, Some(vec![1]))]
+#[case::in_that_zone(Some(vec![1]), None)]
+#[case::both(Some(vec![0, 1]), Some(vec![1]))]
+fn a_bound_verb_goes_nowhere_else(#[case] zones: Option<Vec<usize>>, #[case] kinds: Option<Vec<usize>>) {
+    let mut b = sidecar(Effect::Pure, 5);
+    b.duty.verbs[0].only = [zones, kinds];
+    (b.endpoints[3].kind, b.endpoints[3].zone, b.endpoints[3].holds) = (1, 1, 1.0);
+    // The first relay, though all others are idle; the second copy and the second relay find nowhere to go.
+    let first = b.decide(NOW, arrival(0));
+    assert_eq!(relays(&first), [3]);
+    let copy = b.decide(NOW + CALM / 10, Event::Due { token: ALARM_COPY });
+    assert_eq!(relays(&copy), []);
+    let full = Event::Finished {
+        cmd: 0,
+        relay: 0,
+        outcome: Outcome::Full,
+        spent: CALM / 10,
+        concluded: false,
+        report: None,
+    };
+    let mut then = b.decide(NOW + CALM / 10, full);
+    // It waits, and is declined; a verb that is not bound finds the others meanwhile.
+    b.endpoints[3].listed = false;
+    (1..20).for_each(|n| {
+        then.extend(b.decide(NOW + CALM / 10 + n * CALM / 40, Event::Due { token: ALARM_QUEUE }))
+    });
+    assert!(relays(&then).iter().all(|to| *to == 3), "{then:?}");
+    assert!(then.iter().any(|a| matches!(a, Action::Decline { cmd: 0, .. })), "{then:?}");
+}
+
+// One that nothing takes, worth more, says nothing of where the others may go.
+#[rstest]
+fn a_bound_verb_that_waits_keeps_no_other_from_its_place() {
+    let mut b = sidecar(Effect::Pure, 2);
+    b.duty.verbs.push(VerbDuty::of(&VerbOrder { utility: 9.0, ..verb(Effect::Pure) }, CALM / 20, 3));
+    b.duty.verbs[1].only = [None, Some(vec![1])];
+    b.commands = vec![Some(Command { verb: 1, value: 9.0, best: 9.0, ..command() }), None];
+    b.queue = vec![0];
+    assert_eq!(relays(&b.decide(NOW, arrival(1))).len(), 1);
+}
+
 // ---- helpers ----
 
 fn verb(effect: Effect) -> VerbOrder {
@@ -1123,6 +1166,8 @@
         utility: 1.0,
         late_utility: 0.0,
         stream: false,
+        only_zones: None,
+        only_kinds: None,
     }
 }
 
@@ -1132,6 +1177,7 @@
         seed: 7,
         zone: 0,
         zones: vec!["z".into()],
+        kinds: vec![],
         verbs: vec![verb(effect)],
         companies: vec![],
         surplus_utility: 1.0,
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -44,6 +44,9 @@
     pub utility: f64,
     pub late_utility: f64,
     pub stream: bool,
+    /// The zones and the kinds where it may run, if not all.
+    pub only_zones: Option<Vec<usize>>,
+    pub only_kinds: Option<Vec<usize>>,
 }
 
 #[derive(Debug, Clone)]
@@ -58,6 +61,7 @@
     pub seed: u64,
     pub zone: usize,
     pub zones: Vec<String>,
+    pub kinds: Vec<String>, // those that verbs are bound to
     pub verbs: Vec<VerbOrder>,
     pub companies: Vec<CompanyOrder>,
     pub surplus_utility: f64,
@@ -85,6 +89,20 @@
     pub tip_after: Duration,
 }
 
+impl StandingOrders {
+    /// Has zones and kinds named by the indices that the doors give them, in place of their order here.
+    pub fn through(&mut self, zones: &mut door::Door<String>, kinds: &mut door::Door<String>) {
+        let zone_at: Vec<usize> = self.zones.iter().map(|zone| zones.admit(zone)).collect();
+        let kind_at: Vec<usize> = self.kinds.iter().map(|kind| kinds.admit(kind)).collect();
+        self.zone = zone_at.get(self.zone).copied().unwrap_or(usize::MAX);
+        for verb in &mut self.verbs {
+            for (only, at) in [(&mut verb.only_zones, &zone_at), (&mut verb.only_kinds, &kind_at)] {
+                only.iter_mut().flatten().for_each(|ix| *ix = at.get(*ix).copied().unwrap_or(usize::MAX));
+            }
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReportsHow {
     Piggyback,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -103,7 +103,8 @@
     pub served: Faded, // in time
     pub usual: Pace,   // seconds that an answer takes
     pub most_relays: usize,
-    pub retired: Option<Duration>, // no command comes with it since then
+    pub only: [Option<Vec<usize>>; 2], // zones and kinds where it may run, if not all
+    pub retired: Option<Duration>,     // no command comes with it since then
 }
 
 impl VerbDuty {
@@ -124,6 +125,7 @@
             served: Faded::default(),
             usual: Pace { mean: usual.as_secs_f64(), ..Pace::default() },
             most_relays,
+            only: [v.only_zones.clone(), v.only_kinds.clone()],
             retired: None,
         }
     }
@@ -134,7 +136,18 @@
         let numbers = |v: &VerbDuty| [v.stretch, v.utility, v.late_utility];
         self.name == other.name
             && (self.effect, self.group, self.most_relays) == (other.effect, other.group, other.most_relays)
-            && (times(self), numbers(self)) == (times(other), numbers(other))
+            && (times(self), numbers(self), &self.only) == (times(other), numbers(other), &other.only)
+    }
+
+    pub fn bound(&self) -> bool {
+        self.only.iter().any(Option::is_some)
+    }
+
+    /// Whether it may run there.
+    pub fn placed(&self, e: &Endpoint) -> bool {
+        let [zones, kinds] = &self.only;
+        zones.as_ref().is_none_or(|zones| zones.contains(&e.zone))
+            && kinds.as_ref().is_none_or(|kinds| kinds.contains(&e.kind))
     }
 
     /// Other orders for the same verb: what was seen of it holds, but for what clients give.
--- a/crates/passroad-choice/src/watch.rs
+++ b/crates/passroad-choice/src/watch.rs
@@ -141,6 +141,7 @@
             seed: 7,
             zone: 0,
             zones: vec!["z".into()],
+            kinds: vec![],
             verbs: vec![VerbOrder {
                 name: "look".into(),
                 effect: Effect::Pure,
@@ -152,6 +153,8 @@
                 utility: 1.0,
                 late_utility: 0.0,
                 stream: false,
+                only_zones: None,
+                only_kinds: None,
             }],
             companies: vec![],
             surplus_utility: 1.0,
--- a/crates/passroad-orders/src/lib.rs
+++ b/crates/passroad-orders/src/lib.rs
@@ -66,7 +66,7 @@
     }
 }
 
-fn verb(v: &Value) -> Result<VerbOrder, String> {
+fn verb(v: &Value, zones: &[String], own: &str, kinds: &mut Vec<String>) -> Result<VerbOrder, String> {
     let at = At(v);
     let name = at.word("/name", "")?;
     let effect = match at.word("/effect", "")?.as_str() {
@@ -84,6 +84,39 @@
     for path in ["/time_limit", "/response_goal"] {
         at.above_zero(path, 1.0).map_err(|fault| format!("{fault} (verb {name})"))?;
     }
+    let one_zone = at.flag("/own_zone", false)?;
+    let open = match (at.0.get("dcs_open").filter(|v| !v.is_null()), one_zone) {
+        (Some(_), true) => return Err(format!("settings: verb {name} has both /own_zone and /dcs_open")),
+        (Some(_), false) => Some(at.words("/dcs_open").map_err(|fault| format!("{fault} (verb {name})"))?),
+        (None, true) => Some(vec![own.to_string()]),
+        (None, false) => None,
+    };
+    let zone = |zone: &String| {
+        let place = if one_zone { "/own_zone" } else { "/dcs_open" };
+        let known = zones.iter().position(|z| z == zone);
+        known.ok_or_else(|| format!("settings: verb {name}: {place} names the unknown zone '{zone}'"))
+    };
+    let only_zones = open.map(|open| open.iter().map(zone).collect::<Result<Vec<_>, _>>()).transpose()?;
+    let bound = at.0.get("bound_to").filter(|v| !v.is_null());
+    let bound = bound.map(|_| at.words("/bound_to").map_err(|fault| format!("{fault} (verb {name})")));
+    for (place, empty) in [
+        ("/dcs_open", only_zones.as_ref().is_some_and(Vec::is_empty)),
+        (
+            "/bound_to",
+            matches!(&bound, Some(Ok(kinds)) if kinds.is_empty() || kinds.contains(&String::new())),
+        ),
+    ] {
+        if empty {
+            return Err(format!("settings: verb {name}: {place} names nothing, so it may run nowhere"));
+        }
+    }
+    let mut kind = |kind: &String| {
+        kinds.iter().position(|k| k == kind).unwrap_or_else(|| {
+            kinds.push(kind.clone());
+            kinds.len() - 1
+        })
+    };
+    let only_kinds = bound.transpose()?.map(|bound| bound.iter().map(&mut kind).collect());
     let limit = at.span("/time_limit", Duration::from_secs(1))?;
     Ok(VerbOrder {
         effect,
@@ -95,6 +128,8 @@
         utility: at.number("/utility", 1.0)?,
         late_utility: at.number("/late_utility", 0.0)?,
         stream: at.flag("/stream", false)?,
+        only_zones,
+        only_kinds,
         name,
     })
 }
@@ -115,7 +150,9 @@
         return Err("settings: not an object".into());
     }
     let at = At(value);
-    let verbs = at.items("/verbs")?.iter().map(verb).collect::<Result<Vec<_>, _>>()?;
+    let (zones, own, mut kinds) = (at.words("/dcs")?, at.word("/az", "")?, Vec::new());
+    let verbs = at.items("/verbs")?.iter().map(|v| verb(v, &zones, &own, &mut kinds));
+    let verbs = verbs.collect::<Result<Vec<_>, _>>()?;
     if verbs.is_empty() {
         return Err("settings: no verbs".into());
     }
@@ -128,8 +165,6 @@
         let at = At(t);
         Ok(CompanyOrder { name: at.word("/name", "")?, portion: at.number("/portion", 0.0)? })
     });
-    let zones = at.words("/dcs")?;
-    let own = at.word("/az", "")?;
     let weights = at.word("/weights", "silent")?;
     if !["silent", "nominal", "rough", "live"].contains(&weights.as_str()) {
         return Err(format!("settings: /weights is '{weights}', not silent, nominal, rough or live"));
@@ -138,6 +173,7 @@
         seed,
         zone: zones.iter().position(|z| *z == own).unwrap_or(usize::MAX),
         zones,
+        kinds,
         verbs,
         companies: companies.collect::<Result<Vec<_>, String>>()?,
         surplus_utility: at.number("/surplus_utility", 1.0)?,
@@ -172,3 +208,65 @@
         tip_multiple: at.number("/rules/tip_multiple", 1.0)?,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    fn orders(more: &str) -> Result<StandingOrders, String> {
+        read(
+            7,
+            &format!(
+                r#"{{"dcs":["a","b"],"az":"b","verbs":[{{"name":"look","effect":"read_like"}},
+                {{"name":"buy","effect":"non_idempotent"{more}}}]}}"#
+            ),
+        )
+    }
+
+    #[rstest]
+    #[case::nowhere_named("", None, None)]
+    #[case::zones(r#","dcs_open":["b"]"#, Some(vec![1]), None)]
+    #[case::own_zone(r#","own_zone":true"#, Some(vec![1]), None)]
+    #[case::kinds(r#","bound_to":["m","n"],"own_zone":false"#, None, Some(vec![0, 1]))]
+    fn the_places_of_a_verb_are_read(
+        #[case] more: &str,
+        #[case] zones: Option<Vec<usize>>,
+        #[case] kinds: Option<Vec<usize>>,
+    ) {
+        let verbs = orders(more).unwrap().verbs;
+        assert_eq!((&verbs[1].only_zones, &verbs[1].only_kinds), (&zones, &kinds));
+        assert_eq!((&verbs[0].only_zones, &verbs[0].only_kinds), (&None, &None));
+    }
+
+    #[rstest]
+    #[case::unknown_zone(r#","dcs_open":["c"]"#, "/dcs_open names the unknown zone 'c'")]
+    #[case::no_zone(r#","dcs_open":[]"#, "/dcs_open names nothing")]
+    #[case::no_kind(r#","bound_to":[]"#, "/bound_to names nothing")]
+    #[case::no_list(r#","bound_to":"m""#, "/bound_to is not a list")]
+    #[case::no_word(r#","bound_to":[3]"#, "is not a word")]
+    #[case::both(r#","dcs_open":["a"],"own_zone":true"#, "both /own_zone and /dcs_open")]
+    #[case::no_flag(r#","own_zone":"b""#, "/own_zone is not true or false")]
+    fn places_that_can_not_be_are_named(#[case] more: &str, #[case] what: &str) {
+        let fault = orders(more).unwrap_err();
+        assert!(fault.contains(what) && fault.contains("settings: "), "{fault}");
+    }
+
+    #[rstest]
+    fn doors_have_their_own_numbers() {
+        let (mut zones, mut kinds) = (passroad_choice::door::Door::new(), passroad_choice::door::Door::new());
+        ["b", "x"].iter().for_each(|name| {
+            zones.admit(&name.to_string());
+        });
+        ["k", "n"].iter().for_each(|name| {
+            kinds.admit(&name.to_string());
+        });
+        let mut orders = orders(r#","dcs_open":["a","b"],"bound_to":["m","n"]"#).unwrap();
+        orders.through(&mut zones, &mut kinds);
+        let verb = &orders.verbs[1];
+        assert_eq!(
+            (orders.zone, &verb.only_zones, &verb.only_kinds),
+            (0, &Some(vec![2, 0]), &Some(vec![2, 1]))
+        );
+    }
+}
--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -34,18 +34,16 @@
 }
 
 impl Instance {
-    pub fn new(orders: StandingOrders) -> Self {
-        let mut zones = Door::new();
-        for zone in &orders.zones {
-            zones.admit(zone);
-        }
+    pub fn new(mut orders: StandingOrders) -> Self {
+        let (mut zones, mut kinds) = (Door::new(), Door::new());
+        orders.through(&mut zones, &mut kinds);
         Instance {
             verbs: orders.verbs.iter().map(|v| v.name.clone()).collect(),
             companies: orders.companies.iter().map(|c| c.name.clone()).collect(),
             balancer: Balancer::new(orders),
             endpoints: Door::new(),
             commands: Door::new(),
-            kinds: Door::new(),
+            kinds,
             zones,
         }
     }
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -74,17 +74,16 @@
 
 impl Desk {
     pub fn new(
-        orders: StandingOrders,
-        watch: Option<StandingOrders>,
+        mut orders: StandingOrders,
+        mut watch: Option<StandingOrders>,
         routes: Option<RouteOrders>,
         dialer: Dialer,
         probe_within: Duration,
         calls: UnboundedSender<Call>,
     ) -> Arc<Self> {
-        let mut zones = Door::new();
-        orders.zones.iter().for_each(|zone| {
-            zones.admit(zone);
-        });
+        let (mut zones, mut kinds) = (Door::new(), Door::new());
+        orders.through(&mut zones, &mut kinds);
+        watch.iter_mut().for_each(|watch| watch.through(&mut zones, &mut kinds));
         Arc::new(Desk {
             serving: Handle::current(),
             began: Instant::now(),
@@ -107,7 +106,7 @@
                 links: Vec::new(),
                 told_used_up: None,
                 zones,
-                kinds: Door::new(),
+                kinds,
             }),
         })
     }
@@ -300,8 +299,9 @@
                     .into(),
             );
         }
-        // Zones keep the numbers that they have.
-        orders.zone = orders.zones.get(orders.zone).map_or(usize::MAX, |zone| held.zones.admit(zone));
+        // Zones and kinds keep the numbers that they have.
+        let Held { zones, kinds, .. } = &mut *held;
+        orders.through(zones, kinds);
         // Connections are kept as at the start.
         orders.idle_close = self.dialer.idle();
         held.reports = orders.reports;
