The sidecar's part in the fleet: membership, leases, duties and status, off without LB_FLEET

Without LB_FLEET no socket, thread or byte; where allowed.may_tell is not true it stays off and says so once. bound_to is checked against /kinds where the settings name them.

--- a/crates/passroad-lease/src/lib.rs
+++ b/crates/passroad-lease/src/lib.rs
@@ -328,6 +328,10 @@
         times.steady < self.mute_until && !planted!(self, never_mute)
     }
 
+    pub fn voters(&self) -> usize {
+        self.terms.voters
+    }
+
     pub fn votes(&self, duty: Duty) -> bool {
         self.candidates.get(&duty).is_some_and(|c| c.council.contains(&self.terms.me))
     }
--- a/crates/passroad-lease/src/voter.rs
+++ b/crates/passroad-lease/src/voter.rs
@@ -28,6 +28,10 @@
 }
 
 impl Vote {
+    pub fn promised(promised: Epoch, to: Member) -> Vote {
+        Vote { promised, to: Some(to), ..Vote::default() }
+    }
+
     pub(crate) fn live(&self, now: Duration) -> Option<Grant> {
         self.grant.filter(|grant| now < grant.until)
     }
--- a/crates/passroad-orders/src/lib.rs
+++ b/crates/passroad-orders/src/lib.rs
@@ -66,7 +66,13 @@
     }
 }
 
-fn verb(v: &Value, zones: &[String], own: &str, kinds: &mut Vec<String>) -> Result<VerbOrder, String> {
+fn verb(
+    v: &Value,
+    zones: &[String],
+    own: &str,
+    kinds: &mut Vec<String>,
+    known_kinds: &[String],
+) -> Result<VerbOrder, String> {
     let at = At(v);
     let name = at.word("/name", "")?;
     let effect = match at.word("/effect", "")?.as_str() {
@@ -116,6 +122,11 @@
             kinds.len() - 1
         })
     };
+    // Where the settings name all kinds, one that is not among them is a slip.
+    let unknown = |kind: &&String| !known_kinds.is_empty() && !known_kinds.contains(kind);
+    if let Some(kind) = bound.as_ref().and_then(|b| b.as_ref().ok()?.iter().find(unknown)) {
+        return Err(format!("settings: verb {name}: /bound_to names the unknown kind '{kind}'"));
+    }
     let only_kinds = bound.transpose()?.map(|bound| bound.iter().map(&mut kind).collect());
     let limit = at.span("/time_limit", Duration::from_secs(1))?;
     Ok(VerbOrder {
@@ -150,8 +161,9 @@
         return Err("settings: not an object".into());
     }
     let at = At(value);
+    let known = at.words("/kinds")?;
     let (zones, own, mut kinds) = (at.words("/dcs")?, at.word("/az", "")?, Vec::new());
-    let verbs = at.items("/verbs")?.iter().map(|v| verb(v, &zones, &own, &mut kinds));
+    let verbs = at.items("/verbs")?.iter().map(|v| verb(v, &zones, &own, &mut kinds, &known));
     let verbs = verbs.collect::<Result<Vec<_>, _>>()?;
     if verbs.is_empty() {
         return Err("settings: no verbs".into());
@@ -218,7 +230,7 @@
         read(
             7,
             &format!(
-                r#"{{"dcs":["a","b"],"az":"b","verbs":[{{"name":"look","effect":"read_like"}},
+                r#"{{"dcs":["a","b"],"az":"b","kinds":["k","m","n"],"verbs":[{{"name":"look","effect":"read_like"}},
                 {{"name":"buy","effect":"non_idempotent"{more}}}]}}"#
             ),
         )
@@ -241,6 +253,7 @@
 
     #[rstest]
     #[case::unknown_zone(r#","dcs_open":["c"]"#, "/dcs_open names the unknown zone 'c'")]
+    #[case::unknown_kind(r#","bound_to":["x"]"#, "/bound_to names the unknown kind 'x'")]
     #[case::no_zone(r#","dcs_open":[]"#, "/dcs_open names nothing")]
     #[case::no_kind(r#","bound_to":[]"#, "/bound_to names nothing")]
     #[case::no_list(r#","bound_to":"m""#, "/bound_to is not a list")]
--- /dev/null
+++ b/crates/passroad/src/fleet/mod.rs
@@ -0,0 +1,54 @@
+//! The sidecar's part in the fleet: one thread that owns the socket to the others, the timers of membership and leases,
+//! and the calls of duties that are owned here. The desk knows nothing of it; without a file nothing of it is there.
+
+mod calls;
+mod drops;
+mod kept;
+mod orders;
+mod status;
+mod talk;
+
+pub use orders::{FleetOrders, Place, read};
+pub use status::{Door, ask, table};
+
+use crate::stop::Stages;
+use std::time::Duration;
+
+/// For the address to come free: the process before this one gives it up when it stops.
+const ADDRESS_WITHIN: Duration = Duration::from_secs(60);
+const ADDRESS_EVERY: Duration = Duration::from_millis(20);
+
+/// Begins the sidecar's part, on a thread of its own, so that load on the front can't make it late. None where the
+/// settings forbid talk between sidecars.
+pub fn begin(orders: FleetOrders, place: Place, stages: Stages) -> Result<Option<Door>, String> {
+    if !place.may_talk {
+        log::info!("fleet: off, as the settings forbid talk between sidecars (allowed.may_tell)");
+        return Ok(None);
+    }
+    let fault = |e: std::io::Error| format!("fleet: {e}");
+    let kept = orders.state.as_deref().map(|path| kept::Kept::open(path, &place.name)).transpose()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(fault)?;
+    let (door, asked) = status::door();
+    let (listen, members, voters, lease) = (place.listen, place.peers.len(), orders.voters, orders.lease);
+    let memory = if kept.is_some() { "a state file" } else { "no state file" };
+    let serve = move || {
+        runtime.block_on(async move {
+            let began = tokio::time::Instant::now();
+            let socket = loop {
+                match tokio::net::UdpSocket::bind(place.listen).await {
+                    Ok(socket) => break socket,
+                    Err(fault) if began.elapsed() > ADDRESS_WITHIN => {
+                        return log::error!("fleet: off: {}: {fault}", place.listen);
+                    }
+                    Err(_) => tokio::time::sleep(ADDRESS_EVERY).await,
+                }
+            };
+            talk::Talk::new(orders, place, kept, socket).run(asked, stages).await;
+        });
+    };
+    std::thread::Builder::new().name("fleet".into()).spawn(serve).map_err(fault)?;
+    log::info!(
+        "fleet: one of {members} sidecars, at {listen}; {voters} voters a duty, leases of {lease:?}, {memory}"
+    );
+    Ok(Some(door))
+}
--- /dev/null
+++ b/crates/passroad/src/fleet/status.rs
@@ -0,0 +1,92 @@
+//! What operators are told of the fleet: asked for at their door, answered by the fleet's thread.
+
+use serde_json::Value;
+use std::fmt::Write as _;
+use std::io::{Read, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+const ANSWER_WITHIN: Duration = Duration::from_millis(800);
+const CALL_WITHIN: Duration = Duration::from_secs(3);
+const LONGEST: u64 = 4 << 20;
+
+pub type Asked = mpsc::UnboundedReceiver<oneshot::Sender<Value>>;
+
+#[derive(Clone)]
+pub struct Door(mpsc::UnboundedSender<oneshot::Sender<Value>>);
+
+pub fn door() -> (Door, Asked) {
+    let (door, asked) = mpsc::unbounded_channel();
+    (Door(door), asked)
+}
+
+impl Door {
+    /// None where the fleet's thread has ended or is too busy.
+    pub async fn status(&self) -> Option<Value> {
+        let (tell, told) = oneshot::channel();
+        self.0.send(tell).ok()?;
+        tokio::time::timeout(ANSWER_WITHIN, told).await.ok()?.ok()
+    }
+}
+
+/// Asks a running sidecar at its operators' door.
+pub fn ask(door: SocketAddr) -> Result<Value, String> {
+    let fault = |e: std::io::Error| format!("{door}: {e}");
+    let mut to = TcpStream::connect_timeout(&door, CALL_WITHIN).map_err(fault)?;
+    to.set_read_timeout(Some(CALL_WITHIN)).map_err(fault)?;
+    write!(to, "GET /admin/fleet HTTP/1.1\r\nHost: {door}\r\nConnection: close\r\n\r\n").map_err(fault)?;
+    let mut bytes = Vec::new();
+    to.take(LONGEST).read_to_end(&mut bytes).map_err(fault)?;
+    let mut room = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Response::new(&mut room);
+    let length = match head.parse(&bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        _ => return Err(format!("{door}: no answer that can be read")),
+    };
+    let said: Value = serde_json::from_slice(&bytes[length..]).map_err(|e| format!("{door}: {e}"))?;
+    match head.code {
+        Some(200) => Ok(said),
+        _ => Err(format!("{door}: {}", said["error"].as_str().unwrap_or("it said no"))),
+    }
+}
+
+/// For people.
+pub fn table(said: &Value) -> String {
+    let mut text = String::new();
+    let number = |v: &Value| v.as_u64().unwrap_or_default();
+    let members = said["members"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let count = |word: &str| members.iter().filter(|m| m["standing"] == word).count();
+    let _ = writeln!(
+        text,
+        "sidecar {} of {}: {} here, {} in doubt, {} gone{}",
+        number(&said["me"]),
+        members.len(),
+        count("here"),
+        count("doubt"),
+        count("gone"),
+        if said["mute"] == true { "; mute as a voter" } else { "" }
+    );
+    let _ = writeln!(text, "{:<16} {:>7} {:>15} {:>8}  voters", "duty", "owner", "epoch", "left ms");
+    for duty in said["duties"].as_array().into_iter().flatten() {
+        let owner = duty["owner"].as_u64().map_or("none".into(), |n| n.to_string());
+        let left = duty["left_ms"].as_u64().map_or("-".into(), |n| n.to_string());
+        let voters: Vec<String> =
+            duty["voters"].as_array().into_iter().flatten().map(|v| number(v).to_string()).collect();
+        let name = duty["name"].as_str().unwrap_or_default();
+        let _ = writeln!(
+            text,
+            "{name:<16} {owner:>7} {:>15} {left:>8}  {}",
+            number(&duty["epoch"]),
+            voters.join(" ")
+        );
+    }
+    for word in ["doubt", "gone"] {
+        let those = members.iter().filter(|m| m["standing"] == word).map(|m| number(&m["n"]).to_string());
+        let those: Vec<String> = those.collect();
+        if !those.is_empty() {
+            let _ = writeln!(text, "{word}: {}", those.join(" "));
+        }
+    }
+    text
+}
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod command;
 mod desk;
+mod fleet;
 mod frame;
 mod front;
 mod handover;
@@ -44,6 +45,11 @@
         #[arg(long, value_enum, default_value_t)]
         log_format: LogFormat,
     },
+    /// Ask a running sidecar what it knows of the fleet.
+    Fleet {
+        #[command(subcommand)]
+        what: FleetWhat,
+    },
     /// Read configuration and routes, and say what is wrong with them: 0 if nothing is, 2 if something is.
     Check {
         #[command(flatten)]
@@ -60,6 +66,22 @@
     /// The routes; else the file that LB_ROUTES names, if any.
     #[arg(long, value_name = "FILE")]
     pub routes: Option<PathBuf>,
+    /// The fleet's file; else the file that LB_FLEET names, if any.
+    #[arg(long, value_name = "FILE")]
+    pub fleet: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum FleetWhat {
+    /// Who is here, in doubt or gone, and who owns what by which epoch.
+    Status {
+        /// The sidecar's operators' door; else LB_MANAGEMENT.
+        #[arg(long, value_name = "ADDRESS")]
+        door: Option<std::net::SocketAddr>,
+        /// All that is known, as JSON.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 #[derive(clap::ValueEnum, Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -76,6 +98,7 @@
     match Told::parse().what {
         None => main(),
         Some(What::Run { files, log_format }) => sidecar(files, log_format),
+        Some(What::Fleet { what: FleetWhat::Status { door, json } }) => ended(fleet_status(door, json)),
         Some(What::Check { files }) => ended(start::check(&files).map(|said| println!("{said}"))),
     }
 }
@@ -93,6 +116,18 @@
     }))
 }
 
+fn fleet_status(door: Option<std::net::SocketAddr>, json: bool) -> Result<(), String> {
+    let named = || std::env::var("LB_MANAGEMENT").ok().filter(|text| !text.is_empty());
+    let door = match (door, named()) {
+        (Some(door), _) => door,
+        (None, Some(text)) => text.parse().map_err(|e| format!("LB_MANAGEMENT: {e}"))?,
+        (None, None) => return Err("no door: --door and LB_MANAGEMENT are not set".into()),
+    };
+    let said = fleet::ask(door)?;
+    print!("{}", if json { format!("{said}\n") } else { fleet::table(&said) });
+    Ok(())
+}
+
 fn ended(how: Result<(), String>) -> ExitCode {
     match how {
         Ok(()) => ExitCode::SUCCESS,
@@ -167,6 +202,10 @@
         }
     };
     tokio::spawn(start::read_again(files, hangups, kept, retune));
+    let fleet = match start.fleet {
+        Some((orders, place)) => fleet::begin(orders, place, stages.clone())?,
+        None => None,
+    };
     let front = front::Front::new(most_in, start.sockets / 6, stages.clone());
     if let Some(door) = door {
         if before.is_some() {
@@ -176,7 +215,7 @@
         let (front, intake) = (Arc::clone(&front), Arc::clone(&intake));
         let room = Box::new(room::Room { limits, front, dialer, intake, held_back });
         let handover = handover::Handover::new(Arc::clone(&desk), claims, stages.clone(), socket, room)?;
-        management::open(door, handover, place.map(|place| (before, place)), stages)?;
+        management::open(door, handover, place.map(|place| (before, place)), fleet, stages)?;
     }
     front::serve(listener, front, intake, paces).await;
     desk.say_watch();
--- a/crates/passroad/src/management.rs
+++ b/crates/passroad/src/management.rs
@@ -1,5 +1,6 @@
 //! The operators' door: an address of its own, served by a thread of its own, so that a busy front can't hold it up.
 
+use crate::fleet;
 use crate::handover::{Handover, Inherited};
 use crate::stop::{Stage, Stages};
 use axum::Router;
@@ -33,6 +34,7 @@
 #[derive(Clone)]
 struct Door {
     handover: Arc<Handover>,
+    fleet: Option<fleet::Door>,
     stages: Stages,
 }
 
@@ -59,6 +61,7 @@
     listener: std::net::TcpListener,
     handover: Arc<Handover>,
     upgrade: Option<(Option<Inherited>, PathBuf)>,
+    fleet: Option<fleet::Door>,
     stages: Stages,
 ) -> Result<(), String> {
     let fault = |e: std::io::Error| format!("management: {e}");
@@ -70,7 +73,7 @@
                 tokio::spawn(Arc::clone(&handover).serve(before, place));
             }
             match TcpListener::from_std(listener) {
-                Ok(listener) => serve(listener, router(Door { handover, stages })).await,
+                Ok(listener) => serve(listener, router(Door { handover, fleet, stages })).await,
                 Err(fault) => log::error!("management: {fault}"),
             }
         });
@@ -83,6 +86,7 @@
 fn router(door: Door) -> Router {
     Router::new()
         .route("/admin/health", get(health))
+        .route("/admin/fleet", get(fleet_status))
         .route("/admin/cordon", post(|door, body| turn(door, body, true)))
         .route("/admin/uncordon", post(|door, body| turn(door, body, false)))
         .method_not_allowed_fallback(async || said(StatusCode::METHOD_NOT_ALLOWED, "not by this method"))
@@ -97,6 +101,20 @@
     }
 }
 
+async fn fleet_status(State(door): State<Door>) -> Response {
+    let Some(fleet) = door.fleet else {
+        return said(StatusCode::NOT_FOUND, "this sidecar has no fleet's file, or may not talk to others");
+    };
+    match fleet.status().await {
+        Some(status) => {
+            let json = (header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            let close = (header::CONNECTION, HeaderValue::from_static("close"));
+            (StatusCode::OK, [json, close], format!("{status}\n")).into_response()
+        }
+        None => said(StatusCode::SERVICE_UNAVAILABLE, "the fleet's part has ended or is too busy"),
+    }
+}
+
 async fn turn(State(door): State<Door>, body: Body, out: bool) -> Response {
     let Ok(body) = to_bytes(body, LONGEST_BODY).await else {
         return said(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or breaks off");
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -1,6 +1,7 @@
 //! What a sidecar is told at its start, and anew on SIGHUP.
 
 use crate::Files;
+use crate::fleet;
 use crate::list::List;
 use passroad_choice::StandingOrders;
 use passroad_routes::RouteOrders;
@@ -28,6 +29,8 @@
     pub connect_within: Duration,
     /// Which pool serves what, where a file says so.
     pub routes: Option<RouteOrders>,
+    /// Its part in the fleet, where a file asks for one.
+    pub fleet: Option<(fleet::FleetOrders, fleet::Place)>,
     /// The whole file.
     told: serde_json::Value,
 }
@@ -113,6 +116,11 @@
     if let Some(path) = named(&files.routes, "LB_ROUTES") {
         start.routes = Some(read_routes(&path, &start.orders)?);
     }
+    if let Some(path) = named(&files.fleet, "LB_FLEET") {
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let orders = fleet::read(&text).map_err(|wrong| format!("{}: {wrong}", path.display()))?;
+        start.fleet = Some((orders, fleet::Place::of(&start.name, &start.told)?));
+    }
     Ok(start)
 }
 
@@ -125,8 +133,18 @@
         Some(routes) => format!("{} routes to {} pools", routes.routes.len(), routes.pools.len()),
         None => "no routes".into(),
     };
+    let fleet = match &start.fleet {
+        Some((orders, place)) if place.may_talk => {
+            format!(", {} duties among {} sidecars", orders.duties.len(), place.peers.len())
+        }
+        Some(_) => ", a fleet's file but no leave to talk".into(),
+        None => String::new(),
+    };
     let door = start.management.map_or_else(String::new, |at| format!(", operators at {at}"));
-    Ok(format!("{}: {verbs} verbs, {zones} zones, {routes}{door}{watch}: nothing is wrong", start.name))
+    Ok(format!(
+        "{}: {verbs} verbs, {zones} zones, {routes}{fleet}{door}{watch}: nothing is wrong",
+        start.name
+    ))
 }
 
 /// Reads the file of routes that `LB_ROUTES` names, against the settings that it is to work with.
@@ -282,6 +300,7 @@
         connect_within: passroad_orders::connect_within(&told.settings)?,
         orders: passroad_orders::from_value(seed, &told.settings)?,
         routes: None,
+        fleet: None,
         name: told.name.or_else(|| variable("LB_NAME")).unwrap_or_else(|| "passroad".into()),
         told: whole,
     })
