--- a/crates/passroad/src/fleet/calls.rs
+++ b/crates/passroad/src/fleet/calls.rs
@@ -1,6 +1,7 @@
 //! The calls of duties: at most one out for each, by the epoch that is owned, ended before the lease is.
 
 use super::orders::DutyOrder;
+use super::part::Came;
 use crate::body::Load;
 use crate::relay::{Client, Dialer};
 use hyper::{Request, StatusCode};
@@ -8,26 +9,15 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 const CONNECT: Duration = Duration::from_secs(2);
 const IDLE: Duration = Duration::from_secs(10);
 const SOCKETS: usize = 8;
 
-/// What became of a call.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Came {
-    Done,
-    /// A higher epoch is known there.
-    Stale(Epoch),
-    /// It may have been done, or may yet.
-    Open(String),
-}
-
 pub struct Calls {
     client: Client,
     out: Vec<Option<AbortHandle>>,
-    next: Vec<Instant>,
     done: mpsc::UnboundedSender<(usize, Epoch, Came)>,
 }
 
@@ -35,13 +25,8 @@
     pub fn new(duties: usize) -> (Calls, mpsc::UnboundedReceiver<(usize, Epoch, Came)>) {
         let (done, came) = mpsc::unbounded_channel();
         let client = Dialer::new(CONNECT, IDLE, SOCKETS).unbounded().client();
-        let (out, next) = ((0..duties).map(|_| None).collect(), vec![Instant::now(); duties]);
-        (Calls { client, out, next, done }, came)
-    }
-
-    /// When the next call of a duty may begin; none while one is out.
-    pub fn due(&self, duty: usize) -> Option<Instant> {
-        self.out[duty].is_none().then_some(self.next[duty])
+        let out = (0..duties).map(|_| None).collect();
+        (Calls { client, out, done }, came)
     }
 
     pub fn begin(&mut self, n: usize, duty: &DutyOrder, epoch: Epoch, me: u16, within: Duration) {
@@ -59,7 +44,6 @@
             };
             let _ = done.send((n, epoch, came.unwrap_or_else(|_| Came::Open("no answer in time".into()))));
         };
-        self.next[n] = Instant::now() + duty.every;
         self.out[n] = Some(tokio::spawn(call).abort_handle());
     }
 
@@ -73,10 +57,6 @@
             out.abort();
         }
     }
-
-    pub fn any_out(&self) -> bool {
-        self.out.iter().any(Option::is_some)
-    }
 }
 
 async fn exchange(client: &Client, request: Request<Load>) -> Came {
--- a/crates/passroad/src/fleet/kept.rs
+++ b/crates/passroad/src/fleet/kept.rs
@@ -92,8 +92,9 @@
         #[case] turn: fn(&mut Vec<u8>),
         #[case] what: &str,
     ) {
-        let folder =
-            std::env::temp_dir().join(format!("passroad-kept-{}-{name}-{}", std::process::id(), what.len()));
+        static COUNT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+        let count = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("passroad-kept-{}-{count}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let path = folder.join("state");
         let mut kept = Kept::open(&path, "n1").unwrap();
--- a/crates/passroad/src/fleet/mod.rs
+++ b/crates/passroad/src/fleet/mod.rs
@@ -5,10 +5,11 @@
 mod drops;
 mod kept;
 mod orders;
+pub mod part;
 mod status;
 mod talk;
 
-pub use orders::{FleetOrders, Place, read};
+pub use orders::{DutyOrder, FleetOrders, Place, read};
 pub use status::{Door, ask, table};
 
 use crate::stop::Stages;
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -5,7 +5,7 @@
 mod claims;
 mod command;
 mod desk;
-mod fleet;
+pub mod fleet;
 mod frame;
 mod front;
 mod handover;
