--- a/crates/passroad-rig/src/lib.rs
+++ b/crates/passroad-rig/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod chance;
 pub mod compare;
 pub mod experiment;
+pub mod fleet;
 pub mod html;
 pub mod ledger;
 pub mod load;
