--- a/crates/passroad-rig/src/experiment.rs
+++ b/crates/passroad-rig/src/experiment.rs
@@ -1,6 +1,7 @@
 //! An experiment as its file tells it, checked, and turned into the plan of a day. Nothing is guessed: an unknown key,
 //! an unknown name or a value without its unit is an error that names line and key.
 
+use crate::fleet::{DutyPlan, FleetFault, FleetPlan, What, Whom};
 use crate::model::{Make, Turn};
 use passroad_units::{Share, Time, Wrong, line_of};
 use serde::Deserialize;
@@ -37,6 +38,8 @@
     #[serde(default)]
     goal: Goal,
     #[serde(default)]
+    peers: Option<Spanned<Peers>>,
+    #[serde(default)]
     fault: Vec<Spanned<Fault>>,
     #[serde(default)]
     hold: Vec<Spanned<Hold>>,
@@ -57,6 +60,8 @@
 #[serde(rename_all = "lowercase")]
 pub enum Sockets {
     Needed,
+    /// Where nothing else is asked for.
+    First,
     Never,
 }
 
@@ -301,6 +306,52 @@
     }
 }
 
+/// Sidecars that talk, and what one of them is to do at a time.
+#[derive(Deserialize, Debug)]
+#[serde(deny_unknown_fields)]
+struct Peers {
+    lease: Time,
+    #[serde(default = "period")]
+    period: Time,
+    #[serde(default = "five")]
+    voters: usize,
+    #[serde(default)]
+    state: bool,
+    #[serde(default = "yes")]
+    fence: bool,
+    duty: Vec<PeerDuty>,
+}
+
+fn period() -> Time {
+    Time(Duration::from_secs(1))
+}
+
+#[derive(Deserialize, Debug)]
+#[serde(deny_unknown_fields)]
+struct PeerDuty {
+    name: String,
+    every: Time,
+    within: Time,
+    #[serde(default)]
+    work: Time,
+}
+
+/// Whom a fault is to hit, where that is known only when it comes.
+#[derive(Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+enum Told {
+    Owner,
+    Minority,
+    Voters,
+}
+
+#[derive(Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+enum OneWay {
+    Out,
+    Back,
+}
+
 #[derive(Deserialize, Debug, Clone)]
 #[serde(deny_unknown_fields)]
 struct Fault {
@@ -328,6 +379,16 @@
     repeat: Option<usize>,
     #[serde(default)]
     relays: Option<usize>,
+    #[serde(default)]
+    whom: Option<Told>,
+    #[serde(default)]
+    from: Option<Vec<usize>>,
+    #[serde(default)]
+    to: Option<Vec<usize>>,
+    #[serde(default)]
+    one_way: Option<OneWay>,
+    #[serde(default)]
+    spread: Option<Time>,
 }
 
 #[derive(Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
@@ -353,6 +414,13 @@
     SidecarReload,
     SidecarUpgrade,
     SidecarRetune,
+    SidecarPause,
+    PeersCut,
+    PeersLose,
+    PeersLate,
+    PeersTwice,
+    PeersKeep,
+    ActsKeep,
 }
 
 #[derive(Deserialize, Debug)]
@@ -411,6 +479,26 @@
     Swing,
     /// Commands that the endpoints of a zone hold, for each core.
     Load,
+    /// Most epochs of a duty whose accepted acts lie between each other's.
+    OwnersAtOnce,
+    /// Most that took themselves for the owner at once; seen in virtual time only.
+    Believers,
+    /// Acts accepted by a lower epoch than one before, or by another's.
+    StaleActs,
+    /// Acts refused.
+    StaleTries,
+    /// Longest time with no accepted act of some duty, in seconds.
+    Unowned,
+    /// Accepted acts.
+    Acts,
+    /// Epochs by which acts were accepted.
+    Owners,
+    /// Datagrams a second of the sidecar that sent most.
+    PeerDatagrams,
+    /// Doubts that the sidecars raised.
+    Doubts,
+    /// What the faults between sidecars hit.
+    Hits,
 }
 
 // ---- the plan ----
@@ -515,6 +603,8 @@
     pub changes: Vec<(Duration, Change)>,
     pub holds: Vec<HoldPlan>,
     pub policies: Vec<String>,
+    /// Sidecars that talk, where the experiment has some.
+    pub fleet: Option<FleetPlan>,
     /// A file of routes, for the policy that has them.
     pub routes: Option<String>,
     reports: Reports,
@@ -604,7 +694,9 @@
                 .wrong(&top("per_second"), format!("load: {per_second:.0} commands a second are too many"));
         }
         let (mut changes, length) = (Vec::new(), told.length.0);
-        for fault in &told.fault {
+        let fleet = self.fleet(&told)?;
+        let talks = |fault: &Fault| fleet.is_some() && of_fleet(fault.kind);
+        for fault in told.fault.iter().filter(|fault| !talks(fault.get_ref())) {
             let n = changes.len();
             self.changes(fault, &told, &endpoints, &zones, &verbs, &mut changes)?;
             if changes[n..].iter().any(|(at, _)| *at > length * 2) {
@@ -680,7 +772,7 @@
                 "max_relays": a.relays, "may_cancel": a.recall, "probes": a.probes,
                 "second_copies": a.second_copies, "retry_after": !a.retry_after.0.is_zero(),
                 "max_retry_after": ns(a.retry_after), "connect_timeout": ns(a.connect),
-                "idle_close": ns(a.idle_close), "streams_per_conn": 1,
+                "idle_close": ns(a.idle_close), "streams_per_conn": 1, "may_tell": told.peers.is_some(),
             }),
             prices: json!({
                 "probe": a.probe_price, "cross_zone": a.cross_zone_price, "handshake": a.handshake_price,
@@ -693,6 +785,7 @@
             goal: json!({ "whole": told.goal.whole, "worst_class": told.goal.worst_verb }),
             about: told.about,
             routes: told.routes.as_ref().map(|r| r.get_ref().clone()),
+            fleet,
             zones,
             endpoints,
             verbs,
@@ -708,6 +801,118 @@
         Ok(plan)
     }
 
+    /// Sidecars that talk, and the faults between them.
+    fn fleet(&self, told: &Text) -> Result<Option<FleetPlan>, Wrong> {
+        let Some(spanned) = &told.peers else {
+            let alone = |fault: &&Spanned<Fault>| {
+                of_fleet(fault.get_ref().kind) && !of_processes(fault.get_ref().kind)
+                    || fault.get_ref().whom.is_some()
+            };
+            return match told.fault.iter().find(alone) {
+                Some(fault) => self.wrong(&fault.span(), "fault: needs sidecars that talk, [peers]"),
+                None => Ok(None),
+            };
+        };
+        let (peers, place) = (spanned.get_ref(), spanned.span());
+        if peers.duty.is_empty() || peers.lease.0 < Duration::from_millis(200) {
+            return self.wrong(&place, "peers: a duty, and a lease of 200ms at least");
+        }
+        if peers.voters.is_multiple_of(2) || peers.voters > 7 {
+            return self.wrong(&place, "peers: voters is 1, 3, 5 or 7");
+        }
+        let most = peers.lease.0.mul_f64(0.95 * 2.0 / 3.0) - peers.lease.0 / 20;
+        if let Some(duty) =
+            peers.duty.iter().find(|d| d.within.0.is_zero() || d.within.0 > most || d.work > d.within)
+        {
+            return self.wrong(&place, format!("peers: within of {}: from its work to {most:?}", duty.name));
+        }
+        let duties = peers.duty.iter().map(|d| DutyPlan {
+            name: d.name.clone(),
+            every: d.every.0,
+            within: d.within.0,
+            work: d.work.0,
+        });
+        let mut faults = Vec::new();
+        for fault in told.fault.iter().filter(|fault| of_fleet(fault.get_ref().kind)) {
+            let (f, place) = (fault.get_ref(), fault.span());
+            for (key, list) in [("instances", &f.instances), ("from", &f.from), ("to", &f.to)] {
+                if let Some(n) = list.iter().flatten().find(|n| **n >= told.instances) {
+                    return self.wrong(
+                        &place,
+                        format!("{key}: there is no {n}, the last is {}", told.instances - 1),
+                    );
+                }
+            }
+            let name = format!("{:?}", f.kind);
+            let between = name.starts_with("Peers");
+            if f.instances.is_some() && between || !between && (f.from.is_some() || f.to.is_some()) {
+                return self
+                    .wrong(&place, "fault: between sidecars by from and to, of sidecars by instances");
+            }
+            if f.whom.is_some() && (f.instances.is_some() || f.from.is_some()) {
+                return self.wrong(&place, "fault: whom beside a list of the same");
+            }
+            let need = |share: Option<Share>| match share {
+                Some(share) => Ok(share.0),
+                None => self.wrong(&place, "fault: share is missing"),
+            };
+            let what = match f.kind {
+                Kinds::PeersCut => {
+                    What::Cut { out: f.one_way != Some(OneWay::Back), back: f.one_way != Some(OneWay::Out) }
+                }
+                Kinds::PeersLose => What::Lose(need(f.share)?),
+                Kinds::PeersTwice => What::Twice(need(f.share)?),
+                Kinds::PeersLate => match f.by {
+                    Some(by) => What::Late { by: by.0, spread: f.spread.unwrap_or_default().0 },
+                    None => return self.wrong(&place, "fault peers-late: by is missing"),
+                },
+                Kinds::PeersKeep => What::Keep,
+                Kinds::SidecarPause => What::Pause,
+                Kinds::SidecarKill => What::Kill,
+                Kinds::SidecarStop => What::Stop,
+                _ => What::ActsKeep,
+            };
+            if f.one_way.is_some() && f.kind != Kinds::PeersCut {
+                return self.wrong(&place, "one_way: of peers-cut only");
+            }
+            let ends = matches!(what, What::Pause | What::Keep | What::ActsKeep);
+            if ends && f.lasts.is_none() {
+                return self.wrong(&place, "fault: for is missing; what is stopped or kept has to end");
+            }
+            let whom = match (f.whom, f.instances.clone().or(f.from.clone())) {
+                (Some(Told::Owner), _) => Whom::Owner,
+                (Some(Told::Minority), _) => Whom::Minority,
+                (Some(Told::Voters), _) => Whom::Voters,
+                (None, list) => Whom::These(list.unwrap_or_else(|| (0..told.instances).collect())),
+            };
+            let every = f.every.map_or(Duration::ZERO, |t| t.0);
+            for round in 0..f.repeat.unwrap_or(1).clamp(1, 1000) {
+                // One after the other, where all are to be replaced in turn.
+                let all: Vec<Whom> = match (&whom, f.repeat) {
+                    (Whom::These(list), None) if !every.is_zero() => {
+                        list.iter().map(|n| Whom::These(vec![*n])).collect()
+                    }
+                    _ => vec![whom.clone()],
+                };
+                for (n, whom) in all.into_iter().enumerate() {
+                    let from = f.at.0 + every * (round + n) as u32;
+                    let to = f.lasts.map(|span| from + span.0);
+                    faults.push(FleetFault { from, to, whom, others: f.to.clone(), what });
+                }
+            }
+        }
+        faults.sort_by_key(|fault| fault.from);
+        Ok(Some(FleetPlan {
+            lease: peers.lease.0,
+            period: peers.period.0,
+            voters: peers.voters,
+            state: peers.state,
+            duties: duties.collect(),
+            faults,
+            fence: peers.fence,
+        }))
+    }
+
     fn endpoints(&self, fleet: &Fleet, kinds: &[String]) -> Result<(Vec<String>, Vec<EndpointPlan>), Wrong> {
         let (mut zones, mut endpoints) = (Vec::<String>::new(), Vec::new());
         for spanned in &fleet.group {
@@ -932,6 +1137,22 @@
         if h.at_least.is_none() && h.at_most.is_none() {
             return self.wrong(&place, "hold: at_least or at_most is missing; without either it can't fail");
         }
+        let talks = matches!(
+            h.metric,
+            Metric::OwnersAtOnce
+                | Metric::Believers
+                | Metric::StaleActs
+                | Metric::StaleTries
+                | Metric::Unowned
+                | Metric::Acts
+                | Metric::Owners
+                | Metric::PeerDatagrams
+                | Metric::Doubts
+                | Metric::Hits
+        );
+        if talks && told.peers.is_none() {
+            return self.wrong(&place, "hold: a metric of sidecars that talk, and there are no [peers]");
+        }
         let of_zone = matches!(h.metric, Metric::Share | Metric::Returns | Metric::Swing | Metric::Load);
         if of_zone != zone.is_some() {
             return self
@@ -969,7 +1190,30 @@
     }
 }
 
+/// Faults between sidecars that talk, or of the processes of those.
+fn of_fleet(kind: Kinds) -> bool {
+    matches!(
+        kind,
+        Kinds::SidecarPause
+            | Kinds::PeersCut
+            | Kinds::PeersLose
+            | Kinds::PeersLate
+            | Kinds::PeersTwice
+            | Kinds::PeersKeep
+            | Kinds::ActsKeep
+    ) || of_processes(kind)
+}
+
+fn of_processes(kind: Kinds) -> bool {
+    matches!(kind, Kinds::SidecarKill | Kinds::SidecarStop)
+}
+
 impl Plan {
+    /// How long after the plan's end the last answers may come.
+    pub fn tail(&self) -> Duration {
+        self.verbs.iter().map(|v| v.limit).max().unwrap_or_default()
+    }
+
     /// The settings object that a sidecar in a zone is given.
     pub fn settings(&self, zone: usize) -> serde_json::Value {
         let ns = |time: Duration| time.as_nanos() as u64;
--- a/crates/passroad-rig/src/fleet/histories.rs
+++ b/crates/passroad-rig/src/fleet/histories.rs
@@ -92,8 +92,8 @@
 
 /// What has to hold in every history.
 pub fn judge(day: &FleetDay) -> Result<(), String> {
-    if day.believers > 1 {
-        return Err(format!("{} took themselves for the owner at once", day.believers));
+    if let Some(believers) = day.believers.filter(|n| *n > 1) {
+        return Err(format!("{believers} took themselves for the owner at once"));
     }
     if day.stale_acts() > 0 || day.owners_at_once() > 1 {
         return Err(format!("{} acts of an old owner were obeyed", day.stale_acts()));
--- a/crates/passroad-rig/src/fleet/mod.rs
+++ b/crates/passroad-rig/src/fleet/mod.rs
@@ -126,6 +126,17 @@
     pub accepted: bool,
 }
 
+/// One ownership, as the resource saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reign {
+    pub duty: usize,
+    pub epoch: u64,
+    pub owner: usize,
+    pub first: Duration,
+    pub last: Duration,
+    pub acts: usize,
+}
+
 /// What is known of a day of sidecars that talk.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct FleetDay {
@@ -134,7 +145,7 @@
     pub longest: usize,      // bytes of a datagram
     pub seconds: f64,
     /// Most that took themselves for the owner of a duty at the same time; seen in virtual time only.
-    pub believers: usize,
+    pub believers: Option<usize>,
     pub doubts: u64,
     pub refuted: u64,
     pub hits: usize, // what faults did: datagrams lost, kept, doubled or late, processes stopped
@@ -206,6 +217,26 @@
         self.datagrams.iter().copied().max().unwrap_or(0) as f64 / self.seconds.max(1e-9)
     }
 
+    /// Who owned what, in order of the first act: duty, epoch, owner, first and last accepted act, how many.
+    pub fn reigns(&self) -> Vec<Reign> {
+        let mut reigns: Vec<Reign> = Vec::new();
+        for act in self.acts.iter().filter(|a| a.accepted) {
+            let same = |r: &&mut Reign| (r.duty, r.epoch, r.owner) == (act.duty, act.epoch, act.owner);
+            match reigns.iter_mut().find(same) {
+                Some(reign) => (reign.last, reign.acts) = (act.at, reign.acts + 1),
+                None => reigns.push(Reign {
+                    duty: act.duty,
+                    epoch: act.epoch,
+                    owner: act.owner,
+                    first: act.at,
+                    last: act.at,
+                    acts: 1,
+                }),
+            }
+        }
+        reigns
+    }
+
     pub fn owners(&self) -> usize {
         let mut epochs: Vec<_> = self.acts.iter().filter(|a| a.accepted).map(|a| (a.duty, a.epoch)).collect();
         epochs.sort_unstable();
--- a/crates/passroad-rig/src/fleet/world.rs
+++ b/crates/passroad-rig/src/fleet/world.rs
@@ -265,7 +265,7 @@
                 believers += usize::from(still);
             }
         }
-        self.day.believers = self.day.believers.max(believers);
+        self.day.believers = self.day.believers.max(Some(believers));
     }
 
     fn carry_out(&mut self, node: usize, todo: Vec<Do>) {
--- a/crates/passroad-rig/src/main.rs
+++ b/crates/passroad-rig/src/main.rs
@@ -72,6 +72,19 @@
     },
     /// Print the configuration that a sidecar gets in an experiment, as a sample of one.
     Sample { file: Option<PathBuf> },
+    /// Play histories of sidecars that talk, drawn at random, in simulated time, and say whether any breaks a promise.
+    Histories {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        #[arg(long, default_value_t = 1000)]
+        count: u64,
+        #[arg(long, default_value_t = 4)]
+        threads: usize,
+        /// Take the fence at the resource out, to see what it is for.
+        #[arg(long)]
+        no_fence: bool,
+    },
     /// Run the sidecar itself, as the rig does on sockets; it reads LB_CONFIG and ends with its standard input.
     #[command(hide = true)]
     Sidecar,
@@ -158,6 +171,8 @@
 fn main() -> ExitCode {
     let told = Told::parse();
     if matches!(told.what, What::Sidecar) {
+        // Also one that is stopped ends with the rig.
+        let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
         end_with_input();
         return passroad::main();
     }
@@ -176,6 +191,18 @@
 fn act(what: What) -> Result<bool, String> {
     match what {
         What::Sidecar => Ok(true),
+        What::Histories { from, count, threads, no_fence } => {
+            let sums = passroad_rig::fleet::histories::run(from, count, threads, !no_fence);
+            println!(
+                "simulated: {} histories, {} acts by {} epochs, {} refused, faults hit {} times",
+                sums.histories, sums.acts, sums.owners, sums.stale_tries, sums.hits
+            );
+            for (seed, what) in sums.broken.iter().take(20) {
+                println!("broken, seed {seed}: {what}");
+            }
+            println!("{} broken", sums.broken.len());
+            Ok(sums.broken.is_empty())
+        }
         What::Check { files } => {
             for file in &files {
                 let plan = read(file, None)?;
@@ -242,7 +269,7 @@
                         return Err(format!("{}: is not for sockets, as it says", file.display()));
                     }
                     (Some(on), _) => on == On::Sockets,
-                    (None, told) => told == Some(Sockets::Needed),
+                    (None, told) => matches!(told, Some(Sockets::Needed | Sockets::First)),
                 };
                 if let Some(Seeds(seeds)) = &seeds {
                     plan.seeds.clone_from(seeds);
--- a/crates/passroad-rig/src/report.rs
+++ b/crates/passroad-rig/src/report.rs
@@ -5,7 +5,9 @@
 use crate::run::{Held, Run, Tally, held};
 use serde_json::{Value, json};
 use std::fmt::Write;
-use std::time::Duration;
+
+/// Ownerships that are told one by one.
+const MOST_REIGNS: usize = 12;
 
 /// Counts of one second of a day.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -125,6 +127,33 @@
             let (seed, at) = (run.seed, breach.at.as_secs_f64());
             let _ = writeln!(out, "broken, seed {seed}, {at:.3} s: {}: {}", breach.rule.name(), breach.what);
         }
+        if let Some(fleet) = &run.fleet {
+            let unowned =
+                fleet.unowned(&(plan.settle..plan.length), plan.fleet.as_ref().map_or(0, |f| f.duties.len()));
+            let _ = writeln!(
+                out,
+                "seed {}: {} acts by {} epochs, {} refused, {} stale ones obeyed, {} owners at once, {unowned:.3} s \
+                 unowned at most, {:.2} datagrams a second of the busiest, {} doubts ({} refuted), faults hit {} times",
+                run.seed,
+                fleet.acts.iter().filter(|a| a.accepted).count(),
+                fleet.owners(),
+                fleet.stale_tries(),
+                fleet.stale_acts(),
+                fleet.owners_at_once(),
+                fleet.peer_datagrams(),
+                fleet.doubts,
+                fleet.refuted,
+                fleet.hits
+            );
+        }
+        for reign in run.fleet.iter().flat_map(|fleet| fleet.reigns()).take(MOST_REIGNS) {
+            let (first, last) = (reign.first.as_secs_f64(), reign.last.as_secs_f64());
+            let _ = writeln!(
+                out,
+                "  duty {}: sidecar {} by epoch {}, {first:.3} to {last:.3} s, {} acts",
+                reign.duty, reign.owner, reign.epoch, reign.acts
+            );
+        }
         for remark in &run.remarks {
             let _ = writeln!(out, "{remark}");
         }
@@ -165,6 +194,12 @@
             json!({
                 "policy": run.policy, "seed": run.seed, "figures": figures, "seconds": series, "breaches": breaches,
                 "connections": run.connections, "remarks": run.remarks,
+                "fleet": run.fleet.as_ref().map(|fleet| json!({
+                    "acts": fleet.acts.len(), "owners": fleet.owners(), "stale_tries": fleet.stale_tries(),
+                    "stale_acts": fleet.stale_acts(), "owners_at_once": fleet.owners_at_once(),
+                    "believers": fleet.believers, "peer_datagrams": fleet.peer_datagrams(),
+                    "doubts": fleet.doubts, "hits": fleet.hits,
+                })),
             })
         })
         .collect();
@@ -188,8 +223,3 @@
         "length_s": plan.length.as_secs_f64(), "policies": rows, "holds": holds, "days": days,
     })
 }
-
-/// How long after the plan's end the last answers may come.
-pub fn tail(plan: &Plan) -> Duration {
-    plan.verbs.iter().map(|v| v.limit).max().unwrap_or_default()
-}
--- a/crates/passroad-rig/src/run.rs
+++ b/crates/passroad-rig/src/run.rs
@@ -1,6 +1,7 @@
 //! Plays what an experiment asks for and measures what came of it.
 
 use crate::experiment::{HoldPlan, Metric, Plan};
+use crate::fleet::{Act, FleetDay, world};
 use crate::ledger::{Answer, Books, Breach, Facts, Rule, Told};
 use crate::sockets::{self, Program};
 use crate::virtual_time::{self, Look, Played};
@@ -24,6 +25,8 @@
     pub connections: usize,
     /// What can't be read off the wire: of processes, on sockets only.
     pub remarks: Vec<String>,
+    /// Of sidecars that talk.
+    pub fleet: Option<FleetDay>,
 }
 
 impl Run {
@@ -41,6 +44,7 @@
             lines: played.lines,
             connections: played.connections,
             remarks: Vec::new(),
+            fleet: None,
         }
     }
 
@@ -67,7 +71,8 @@
                     days.get(n).map(|day| (n, *day))
                 } {
                     let run = virtual_time::play(plan, seed, policy)
-                        .map(|played| Run::of(plan, policy, seed, played, Duration::ZERO));
+                        .map(|played| Run::of(plan, policy, seed, played, Duration::ZERO))
+                        .map(|run| Run { fleet: fleet_of(plan, policy, seed), ..run });
                     done.lock().unwrap_or_else(std::sync::PoisonError::into_inner).insert(n, run);
                 }
             });
@@ -76,6 +81,12 @@
     done.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner).into_values().collect()
 }
 
+/// Sidecars that talk, beside the commands: neither has to do with the other.
+fn fleet_of(plan: &Plan, policy: &str, seed: u64) -> Option<FleetDay> {
+    let fleet = plan.fleet.as_ref().filter(|_| policy.starts_with("passroad"))?;
+    Some(world::play(fleet, plan.instances, plan.length, plan.round_trip / 2, seed))
+}
+
 /// All seeds of an experiment on sockets, one after the other; there only passroad decides, with routes and without.
 pub fn play_on_sockets(
     plan: &Plan,
@@ -87,8 +98,8 @@
     for policy in plan.policies.iter().filter(|p| p.starts_with("passroad")) {
         for seed in &plan.seeds {
             let routes = plan.routes.as_ref().filter(|_| policy == "passroad-routes");
-            let (played, remarks) = sockets::play(plan, *seed, program, routes, keep, shows)?;
-            runs.push(Run { remarks, ..Run::of(plan, policy, *seed, played, sockets::SLACK) });
+            let (played, remarks, fleet) = sockets::play(plan, *seed, program, routes, keep, shows)?;
+            runs.push(Run { remarks, fleet, ..Run::of(plan, policy, *seed, played, sockets::SLACK) });
         }
     }
     Ok(runs)
@@ -176,6 +187,7 @@
             && hold.asked_in.is_none_or(|zone| plan.zone_of(c.instance) == zone)
     };
     let tally = || Tally::of_those(run, plan, &hold.window, asked);
+    let fleet = |of: fn(&FleetDay) -> f64| run.fleet.as_ref().map_or(f64::NAN, of);
     match hold.metric {
         Metric::Served => {
             let tally = tally();
@@ -251,6 +263,22 @@
             let steps = shares.windows(2).map(|pair| (pair[1] - pair[0]).abs());
             steps.sum::<f64>() / shares.len().saturating_sub(1).max(1) as f64
         }
+        Metric::OwnersAtOnce => fleet(|f| f.owners_at_once() as f64),
+        Metric::Believers => fleet(|f| f.believers.map_or(f64::NAN, |n| n as f64)),
+        Metric::StaleActs => fleet(|f| f.stale_acts() as f64),
+        Metric::StaleTries => fleet(|f| f.stale_tries() as f64),
+        Metric::Unowned => {
+            let duties = plan.fleet.as_ref().map_or(0, |plan| plan.duties.len());
+            run.fleet.as_ref().map_or(f64::NAN, |f| f.unowned(&hold.window, duties))
+        }
+        Metric::Acts => {
+            let within = |a: &&Act| a.accepted && hold.window.contains(&a.at);
+            run.fleet.as_ref().map_or(f64::NAN, |f| f.acts.iter().filter(within).count() as f64)
+        }
+        Metric::Owners => fleet(|f| f.owners() as f64),
+        Metric::PeerDatagrams => fleet(FleetDay::peer_datagrams),
+        Metric::Doubts => fleet(|f| f.doubts as f64),
+        Metric::Hits => fleet(|f| f.hits as f64),
         Metric::Load => {
             let there = |e: &usize| Some(plan.endpoints[*e].zone) == hold.zone;
             let own: Vec<usize> = (0..plan.endpoints.len()).filter(there).collect();
@@ -287,9 +315,14 @@
         let all: Vec<f64> =
             runs.iter().filter(|r| r.policy == policy).map(|run| measure(run, plan, hold)).collect();
         match hold.metric {
-            Metric::Broken | Metric::Push | Metric::Recovers | Metric::Returns => {
-                all.into_iter().fold(0.0, f64::max)
-            }
+            Metric::Broken
+            | Metric::Push
+            | Metric::Recovers
+            | Metric::Returns
+            | Metric::OwnersAtOnce
+            | Metric::Believers
+            | Metric::StaleActs
+            | Metric::Unowned => all.into_iter().fold(0.0, f64::max),
             _ => all.iter().sum::<f64>() / all.len().max(1) as f64,
         }
     };
@@ -304,6 +337,10 @@
     };
     // Of what was not played there is nothing to say.
     let played = |name: &String| runs.iter().any(|r| r.policy == *name);
-    let known = |h: &&HoldPlan| played(&h.policy) && h.above.iter().all(played);
+    let seen = |h: &&HoldPlan| {
+        let believers = |run: &Run| run.fleet.as_ref().is_some_and(|f| f.believers.is_some());
+        h.metric != Metric::Believers || runs.iter().any(believers)
+    };
+    let known = |h: &&HoldPlan| played(&h.policy) && h.above.iter().all(played) && seen(h);
     plan.holds.iter().filter(known).map(one).collect()
 }
--- /dev/null
+++ b/crates/passroad-rig/src/sockets/ground.rs
@@ -0,0 +1,131 @@
+//! The ground on which sidecars talk, on sockets: what lies between them, what they act on, and the faults of both.
+
+use super::clients::Clients;
+use super::peers::Peers;
+use super::resource::Resource;
+use super::scene::Scene;
+use super::{Sidecars, kill, stop};
+use crate::fleet::{FleetDay, FleetPlan, RESTART, What};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::time::Duration;
+use tokio::time::{sleep, sleep_until};
+
+pub struct Ground {
+    pub plan: FleetPlan,
+    scene: Arc<Scene>,
+    peers: Arc<Peers>,
+    resource: Arc<Resource>,
+    hits: AtomicUsize,
+}
+
+impl Ground {
+    pub async fn start(scene: &Arc<Scene>, plan: &FleetPlan, seed: u64) -> io::Result<Arc<Ground>> {
+        Ok(Arc::new(Ground {
+            plan: plan.clone(),
+            scene: Arc::clone(scene),
+            peers: Peers::start(scene.plan.instances, seed).await?,
+            resource: Resource::start(scene, plan).await?,
+            hits: AtomicUsize::new(0),
+        }))
+    }
+
+    /// What the nth sidecar is told of the others.
+    pub fn tell(&self, n: usize, told: &mut Value) {
+        told["peer_listen"] = json!(self.peers.real[n]);
+        told["peers"] = json!(self.peers.shadow);
+        told["peers_all"] = json!(self.peers.all);
+        told["settings"]["my_number"] = json!(n);
+    }
+
+    /// The fleet's file of the nth sidecar.
+    pub fn file(&self, n: usize, folder: &Path) -> String {
+        let plan = &self.plan;
+        let ms = |time: Duration| format!("\"{}ms\"", time.as_millis());
+        let mut text =
+            format!("lease = {}\nperiod = {}\nvoters = {}\n", ms(plan.lease), ms(plan.period), plan.voters);
+        if plan.state {
+            text += &format!("state = {:?}\n", folder.join(format!("{n}.state")).display().to_string());
+        }
+        for duty in &plan.duties {
+            let (name, at) = (&duty.name, self.resource.address);
+            text += &format!("\n[[duty]]\nname = \"{name}\"\ncall = \"http://{at}/{name}\"\n");
+            text += &format!("every = {}\nwithin = {}\n", ms(duty.every), ms(duty.within));
+        }
+        text
+    }
+
+    /// Brings all faults of the plan, each in its time.
+    pub fn strike(self: &Arc<Self>, clients: &Arc<Clients>, sidecars: &Sidecars) {
+        for n in 0..self.plan.faults.len() {
+            let (own, clients, sidecars) = (Arc::clone(self), Arc::clone(clients), Arc::clone(sidecars));
+            tokio::spawn(async move { own.fault(n, clients, sidecars).await });
+        }
+    }
+
+    async fn fault(&self, n: usize, clients: Arc<Clients>, sidecars: Sidecars) {
+        let (fault, instances) = (&self.plan.faults[n], self.scene.plan.instances);
+        sleep_until(self.scene.instant(fault.from)).await;
+        let whom = fault.whom.find(&self.plan, instances, self.resource.owner());
+        log::info!("fault {n} at {:.1} s: {:?} of {whom:?}", fault.from.as_secs_f64(), fault.what);
+        let lasts = fault.to.map(|to| to.saturating_sub(fault.from));
+        match fault.what {
+            What::Kill | What::Stop => {
+                self.hits.fetch_add(whom.len(), Relaxed);
+                for n in whom {
+                    let (clients, sidecars) = (Arc::clone(&clients), Arc::clone(&sidecars));
+                    let back = lasts.unwrap_or(RESTART);
+                    if fault.what == What::Kill {
+                        tokio::spawn(kill(clients, sidecars, n, back));
+                    } else {
+                        tokio::spawn(stop(clients, sidecars, n));
+                    }
+                }
+            }
+            What::Pause => {
+                for n in &whom {
+                    self.hits.fetch_add(1, Relaxed);
+                    let _ = sidecars[*n].lock().await.signal(Signal::STOP);
+                }
+                sleep(lasts.unwrap_or_default()).await;
+                for n in &whom {
+                    let _ = sidecars[*n].lock().await.signal(Signal::CONT);
+                }
+            }
+            What::ActsKeep => {
+                self.resource.keep(n, whom);
+                sleep(lasts.unwrap_or_default()).await;
+                self.resource.let_go(n);
+            }
+            what => {
+                let side = |list: &[usize]| (0..instances).map(|n| list.contains(&n)).collect::<Vec<_>>();
+                let from = side(&whom);
+                let to = match &fault.others {
+                    Some(others) => side(others),
+                    None if whom.len() == instances => vec![true; instances],
+                    None => from.iter().map(|of| !of).collect(),
+                };
+                self.peers.begin(n, from, to, what);
+                if let Some(lasts) = lasts {
+                    sleep(lasts).await;
+                    self.peers.end(n).await;
+                }
+            }
+        }
+    }
+
+    pub fn day(&self, length: Duration) -> FleetDay {
+        FleetDay {
+            acts: self.resource.acts(),
+            datagrams: self.peers.counts(),
+            longest: self.peers.longest.load(Relaxed),
+            seconds: length.as_secs_f64(),
+            hits: self.peers.hits() + self.resource.hits() + self.hits.load(Relaxed),
+            ..FleetDay::default()
+        }
+    }
+}
--- a/crates/passroad-rig/src/sockets/mod.rs
+++ b/crates/passroad-rig/src/sockets/mod.rs
@@ -4,7 +4,10 @@
 mod clients;
 mod discovery;
 mod endpoint;
+mod ground;
 mod http;
+mod peers;
+mod resource;
 mod scene;
 mod sidecar;
 
@@ -13,12 +16,13 @@
 
 use crate::chance::Chance;
 use crate::experiment::{Change, Plan};
+use crate::fleet::FleetDay;
 use crate::ledger::Entry;
-use crate::report::tail;
 use crate::virtual_time::{Look, Played};
 use clients::{Clients, Side};
 use discovery::Discovery;
 use endpoint::Stand;
+use ground::Ground;
 use scene::Scene;
 use sidecar::Sidecar;
 use std::path::{Path, PathBuf};
@@ -26,6 +30,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::Mutex;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until};
 
 const LEAD: Duration = Duration::from_secs(2); // until the day begins, for all to start
@@ -61,7 +66,7 @@
     routes: Option<&String>,
     keep: Option<&Path>,
     shows: bool,
-) -> Result<(Played, Vec<String>), String> {
+) -> Result<(Played, Vec<String>, Option<FleetDay>), String> {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     let played = runtime.block_on(day(plan, seed, program, routes, keep, shows));
@@ -79,7 +84,7 @@
     routes: Option<&String>,
     keep: Option<&Path>,
     shows: bool,
-) -> std::io::Result<(Played, Vec<String>)> {
+) -> std::io::Result<(Played, Vec<String>, Option<FleetDay>)> {
     if plan.endpoints.len() > 240 || plan.instances > 240 {
         return Err(std::io::Error::other("on sockets there are 240 endpoints and 240 instances at most"));
     }
@@ -93,25 +98,41 @@
     if let Some(routes) = routes {
         std::fs::write(folder.0.join(sidecar::ROUTES), routes)?;
     }
-    let (mut sidecars, mut sides) = (Vec::new(), Vec::new());
+    let ground = match &plan.fleet {
+        Some(fleet) => Some(Ground::start(&scene, fleet, seed).await?),
+        None => None,
+    };
+    let (mut sidecars, mut sides, mut starts) = (Vec::new(), Vec::new(), JoinSet::new());
     for n in 0..plan.instances {
         let own = Chance::stream(seed, "instance", n as u64).number();
         let mut sidecar = Sidecar::new(&scene, program, &folder.0, n, own, &discovery)?;
-        sidecar.start().await?;
+        if let Some(ground) = &ground {
+            std::fs::write(sidecar.fleet_file(), ground.file(n, &folder.0))?;
+            ground.tell(n, sidecar.told());
+        }
         sides.push(Arc::new(Side::new(sidecar.address)));
-        sidecars.push(Mutex::new(sidecar));
+        starts.spawn(async move { sidecar.start().await.map(|()| (n, sidecar)) });
+    }
+    while let Some(started) = starts.join_next().await {
+        sidecars.push(started.map_err(std::io::Error::other)??);
     }
+    sidecars.sort_by_key(|(n, _)| *n);
+    let sidecars: Vec<Mutex<Sidecar>> =
+        sidecars.into_iter().map(|(_, sidecar)| Mutex::new(sidecar)).collect();
     let sidecars: Sidecars = Arc::new(sidecars);
     let clients = Clients::new(&scene, sides, seed);
     let asking = tokio::spawn(Arc::clone(&clients).run());
     let looking = tokio::spawn(look(Arc::clone(&scene), stands.clone()));
     let showing = shows.then(|| tokio::spawn(show(Arc::clone(&scene))));
+    if let Some(ground) = &ground {
+        ground.strike(&clients, &sidecars);
+    }
     let mut remarks = Vec::new();
     for (at, change) in &plan.changes {
         sleep_until(scene.instant(*at)).await;
         match change {
             Change::SidecarKill(n) => {
-                drop(tokio::spawn(kill(Arc::clone(&clients), Arc::clone(&sidecars), *n)))
+                drop(tokio::spawn(kill(Arc::clone(&clients), Arc::clone(&sidecars), *n, RESTART)))
             }
             Change::SidecarStop(n) => {
                 drop(tokio::spawn(stop(Arc::clone(&clients), Arc::clone(&sidecars), *n)))
@@ -135,13 +156,14 @@
         }
     }
     let _ = asking.await;
-    let end = plan.length + tail(plan) + Duration::from_millis(200);
+    let end = plan.length + plan.tail() + Duration::from_millis(200);
     sleep_until(scene.instant(end)).await;
     let looks = looking.await.unwrap_or_default();
     if let Some(showing) = showing {
         let _ = showing.await;
     }
     remarks.extend(clients.late());
+    let fleet = ground.as_ref().map(|ground| ground.day(plan.length));
     let mut lines = Vec::new();
     let commands = scene.commands();
     for (n, sidecar) in sidecars.iter().enumerate() {
@@ -174,7 +196,7 @@
         }
     }
     let connections = scene.connections.load(Relaxed);
-    Ok((Played { ledger: scene.take_ledger(), looks, lines, connections }, remarks))
+    Ok((Played { ledger: scene.take_ledger(), looks, lines, connections }, remarks, fleet))
 }
 
 /// A line a second while a day goes on.
@@ -201,12 +223,12 @@
 }
 
 /// SIGKILL: what it held is lost, and it is started again as a supervisor would.
-async fn kill(clients: Arc<Clients>, sidecars: Sidecars, n: usize) {
+async fn kill(clients: Arc<Clients>, sidecars: Sidecars, n: usize, down: Duration) {
     let mut sidecar = sidecars[n].lock().await;
     clients.sides[n].away.store(true, Relaxed);
     sidecar.kill();
     clients.scene.note(Entry::Killed { instance: n });
-    sleep(RESTART).await;
+    sleep(down).await;
     begin_again(&clients, &mut sidecar, n).await;
 }
 
--- a/crates/passroad-rig/src/sockets/sidecar.rs
+++ b/crates/passroad-rig/src/sockets/sidecar.rs
@@ -71,6 +71,15 @@
         self.folder.join(format!("{}.log", self.n))
     }
 
+    /// Its configuration.
+    pub fn told(&mut self) -> &mut Value {
+        &mut self.told
+    }
+
+    pub fn fleet_file(&self) -> PathBuf {
+        self.folder.join(format!("{}.fleet.toml", self.n))
+    }
+
     fn write(&self) -> io::Result<()> {
         std::fs::write(self.folder.join(format!("{}.json", self.n)), self.told.to_string())
     }
@@ -124,6 +133,11 @@
         } else {
             command.env_remove("LB_ROUTES");
         }
+        if self.fleet_file().exists() {
+            command.env("LB_FLEET", self.fleet_file());
+        } else {
+            command.env_remove("LB_FLEET");
+        }
         let child = command
             .args(&self.program.arguments)
             .env_remove("LB_LISTEN")
