Owners look before they ask and rise above promised votes; hand-over loses no lease

Seen: owner-roll in virtual time left the duty unowned for 1.23 s twice. Traced by the words under way: a voter that the owner had not yet won promised its vote to a candidate that asked beside the owner, and was lost to the owner for good; two restarts later it had no majority. Then two candidates that heard of a leave together split the voters, one of them a voter that was about to end.

Change: a candidate looks first and asks only where a majority has no live grant; an owner that meets a higher promise asks for an epoch above it in place of its own; a process that leaves votes no more; who stands behind another gives it 20 ms.

--- a/crates/passroad-lease/src/lib.rs
+++ b/crates/passroad-lease/src/lib.rs
@@ -44,6 +44,8 @@
 const LEAVES: u8 = 3;
 /// Duties that a voter keeps something of.
 const MOST_DUTIES: usize = 64;
+/// Who stands behind another in a duty's order gives it so long a start.
+const PLACES_APART: Duration = Duration::from_millis(20);
 const LEAVES_APART: Duration = Duration::from_millis(20);
 
 /// The two clocks of a machine. The steady one may stand still while the machine sleeps; the other may be set.
@@ -66,10 +68,21 @@
 /// What sidecars say to each other about a duty.
 #[derive(Serialize, Deserialize, Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Word {
-    /// May I have it, by this epoch?
+    /// Has anybody got it? Guards against asking beside an owner: a voter that it had not would promise away its vote.
+    Look {
+        duty: Duty,
+        round: u32,
+    },
+    /// Not that I know.
+    Clear {
+        duty: Duty,
+        round: u32,
+    },
+    /// May I have it, by this epoch? An owner asks so in place of the one that it has.
     Ask {
         duty: Duty,
         epoch: Epoch,
+        instead: Option<Epoch>,
     },
     Yes {
         duty: Duty,
@@ -116,7 +129,9 @@
 impl Word {
     pub fn duty(&self) -> Duty {
         match self {
-            Word::Ask { duty, .. }
+            Word::Look { duty, .. }
+            | Word::Clear { duty, .. }
+            | Word::Ask { duty, .. }
             | Word::Yes { duty, .. }
             | Word::Held { duty, .. }
             | Word::Low { duty, .. }
@@ -164,12 +179,16 @@
     Rest {
         until: Duration,
     },
+    Looking {
+        since: Duration,
+        clear: Vec<Member>,
+        held: Vec<(Member, Duration)>,
+    },
     Asking {
         epoch: Epoch,
         since: Duration,
         yes: Vec<Member>,
-        held: Vec<(Member, Duration)>,
-        low: Vec<Member>,
+        no: Vec<Member>,
     },
     Taking {
         epoch: Epoch,
@@ -183,6 +202,7 @@
         round: u32,
         granted: Vec<Member>,
         done: bool,
+        rising: Option<Rising>,
     },
     Leaving {
         epoch: Epoch,
@@ -191,11 +211,22 @@
     },
 }
 
+/// An owner on its way to a higher epoch, as a voter has promised what it can't renew.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Rising {
+    epoch: Epoch,
+    since: Duration,
+    yes: Vec<Member>,
+    granted: Vec<Member>,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Candidate {
     council: Vec<Member>,
     stands: bool,
+    place: u32,     // among those that stand
     highest: Epoch, // heard of anywhere
+    looks: u32,
     part: Part,
 }
 
@@ -224,6 +255,7 @@
     pub any_owner: bool,
     pub grants_unpromised: bool,
     pub no_chance: bool, // no fault: fewer states
+    pub no_look: bool,   // the same; it is not safety that looking is for
 }
 
 /// Faults are planted in tests only.
@@ -260,18 +292,21 @@
         }
     }
 
-    /// Has a duty looked after, or tells whether this sidecar stands for it. Standing down gives up what it owns.
-    pub fn stand(&mut self, times: Times, duty: Duty, stands: bool) -> Vec<Out> {
+    /// Has a duty looked after; `place` is this sidecar's among those that stand for it, if it does. Standing down gives up what it owns.
+    pub fn stand(&mut self, times: Times, duty: Duty, place: Option<usize>) -> Vec<Out> {
         let now = self.pass(times);
         let (voters, members) = (self.terms.voters, self.terms.members);
         let new = || Candidate {
             council: council(duty, members, voters),
             stands: false,
+            place: 0,
             highest: 0,
+            looks: 0,
             part: Part::Off,
         };
         let c = self.candidates.entry(duty).or_insert_with(new);
-        c.stands = stands;
+        let stands = place.is_some();
+        (c.stands, c.place) = (stands, place.unwrap_or_default() as u32);
         if stands && c.part == Part::Off {
             c.part = Part::Rest { until: now };
         }
@@ -328,6 +363,11 @@
         times.steady < self.mute_until && !planted!(self, never_mute)
     }
 
+    /// Votes on nothing more: a vote that ends with its process is one that the next owner can't count on.
+    pub fn retire(&mut self) {
+        self.mute_until = Duration::MAX;
+    }
+
     pub fn voters(&self) -> usize {
         self.terms.voters
     }
@@ -342,7 +382,9 @@
         let due = |c: &Candidate| match &c.part {
             Part::Off => None,
             Part::Rest { until } => Some(*until),
-            Part::Asking { since, .. } | Part::Taking { since, .. } => Some(*since + part),
+            Part::Looking { since, .. } | Part::Asking { since, .. } | Part::Taking { since, .. } => {
+                Some(*since + part)
+            }
             Part::Owner { since, until, done, .. } => {
                 let next = if *done { self.terms.lease / RENEW_PART } else { part };
                 Some((*since + next).min(*until))
@@ -381,18 +423,22 @@
 
     fn turn(&mut self, now: Duration, times: Times, duty: Duty, out: &mut Vec<Out>) {
         let (part, lease) = (self.terms.lease / ANSWER_PART, self.terms.lease);
-        let equal = planted!(self, equal_epochs);
         let luck = self.chance();
-        let no_own_end = planted!(self, no_own_end);
+        let (no_own_end, no_look) = (planted!(self, no_own_end), planted!(self, no_look));
+        let equal = planted!(self, equal_epochs);
         let Some(c) = self.candidates.get_mut(&duty) else { return };
         match &mut c.part {
             Part::Off => {}
             Part::Rest { until } if now >= *until => {
-                let least = if equal { c.highest } else { c.highest + 1 };
-                let epoch = (times.wall.as_millis() as Epoch).max(least);
-                c.highest = epoch;
-                c.part = Part::Asking { epoch, since: now, yes: vec![], held: vec![], low: vec![] };
-                out.extend(c.say(Word::Ask { duty, epoch }));
+                if no_look {
+                    return c.ask(now, times, equal, duty, out);
+                }
+                c.looks = c.looks.wrapping_add(1);
+                c.part = Part::Looking { since: now, clear: vec![], held: vec![] };
+                out.extend(c.say(Word::Look { duty, round: c.looks }));
+            }
+            Part::Looking { since, .. } if now >= *since + part => {
+                c.part = Part::Rest { until: now + part.mul_f64(0.3 + 2.0 * luck) };
             }
             Part::Asking { since, .. } if now >= *since + part => {
                 // Guards against candidates that ask in step, each in the other's way.
@@ -409,6 +455,11 @@
                 c.part = if c.stands { Part::Rest { until: now } } else { Part::Off };
                 out.push(Out::Lost { duty, epoch, why: Why::RanOut });
             }
+            Part::Owner { rising: rising @ Some(_), .. }
+                if rising.as_ref().is_some_and(|rising| now >= rising.since + part) =>
+            {
+                *rising = None;
+            }
             Part::Owner { epoch, since, round, granted, done, .. }
                 if now >= *since + if *done { lease / RENEW_PART } else { part } =>
             {
@@ -435,7 +486,9 @@
     pub fn hear(&mut self, times: Times, from: Member, word: Word) -> Vec<Out> {
         let now = self.pass(times);
         match word {
-            Word::Ask { .. } | Word::Take { .. } | Word::Leave { .. } => self.vote(times, from, word),
+            Word::Look { .. } | Word::Ask { .. } | Word::Take { .. } | Word::Leave { .. } => {
+                self.vote(times, from, word)
+            }
             _ => self.answer(now, times, from, word),
         }
     }
@@ -454,8 +507,10 @@
         let vote = self.votes.entry(duty).or_default();
         let mut out = Vec::new();
         let mut say = |to: Member, word: Word| out.push(Out::Say { to, word });
-        let held = |vote: &Vote, asked: Epoch| {
-            let grant = vote.live(now).filter(|g| (g.epoch, g.owner) != (asked, from));
+        // In the way is a live grant, but not one's own that is renewed or risen from.
+        let held = |vote: &Vote, asked: Epoch, own: Option<Epoch>| {
+            let grant =
+                vote.live(now).filter(|g| g.owner != from || g.epoch != asked && Some(g.epoch) != own);
             grant.filter(|g| !any_owner || g.epoch != asked).map(|g| Word::Held {
                 duty,
                 asked,
@@ -466,7 +521,14 @@
         };
         let before = vote.clone();
         match word {
-            Word::Ask { epoch, .. } => match held(vote, epoch) {
+            Word::Look { round, .. } => match held(vote, Epoch::from(round), None) {
+                Some(word) => {
+                    vote.turned_away(from);
+                    say(from, word);
+                }
+                None => say(from, Word::Clear { duty, round }),
+            },
+            Word::Ask { epoch, instead, .. } => match held(vote, epoch, instead) {
                 Some(word) => {
                     vote.turned_away(from);
                     say(from, word);
@@ -474,7 +536,8 @@
                 None if vote.promise(epoch, from, any_owner) => say(from, Word::Yes { duty, epoch }),
                 None => say(from, Word::Low { duty, asked: epoch, highest: vote.promised }),
             },
-            Word::Take { epoch, round, lease_ms, .. } => match held(vote, epoch) {
+            // What was promised beside a grant was promised to its owner, in place of it.
+            Word::Take { epoch, round, lease_ms, .. } => match held(vote, epoch, vote.risen(epoch, from)) {
                 Some(word) => say(from, word),
                 // Guards against leases that outlast the time for which a voter that forgot is mute.
                 None if Duration::from_millis(lease_ms.into()) > longest => {}
@@ -500,7 +563,7 @@
 
     fn answer(&mut self, now: Duration, times: Times, from: Member, word: Word) -> Vec<Out> {
         let (part, lease) = (self.terms.lease / ANSWER_PART, self.terms.lease);
-        let luck = self.chance();
+        let (luck, equal) = (self.chance(), planted!(self, equal_epochs));
         let Some(c) = self.candidates.get_mut(&word.duty()) else { return Vec::new() };
         // Only voters have a say.
         if !c.council.contains(&from) {
@@ -528,25 +591,34 @@
                     }));
                 }
             }
-            (Part::Asking { epoch, held, low, .. }, Word::Held { asked, left_ms, epoch: other, .. })
-                if asked == *epoch =>
+            (Part::Looking { clear, .. }, Word::Clear { duty, round }) if round == c.looks => {
+                let enough = add(clear);
+                if enough {
+                    c.ask(now, times, equal, duty, &mut out);
+                }
+            }
+            (Part::Looking { held, .. }, Word::Held { asked, left_ms, epoch, .. })
+                if asked == Epoch::from(c.looks) =>
             {
-                c.highest = c.highest.max(other);
+                c.highest = c.highest.max(epoch);
                 if !held.iter().any(|(who, _)| *who == from) {
                     held.push((from, Duration::from_millis(left_ms.into())));
                 }
-                if held.len() + low.len() > voters - majority {
+                if held.len() > voters - majority {
                     held.sort_by_key(|(_, left)| *left);
                     // When enough of them are free, as far as they have said.
-                    let nth = (held.len() + low.len() + majority).saturating_sub(voters + 1);
-                    let left = held.get(nth.min(held.len() - 1)).map_or(part, |(_, left)| *left);
-                    c.part = Part::Rest { until: now + left + part.mul_f64(0.2 * luck) };
+                    let left = held[held.len() + majority - voters - 1].1;
+                    // Guards against two that stand and split the voters.
+                    c.part = Part::Rest { until: now + left + c.place * PLACES_APART };
                 }
             }
-            (Part::Asking { epoch, held, low, .. }, Word::Low { asked, highest, .. }) if asked == *epoch => {
+            (
+                Part::Asking { epoch, no, .. },
+                Word::Held { asked, epoch: highest, .. } | Word::Low { asked, highest, .. },
+            ) if asked == *epoch => {
                 c.highest = c.highest.max(highest);
-                add(low);
-                if held.len() + low.len() > voters - majority {
+                add(no);
+                if no.len() > voters - majority {
                     c.part = Part::Rest { until: now + part.mul_f64(luck) };
                 }
             }
@@ -559,12 +631,13 @@
                     let (epoch, since) = (*epoch, *since);
                     let until = since + lease.mul_f64(OWN_SHARE);
                     let granted = std::mem::take(granted);
-                    c.part = Part::Owner { epoch, until, since, round: 0, granted, done: true };
+                    let rising = None;
+                    c.part = Part::Owner { epoch, until, since, round: 0, granted, done: true, rising };
                     out.push(Out::Won { duty, epoch });
                 }
             }
             (
-                Part::Owner { epoch, until, since, round, granted, done },
+                Part::Owner { epoch, until, since, round, granted, done, .. },
                 Word::Granted { epoch: said, round: of, .. },
             ) if (said, of) == (*epoch, *round) => {
                 // What ran out before this was heard stays lost.
@@ -577,11 +650,48 @@
             (Part::Owner { epoch, .. }, Word::Low { duty, asked, highest })
                 if asked == *epoch && highest < *epoch =>
             {
-                out.push(Out::Say { to: from, word: Word::Ask { duty, epoch: *epoch } });
+                let word = Word::Ask { duty, epoch: *epoch, instead: None };
+                out.push(Out::Say { to: from, word });
+            }
+            // Guards against votes that are promised to others and lost one by one: it goes above them.
+            (Part::Owner { epoch, rising: rising @ None, .. }, Word::Low { duty, asked, highest })
+                if asked == *epoch =>
+            {
+                let instead = Some(*epoch);
+                let epoch = (times.wall.as_millis() as Epoch).max(c.highest.max(highest) + 1);
+                c.highest = epoch;
+                *rising = Some(Rising { epoch, since: now, yes: vec![], granted: vec![] });
+                out.extend(c.say(Word::Ask { duty, epoch, instead }));
+            }
+            (Part::Owner { rising: Some(rising), .. }, Word::Yes { duty, epoch })
+                if epoch == rising.epoch =>
+            {
+                let before = rising.yes.len();
+                let enough = add(&mut rising.yes);
+                if enough && before < majority {
+                    rising.since = now;
+                    out.extend(c.say(Word::Take {
+                        duty,
+                        epoch,
+                        round: 0,
+                        lease_ms: lease.as_millis() as u32,
+                    }));
+                }
+            }
+            (Part::Owner { rising: Some(rising), until, .. }, Word::Granted { duty, epoch, .. })
+                if epoch == rising.epoch && rising.yes.len() >= majority =>
+            {
+                let enough = add(&mut rising.granted);
+                if enough && now < *until {
+                    let (since, granted) = (rising.since, std::mem::take(&mut rising.granted));
+                    let until = since + lease.mul_f64(OWN_SHARE);
+                    c.part = Part::Owner { epoch, until, since, round: 0, granted, done: true, rising: None };
+                    out.push(Out::Won { duty, epoch });
+                }
             }
             (Part::Rest { until }, Word::Free { epoch, .. }) => {
                 c.highest = c.highest.max(epoch);
-                *until = now;
+                *until = now + c.place * PLACES_APART;
             }
             (Part::Taking { epoch, .. }, Word::Low { asked, highest, .. }) if asked == *epoch => {
                 c.highest = c.highest.max(highest);
@@ -602,6 +712,15 @@
 }
 
 impl Candidate {
+    /// Asks all voters for an epoch above all that were heard of.
+    fn ask(&mut self, now: Duration, times: Times, equal: bool, duty: Duty, out: &mut Vec<Out>) {
+        let least = if equal { self.highest } else { self.highest + 1 };
+        let epoch = (times.wall.as_millis() as Epoch).max(least);
+        self.highest = epoch;
+        self.part = Part::Asking { epoch, since: now, yes: vec![], no: vec![] };
+        out.extend(self.say(Word::Ask { duty, epoch, instead: None }));
+    }
+
     fn say(&self, word: Word) -> Vec<Out> {
         self.council.iter().map(|to| Out::Say { to: *to, word: word.clone() }).collect()
     }
--- a/crates/passroad-lease/src/voter.rs
+++ b/crates/passroad-lease/src/voter.rs
@@ -51,6 +51,12 @@
         self.promised == epoch && (self.to == Some(owner) || any)
     }
 
+    /// The epoch of the live grant's owner, where that was promised a higher one in its place.
+    pub(crate) fn risen(&self, epoch: Epoch, owner: Member) -> Option<Epoch> {
+        let own = self.grant.filter(|grant| grant.owner == owner && self.is_for(epoch, owner, false));
+        own.map(|grant| grant.epoch)
+    }
+
     pub(crate) fn turned_away(&mut self, who: Member) {
         self.away.retain(|other| *other != who);
         self.away.push(who);
--- a/crates/passroad/src/fleet/part.rs
+++ b/crates/passroad/src/fleet/part.rs
@@ -235,9 +235,10 @@
         let mut todo = Vec::new();
         self.stops = true;
         for n in 0..self.duties.len() {
-            let outs = self.lease.stand(times, self.duties[n].mark, false);
+            let outs = self.lease.stand(times, self.duties[n].mark, None);
             self.carry_out(times, outs, &mut todo);
         }
+        self.lease.retire();
         todo
     }
 
@@ -297,9 +298,9 @@
             let duty = self.duties[n].mark;
             let order = lease::order(duty, self.peers.known().len());
             let here = |member: &u16| *member == self.me || self.peers.standing(*member) == Standing::Here;
-            let stands = order.into_iter().filter(here).take(STAND).any(|member| member == self.me);
-            if !self.stops && (stands || self.lease.owned(times, duty).is_none()) {
-                let outs = self.lease.stand(times, duty, stands);
+            let place = order.into_iter().filter(here).take(STAND).position(|member| member == self.me);
+            if !self.stops && (place.is_some() || self.lease.owned(times, duty).is_none()) {
+                let outs = self.lease.stand(times, duty, place);
                 self.carry_out(times, outs, todo);
             }
         }
