--- a/crates/passroad-rig/src/sockets/ground.rs
+++ b/crates/passroad-rig/src/sockets/ground.rs
@@ -6,6 +6,7 @@
 use super::scene::Scene;
 use super::{Sidecars, kill, stop};
 use crate::fleet::{FleetDay, FleetPlan, RESTART, What};
+use crate::ledger::Entry;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::io;
@@ -15,6 +16,9 @@
 use std::time::Duration;
 use tokio::time::{sleep, sleep_until};
 
+/// A process that was stopped has this long to find out before its clients are back.
+const WAKES: Duration = Duration::from_millis(500);
+
 pub struct Ground {
     pub plan: FleetPlan,
     scene: Arc<Scene>,
@@ -89,12 +93,17 @@
             What::Pause => {
                 for n in &whom {
                     self.hits.fetch_add(1, Relaxed);
+                    // What it holds is lost to its clients: it does not run.
+                    clients.sides[*n].away.store(true, Relaxed);
                     let _ = sidecars[*n].lock().await.signal(Signal::STOP);
+                    self.scene.note(Entry::Killed { instance: *n });
                 }
                 sleep(lasts.unwrap_or_default()).await;
                 for n in &whom {
                     let _ = sidecars[*n].lock().await.signal(Signal::CONT);
                 }
+                sleep(WAKES).await;
+                whom.iter().for_each(|n| clients.sides[*n].away.store(false, Relaxed));
             }
             What::ActsKeep => {
                 self.resource.keep(n, whom);
--- /dev/null
+++ b/crates/passroad/tests/fleet.rs
@@ -0,0 +1,233 @@
+//! Several processes of the program that talk, on loopback: who owns a duty, and what each is told.
+
+mod stand_ins;
+
+use rstest::rstest;
+use stand_ins::*;
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::process::Command;
+use std::sync::{Arc, Mutex};
+
+/// Addresses for datagrams that nobody else comes to.
+fn datagrams(count: usize) -> Vec<SocketAddr> {
+    let bound: Vec<_> =
+        (0..count).map(|_| UdpSocket::bind(SocketAddr::new(nowhere().ip(), 0)).unwrap()).collect();
+    bound.iter().map(|socket| socket.local_addr().unwrap()).collect()
+}
+
+/// What came to the resource: epoch, owner, whether it was accepted.
+type Acts = Arc<Mutex<Vec<(u64, usize, bool)>>>;
+
+/// A resource that keeps the highest epoch.
+fn resource() -> (StandIn, Acts) {
+    let acts = Acts::default();
+    let own = Arc::clone(&acts);
+    let stand_in = stand_in(move |message, to| {
+        let number = |name| message.header(name).unwrap().parse::<u64>().unwrap();
+        let (epoch, owner) = (number("epoch"), number("owner") as usize);
+        let mut acts = own.lock().unwrap();
+        let highest = acts.iter().filter(|a| a.2).map(|a| a.0).max().unwrap_or(0);
+        acts.push((epoch, owner, epoch >= highest));
+        match epoch >= highest {
+            true => answer(to, "200 OK", "", b""),
+            false => answer(to, "409 Conflict", &format!("Epoch: {highest}\r\n"), b""),
+        }
+        true
+    });
+    (stand_in, acts)
+}
+
+/// The configuration of the nth of some.
+fn among(n: usize, peers: &[SocketAddr], address: SocketAddr, door: SocketAddr, may_talk: bool) -> String {
+    let settings = SETTINGS.replacen('{', &format!(r#"{{"my_number":{n},"#), 1);
+    let settings = settings.replace(r#""allowed":{"#, &format!(r#""allowed":{{"may_tell":{may_talk},"#));
+    let list: Vec<String> = peers.iter().map(|at| format!("\"{at}\"")).collect();
+    let own = format!(r#"{{"peer_listen":"{}","peers":[{}],"#, peers[n], list.join(","));
+    with_door(&told(address, nowhere(), "", &settings).replacen('{', &own, 1), door)
+}
+
+fn file(call: SocketAddr) -> String {
+    format!(
+        "lease = \"600ms\"\nperiod = \"200ms\"\nvoters = 3\n[[duty]]\nname = \"sweep\"\nevery = \"20ms\"\n\
+         within = \"200ms\"\ncall = \"http://{call}/sweep\"\n"
+    )
+}
+
+struct Fleet {
+    sidecars: Vec<Sidecar>,
+    doors: Vec<SocketAddr>,
+    peers: Vec<SocketAddr>,
+    acts: Acts,
+}
+
+fn fleet(count: usize) -> Fleet {
+    let (resource, acts) = resource();
+    let peers = datagrams(count);
+    let doors: Vec<_> = (0..count).map(|_| nowhere()).collect();
+    let start = |n: usize| {
+        let address = nowhere();
+        Sidecar::start_among(address, &among(n, &peers, address, doors[n], true), &file(resource.address)).0
+    };
+    let sidecars = (0..count).map(start).collect();
+    Fleet { sidecars, doors, peers: peers.clone(), acts }
+}
+
+impl Fleet {
+    fn owner(&self) -> usize {
+        until(|| !self.acts.lock().unwrap().is_empty());
+        self.acts.lock().unwrap().last().unwrap().1
+    }
+
+    /// Epochs only rise, and each is one owner's.
+    fn in_order(&self) {
+        let acts = self.acts.lock().unwrap();
+        let accepted: Vec<_> = acts.iter().filter(|a| a.2).collect();
+        assert!(accepted.windows(2).all(|w| w[0].0 <= w[1].0), "{acts:?}");
+        assert!(accepted.windows(2).all(|w| w[0].0 < w[1].0 || w[0].1 == w[1].1), "{acts:?}");
+    }
+}
+
+fn status(door: SocketAddr) -> (String, String) {
+    let call = "GET /admin/fleet HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n";
+    let mut caller = BufReader::new(TcpStream::connect(door).unwrap());
+    let said = ask(&mut caller, call).expect("an answer");
+    (said.word().to_string(), String::from_utf8_lossy(&said.body).into_owned())
+}
+
+#[rstest]
+#[case::told_to_stop("TERM")]
+#[case::killed("KILL")]
+fn another_one_takes_over_and_the_old_owner_is_not_heard_again(#[case] signal: &str) {
+    let fleet = fleet(3);
+    let owner = fleet.owner();
+    fleet.sidecars[owner].signal(signal);
+    until(|| fleet.acts.lock().unwrap().last().is_some_and(|act| act.1 != owner));
+    let count = fleet.acts.lock().unwrap().len();
+    until(|| fleet.acts.lock().unwrap().len() > count + 20);
+    fleet.in_order();
+    let acts = fleet.acts.lock().unwrap();
+    let last = acts.iter().rposition(|act| act.1 == owner && act.2).unwrap();
+    assert!(last < count, "{acts:?}");
+}
+
+// Stopped for longer than its lease with a call under way: when it wakes it is owner no more, and asks first.
+#[rstest]
+fn an_owner_that_slept_acts_on_nothing() {
+    let fleet = fleet(3);
+    let owner = fleet.owner();
+    fleet.sidecars[owner].signal("STOP");
+    until(|| fleet.acts.lock().unwrap().last().is_some_and(|act| act.1 != owner));
+    let count = fleet.acts.lock().unwrap().len();
+    until(|| fleet.acts.lock().unwrap().len() > count + 10);
+    fleet.sidecars[owner].signal("CONT");
+    let count = fleet.acts.lock().unwrap().len();
+    until(|| fleet.acts.lock().unwrap().len() > count + 20);
+    fleet.in_order();
+    // What it does by its old epoch behind another's act was under way, and is refused.
+    let acts = fleet.acts.lock().unwrap();
+    let other = acts.iter().position(|act| act.1 != owner).unwrap();
+    let old = acts[other..].iter().filter(|act| act.1 == owner && act.0 < acts[other].0);
+    assert!(old.clone().all(|act| !act.2) && old.count() <= 1, "{acts:?}");
+}
+
+#[rstest]
+fn operators_are_told_who_owns_what() {
+    let fleet = fleet(3);
+    let owner = fleet.owner();
+    let word = format!("\"owner\":{owner}");
+    until(|| fleet.doors.iter().all(|door| status(*door).1.contains(&word)));
+    let run = |more: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_passroad"));
+        let output =
+            command.args(["fleet", "status", "--door", &fleet.doors[0].to_string()]).args(more).output();
+        let output = output.unwrap();
+        assert!(output.status.success(), "{output:?}");
+        String::from_utf8(output.stdout).unwrap()
+    };
+    let table = run(&[]);
+    assert!(
+        table.contains("sidecar 0 of 3: 3 here, 0 in doubt, 0 gone") && table.contains("sweep"),
+        "{table}"
+    );
+    assert!(run(&["--json"]).contains(&word));
+    let gone = Command::new(env!("CARGO_BIN_EXE_passroad"))
+        .args(["fleet", "status", "--door", &nowhere().to_string()])
+        .output()
+        .unwrap();
+    assert_eq!(gone.status.code(), Some(2));
+}
+
+// What nobody may send here is dropped, counted, and does no harm.
+#[rstest]
+fn what_strangers_send_is_not_heard() {
+    let fleet = fleet(3);
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for bytes in [&b"GET / HTTP/1.1"[..], &[0xb5, 1, 9], &[0; 256], &[]] {
+        fleet.peers.iter().for_each(|to| drop(stranger.send_to(bytes, to)));
+    }
+    let word = "of an address that is not in peers\":4";
+    until(|| fleet.doors.iter().all(|door| status(*door).1.contains(word)));
+    let count = fleet.acts.lock().unwrap().len();
+    until(|| fleet.acts.lock().unwrap().len() > count + 5);
+}
+
+#[rstest]
+fn without_a_file_or_leave_to_talk_nothing_of_it_is_there() {
+    let (peers, address, door) = (datagrams(2), nowhere(), nowhere());
+    let plain = Sidecar::start(address, &among(0, &peers, address, door, true));
+    assert!(!plain.threads().contains(&"fleet".to_string()));
+    assert_eq!(status(door).0, "404");
+    // Nobody has the address.
+    drop(UdpSocket::bind(peers[0]).unwrap());
+    let (address, door) = (nowhere(), nowhere());
+    let text = among(1, &peers, address, door, false);
+    let (quiet, log) = Sidecar::start_among(address, &text, &file(nowhere()));
+    assert!(!quiet.threads().contains(&"fleet".to_string()));
+    assert_eq!(status(door).0, "404");
+    drop(UdpSocket::bind(peers[1]).unwrap());
+    let said = std::fs::read_to_string(log).unwrap();
+    assert_eq!(said.matches("the settings forbid talk between sidecars").count(), 1, "{said}");
+}
+
+#[rstest]
+#[case::sound(|text: String| text, 0, "1 duties among 2 sidecars")]
+#[case::faulty(|text: String| text.replace("voters = 3", "voters = 2"), 2, "line 3: voters: 2 is not 1, 3, 5 or 7")]
+fn a_fleets_file_is_checked(#[case] turn: fn(String) -> String, #[case] code: i32, #[case] what: &str) {
+    let (mut command, folder) = program(&among(0, &datagrams(2), nowhere(), nowhere(), true));
+    let path = folder.join("fleet.toml");
+    std::fs::write(&path, turn(file(nowhere()))).unwrap();
+    let output = command.arg("check").arg("--fleet").arg(path).output().unwrap();
+    std::fs::remove_dir_all(folder).unwrap();
+    let said = String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned();
+    assert!(output.status.code() == Some(code) && said.contains(what), "{said}");
+}
+
+// A voter that is restarted with its file has forgotten nothing; a file of another name is refused.
+#[rstest]
+fn a_state_file_is_kept_and_refused_to_another() {
+    let (resource, acts) = resource();
+    let (peers, folder) = (datagrams(1), shared());
+    let state = folder.0.join("state");
+    let fleet = format!("state = {:?}\n{}", state.display().to_string(), file(resource.address));
+    let start = || {
+        let address = nowhere();
+        Sidecar::start_among(address, &among(0, &peers, address, nowhere(), true), &fleet).0
+    };
+    let first = start();
+    until(|| !acts.lock().unwrap().is_empty());
+    drop(first);
+    let count = acts.lock().unwrap().len();
+    let second = start();
+    until(|| acts.lock().unwrap().len() > count);
+    let acts = acts.lock().unwrap();
+    assert!(acts[count].0 > acts[0].0 && acts[count].2, "{acts:?}");
+    drop(second);
+    let (mut command, other) =
+        program(&among(0, &peers, nowhere(), nowhere(), true).replace("\"n0\"", "\"n1\""));
+    std::fs::write(other.join("fleet.toml"), &fleet).unwrap();
+    let output = command.env("LB_FLEET", other.join("fleet.toml")).output().unwrap();
+    std::fs::remove_dir_all(other).unwrap();
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.code() == Some(2) && said.contains("it is of n0, not of n1"), "{said}");
+}
--- a/crates/passroad/tests/stand_ins/mod.rs
+++ b/crates/passroad/tests/stand_ins/mod.rs
@@ -310,6 +310,25 @@
         sidecar
     }
 
+    /// The same with a fleet's file; what it says goes into a file of its own.
+    pub fn start_among(address: SocketAddr, text: &str, fleet: &str) -> (Sidecar, std::path::PathBuf) {
+        let (mut command, folder) = program(text);
+        let (file, log) = (folder.join("fleet.toml"), folder.join("log"));
+        std::fs::write(&file, fleet).unwrap();
+        let said = std::fs::File::create(&log).unwrap();
+        let child = command.env("LB_FLEET", file).stderr(said).spawn().unwrap();
+        let sidecar = Sidecar { address, child, folder };
+        until(|| sidecar.ready());
+        (sidecar, log)
+    }
+
+    /// The names of its threads.
+    pub fn threads(&self) -> Vec<String> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        let name = |task: std::fs::DirEntry| std::fs::read_to_string(task.path().join("comm"));
+        tasks.flatten().flat_map(|task| name(task).ok()).map(|name| name.trim().to_string()).collect()
+    }
+
     fn ready(&self) -> bool {
         TcpStream::connect(self.address).is_ok_and(|mut to| {
             let _ = to.set_read_timeout(Some(100 * MS));
