What desk, list, upgrade and start share stands in a file below them

Change: members.rs holds the member, the list, what is asked of discovery and what one process hands over; desk, list, handover and start no longer import each other in a circle. The sample of the fleet's file is read by a test.

--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -1,8 +1,7 @@
 //! Owns the decision module, its clock and the doors where outside names become indices. Each event goes in
 //! here, and each action goes from here to its owner: commands, links, discovery, timers.
 
-use crate::handover::Known;
-use crate::list::{Call, List, Member};
+use crate::members::{Call, Known, List, Member};
 use crate::relay::{Dialer, Link};
 use crate::{probe, relay};
 use passroad_choice::door::{Door, mark};
--- a/crates/passroad/src/fleet/orders.rs
+++ b/crates/passroad/src/fleet/orders.rs
@@ -206,6 +206,12 @@
         assert!(wrong.line == line && wrong.what.contains(what), "{wrong}");
     }
 
+    #[rstest]
+    fn the_sample_can_be_used() {
+        let orders = read(include_str!("../../../../deploy/fleet.toml")).unwrap();
+        assert_eq!(orders.duties.len(), 1);
+    }
+
     #[rstest]
     fn what_is_left_out_is_usual() {
         let orders = read(DUTY).unwrap();
--- a/crates/passroad/src/handover.rs
+++ b/crates/passroad/src/handover.rs
@@ -3,7 +3,7 @@
 
 use crate::claims::Claims;
 use crate::desk::Desk;
-use crate::list::Member;
+use crate::members::Known;
 use crate::stop::{Stage, Stages};
 use rustix::fd::OwnedFd;
 use rustix::net::{
@@ -32,22 +32,6 @@
 /// For the other process to take a ban; operators are owed their answer within a second.
 const TOLD_WITHIN: Duration = Duration::from_millis(400);
 
-/// What a process knows that the next one is to know.
-#[derive(Serialize, Deserialize, Debug, PartialEq)]
-pub struct Known {
-    pub version: u32,
-    pub listen: SocketAddr,
-    pub revision: Option<u64>,
-    pub members: Vec<Member>,
-    pub bans: Vec<String>,
-    /// Marks of ids that have left the list.
-    pub left: Vec<u64>,
-    pub descriptors: usize,
-    /// What the module has learnt; of another form it is passed over alone.
-    #[serde(default)]
-    pub learnt: serde_json::Value,
-}
-
 /// A line between the two.
 #[derive(Serialize, Deserialize, Debug, PartialEq)]
 #[serde(rename_all = "lowercase", deny_unknown_fields)]
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -13,6 +13,7 @@
 mod list;
 mod logging;
 mod management;
+mod members;
 mod probe;
 mod relay;
 mod room;
@@ -158,7 +159,7 @@
     let (pace, paces) = tokio::sync::watch::channel(start::Pace::of(&start.orders));
     if !start.orders.list_on_request {
         // The module takes it that changes come by themselves.
-        let _ = calls.send(list::Call::Watch(true));
+        let _ = calls.send(members::Call::Watch(true));
     }
     let dialer = relay::Dialer::new(start.connect_within, start.orders.idle_close, most_out);
     // The module is to count on a connection only as long as it is kept here.
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -2,13 +2,13 @@
 
 use crate::body::Load;
 use crate::desk::Desk;
+use crate::members::{Call, List, read};
 use crate::relay::{Client, Dialer};
 use crate::start::Pace;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy;
-use passroad_choice::{Event, ListKind, Mode};
-use serde::{Deserialize, Serialize};
+use passroad_choice::{Event, ListKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,52 +27,6 @@
 /// Calls that broke off, asked again a breath apart: half of the shortest grace for drains is not used up by them.
 const MOST_AGAIN: u32 = 6;
 
-#[derive(Deserialize, Debug, Default)]
-pub struct List {
-    pub revision: u64,
-    pub complete: bool,
-    pub members: Vec<Member>,
-}
-
-#[derive(Deserialize, Serialize, Debug, Clone, PartialEq)]
-pub struct Member {
-    pub id: String,
-    pub host_port: Option<SocketAddr>,
-    #[serde(default)]
-    pub locality: String,
-    #[serde(default)]
-    pub flavor: String,
-    #[serde(default)]
-    pub cell: usize,
-    pub phase: Phase,
-    #[serde(default = "usual_size")]
-    pub size: f64,
-    #[serde(default)]
-    pub up_since_ms: u64,
-}
-
-#[derive(Deserialize, Serialize, Debug, Clone, Copy, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Phase {
-    Up,
-    Draining,
-    Removed,
-}
-
-fn usual_size() -> f64 {
-    1.0
-}
-
-impl Member {
-    pub fn mode(&self) -> Mode {
-        match self.phase {
-            Phase::Up => Mode::Running,
-            Phase::Draining => Mode::Stopping,
-            Phase::Removed => Mode::Deleted,
-        }
-    }
-}
-
 /// Why a call brought no list.
 enum Fault {
     /// Nobody there, or turned away.
@@ -81,21 +35,6 @@
     Lost(String),
 }
 
-/// What the module asks of discovery.
-#[derive(Debug, PartialEq)]
-pub enum Call {
-    Watch(bool),
-    Whole,
-}
-
-pub fn read(bytes: &[u8]) -> Result<List, String> {
-    let list: List = serde_json::from_slice(bytes).map_err(|e| format!("malformed list: {e}"))?;
-    match list.members.iter().find(|m| m.phase == Phase::Up && m.host_port.is_none()) {
-        Some(lost) => Err(format!("malformed list: {} is up without an address", lost.id)),
-        None => Ok(list),
-    }
-}
-
 /// Serves the module's calls for as long as the sidecar runs.
 pub async fn follow(
     desk: Arc<Desk>,
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -2,7 +2,7 @@
 
 use crate::Files;
 use crate::fleet;
-use crate::list::List;
+use crate::members::List;
 use passroad_choice::StandingOrders;
 use passroad_routes::RouteOrders;
 use serde::Deserialize;
