--- a/crates/passroad-rig/tests/command_line.rs
+++ b/crates/passroad-rig/tests/command_line.rs
@@ -148,3 +148,73 @@
     child.wait().unwrap();
     until(|| sidecars_of(child.id()) == 0);
 }
+
+const TALKS: &str = r#"
+about = "talks"
+length = "60s"
+instances = 3
+sockets = "first"
+policies = ["passroad"]
+[fleet.kind.plain]
+cores = 2
+[[fleet.group]]
+kind = "plain"
+count = 1
+[[verb]]
+name = "look"
+effect = "pure"
+work = "5ms"
+goal = "200ms"
+limit = "500ms"
+[load]
+per_second = 5
+[peers]
+lease = "1s"
+[[peers.duty]]
+name = "sweep"
+every = "100ms"
+within = "300ms"
+[[fault]]
+kind = "sidecar-pause"
+at = "0s"
+for = "50s"
+instances = [1]
+"#;
+
+/// The processes that an other one started, and whether each is stopped.
+fn children(of: u32) -> Vec<(u32, bool)> {
+    let all = std::fs::read_dir("/proc").unwrap().flatten();
+    let number =
+        |entry: std::fs::DirEntry| entry.file_name().to_str().and_then(|name| name.parse::<u32>().ok());
+    let own = |pid: u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let fields: Vec<String> = stat.rsplit_once(") ")?.1.split(' ').map(str::to_string).collect();
+        (fields[1] == of.to_string() && fields[0] != "Z").then(|| (pid, fields[0] == "T"))
+    };
+    all.flat_map(number).filter_map(own).collect()
+}
+
+// Also a process that is stopped, and can't see that its standard input has ended.
+#[rstest]
+fn nothing_is_left_behind_when_the_rig_is_killed() {
+    let folder = Folder::with(TALKS);
+    let mut rig = Command::new(env!("CARGO_BIN_EXE_passroad-rig"));
+    let mut rig = rig.arg("run").arg(folder.at("e.toml")).spawn().unwrap();
+    let until = |done: &dyn Fn() -> bool| {
+        let began = std::time::Instant::now();
+        while !done() {
+            assert!(began.elapsed().as_secs() < 30, "it did not come");
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
+    };
+    until(&|| children(rig.id()).iter().filter(|(_, stopped)| *stopped).count() == 1);
+    let pids: Vec<u32> = children(rig.id()).into_iter().map(|(pid, _)| pid).collect();
+    assert_eq!(pids.len(), 3);
+    rig.kill().unwrap();
+    rig.wait().unwrap();
+    let alive = |pid: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        stat.rsplit_once(") ").is_some_and(|(_, rest)| !rest.starts_with('Z'))
+    };
+    until(&|| !pids.iter().any(alive));
+}
