--- a/crates/passroad-rig/src/fleet/mod.rs
+++ b/crates/passroad-rig/src/fleet/mod.rs
@@ -111,7 +111,7 @@
     }
 
     pub fn orders(&self) -> DutyOrder {
-        let call = hyper::Uri::from_static("http://127.0.0.1:1/");
+        let call = Some(hyper::Uri::from_static("http://127.0.0.1:1/"));
         DutyOrder { name: self.name.clone(), mark: self.mark(), every: self.every, call, within: self.within }
     }
 }
--- a/crates/passroad-rig/src/fleet/world.rs
+++ b/crates/passroad-rig/src/fleet/world.rs
@@ -4,7 +4,7 @@
 use super::wires::Wires;
 use super::{Act, FleetDay, FleetPlan, RESTART, What};
 use crate::chance::Chance;
-use passroad::fleet::part::{Came, Do, Part, Who};
+use passroad::fleet::part::{Came, Do, Part, View, Who};
 use passroad_lease::{Duty, Epoch, Fence, Times, Vote};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -163,7 +163,7 @@
             Ev::Datagram { from, to, bytes } => {
                 let times = self.times(to);
                 if let Some(part) = &mut self.nodes[to].part {
-                    let todo = part.hear(times, from as u16, &bytes);
+                    let todo = part.hear(times, from as u16, &bytes, &View { seen: &[], free: &|_| false });
                     self.carry_out(to, todo);
                     self.turn(to);
                 }
@@ -295,7 +295,8 @@
                         self.calls[call].dropped = true;
                     }
                 }
-                Do::Say { .. } | Do::Unheard(_) => {}
+                Do::Say { .. } | Do::Unheard(_) | Do::Ban { .. } | Do::Answer { .. } | Do::Machine { .. } => {
+                }
             }
         }
     }
--- a/crates/passroad-rig/src/sockets/sidecar.rs
+++ b/crates/passroad-rig/src/sockets/sidecar.rs
@@ -16,6 +16,8 @@
 
 /// The file of routes, where a day has one.
 pub const ROUTES: &str = "routes.toml";
+/// Starts, where an address was taken meanwhile.
+const TRIES: usize = 5;
 /// How long an operator's call may take.
 const CALL_WITHIN: Duration = Duration::from_secs(1);
 /// How long a start, or an orderly end, may take.
@@ -86,8 +88,15 @@
 
     /// Starts the process and waits until it takes commands.
     pub async fn start(&mut self) -> io::Result<()> {
-        self.child = Some(self.spawn()?);
-        self.come_up("/healthz").await
+        for _ in 0..TRIES {
+            self.child = Some(self.spawn()?);
+            match self.come_up("/healthz").await {
+                // A port that was free may have been taken for a connection meanwhile; the next one is another.
+                Err(fault) if fault.to_string().contains("Address already in use") => self.kill(),
+                other => return other,
+            }
+        }
+        Err(io::Error::other(format!("sidecar {}: no free port in {TRIES} tries", self.n)))
     }
 
     /// The next process takes over beside this one, which is then stopped; what that ended with.
--- a/crates/passroad-upkeep/src/lib.rs
+++ b/crates/passroad-upkeep/src/lib.rs
@@ -34,6 +34,8 @@
 /// Words that the conductor says at a turn, and how far apart turns are: its part of the datagrams.
 const SAID_AT_ONCE: usize = 5;
 pub const TURN: Duration = Duration::from_millis(50);
+/// Rounds of questions before others than the keepers are asked.
+const KEEPERS_FIRST: u32 = 4;
 /// What is not answered is said again.
 const AGAIN: Duration = Duration::from_millis(400);
 
@@ -43,8 +45,8 @@
     Recall { by: Epoch, from: u32 },
     /// So much from that place on, of so many; blank where the sidecar has heard of no order since it started.
     Known { by: Epoch, from: u32, all: u32, blank: bool, entries: Vec<Entry> },
-    /// The conductor of this epoch tells of steps.
-    Tell { by: Epoch, entries: Vec<Entry> },
+    /// The conductor of this epoch tells of steps; of so many entries that are not over.
+    Tell { by: Epoch, all: u32, entries: Vec<Entry> },
     /// Heard, of these versions; and of each whether nothing of this sidecar's is on the machine.
     Ack { by: Epoch, heard: Vec<(Machine, Epoch, u32, bool)> },
     /// An operator asks for machines.
@@ -152,12 +154,18 @@
     pub free: &'a dyn Fn(Machine) -> bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Learning {
     /// Who has told all that it knows, and was not blank.
     whole: BTreeSet<Member>,
+    /// Who has told all that it knows, much or nothing.
+    answered: BTreeSet<Member>,
+    /// Whether any of them had not forgotten.
+    knew: bool,
     parts: BTreeMap<Member, u32>,
     asked: Duration,
+    rounds: u32,
+    next: Member,
 }
 
 #[derive(Debug)]
@@ -181,11 +189,19 @@
     terms: Terms,
     pub book: Book,
     blank: bool,
+    /// Whether what it knows counts: it has heard all from a conductor since it started, or was one. What it has only
+    /// asked others for may be old, and they are asked themselves.
+    keeps: bool,
+    /// Keepers from whom it has heard all since it started.
+    heard_all: BTreeSet<Member>,
     fence: Epoch,
     chair: Chair,
     heard: BTreeMap<Member, Heard>,
     said: BTreeMap<(Member, Machine), (Duration, Epoch, u32)>,
+    said_to: BTreeMap<Member, Incarnation>,
     banned: BTreeSet<Machine>,
+    /// Bans that the caller has put into effect: those that it was handed before it turned again.
+    effective: BTreeSet<Machine>,
     acked: BTreeMap<Machine, (Epoch, u32, bool)>,
     asked: BTreeMap<u64, Asked>,
     /// Requests whose first step is not yet with a majority, and who asked.
@@ -203,11 +219,15 @@
             terms,
             book: Book::default(),
             blank: true,
+            keeps: false,
+            heard_all: BTreeSet::new(),
             fence: 0,
             chair: Chair::Hand,
             heard: BTreeMap::new(),
             said: BTreeMap::new(),
+            said_to: BTreeMap::new(),
             banned: BTreeSet::new(),
+            effective: BTreeSet::new(),
             acked: BTreeMap::new(),
             asked: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -224,6 +244,14 @@
         !self.blank
     }
 
+    /// Whether there is something to do soon.
+    pub fn awake(&self) -> bool {
+        self.blank
+            || !self.asked.is_empty()
+            || !matches!(self.chair, Chair::Hand)
+            || self.book.in_order().iter().any(|entry| !entry.state.over())
+    }
+
     pub fn conducts(&self) -> bool {
         matches!(self.chair, Chair::Sits(_))
     }
@@ -250,18 +278,23 @@
                 self.fence = self.fence.max(by);
                 let all = self.book.in_order();
                 let entries: Vec<Entry> = all.iter().skip(at as usize).take(IN_ONE).copied().collect();
-                let word = Word::Known { by, from: at, all: all.len() as u32, blank: self.blank, entries };
+                let word = Word::Known { by, from: at, all: all.len() as u32, blank: !self.keeps, entries };
                 out.push(Out::Say { to: from, word });
             }
             Word::Known { by, from: at, all, blank, entries } => {
                 self.known(sight, from, (by, at, all, blank), entries, &mut out)
             }
-            Word::Tell { by, entries } => {
+            Word::Tell { by, all, entries } => {
                 if by < self.fence {
                     return out;
                 }
-                (self.fence, self.blank) = (by, false);
+                self.fence = by;
                 self.book.take_all(&entries);
+                // Guards against taking a part of the order for the whole.
+                let open = self.book.in_order().iter().filter(|entry| !entry.state.over()).count();
+                if open >= all as usize {
+                    (self.blank, self.keeps) = (false, true);
+                }
                 self.book.forget(MOST_KEPT);
                 self.obey(&mut out);
                 let heard = entries.iter().map(|entry| self.ack_of(sight, entry)).collect();
@@ -290,6 +323,7 @@
     /// What time brings; the caller turns every [`TURN`].
     pub fn turn(&mut self, sight: &Sight) -> Vec<Out> {
         let mut out = Vec::new();
+        self.effective.clone_from(&self.banned);
         self.take_chair(sight);
         if self.blank && self.began.is_none_or(|at| sight.now >= at + AGAIN) {
             self.began = Some(sight.now);
@@ -297,7 +331,7 @@
             let others = self.terms.keepers.iter().filter(|k| **k != self.terms.me);
             out.extend(others.map(|to| Out::Say { to: *to, word: Word::Recall { by: 0, from: 0 } }));
             if self.terms.members <= 1 {
-                self.blank = false;
+                (self.blank, self.keeps) = (false, true);
             }
         }
         self.obey(&mut out);
@@ -335,31 +369,45 @@
             Some(epoch) => {
                 self.fence = epoch;
                 let asked = sight.now.saturating_sub(AGAIN);
-                Chair::Learning(epoch, Learning { whole: BTreeSet::new(), parts: BTreeMap::new(), asked })
+                Chair::Learning(epoch, Learning { asked, ..Learning::default() })
             }
         };
     }
 
-    /// Asks the keepers what they know, again and again until a majority has told all.
+    /// Asks the keepers what they know, again and again until a majority has told all. Where a majority of them has
+    /// forgotten all sidecars are asked: what none of them knows is in effect nowhere.
     fn learn(&mut self, sight: &Sight, out: &mut Vec<Out>) {
-        let majority = self.majority();
-        let me = self.terms.me;
+        let (majority, me, members) = (self.majority(), self.terms.me, self.terms.members as Member);
         let Chair::Learning(epoch, learning) = &mut self.chair else { return };
-        if !self.blank && self.terms.keepers.contains(&me) {
+        if self.keeps && self.terms.keepers.contains(&me) {
             learning.whole.insert(me);
         }
-        if learning.whole.len() >= majority {
+        learning.answered.insert(me);
+        learning.knew |= self.keeps;
+        if learning.whole.len() >= majority || learning.knew && learning.answered.len() == self.terms.members
+        {
             let epoch = *epoch;
-            self.blank = false;
+            (self.blank, self.keeps) = (false, true);
             self.chair = Chair::Sits(epoch);
             return;
         }
-        if sight.now >= learning.asked + AGAIN {
-            learning.asked = sight.now;
-            for to in self.terms.keepers.iter().filter(|k| **k != me && !learning.whole.contains(k)) {
-                let from = learning.parts.get(to).copied().unwrap_or(0);
-                out.push(Out::Say { to: *to, word: Word::Recall { by: *epoch, from } });
-            }
+        if sight.now < learning.asked + AGAIN {
+            return;
+        }
+        learning.asked = sight.now;
+        let keepers = self.terms.keepers.iter().copied().filter(|k| *k != me && !learning.whole.contains(k));
+        let mut ask: Vec<Member> = keepers.collect();
+        if learning.rounds > KEEPERS_FIRST {
+            let others = (0..members).map(|n| (n + learning.next) % members);
+            let left = others.filter(|n| !learning.answered.contains(n) && !ask.contains(n));
+            let left: Vec<Member> = left.take(2 * SAID_AT_ONCE).collect();
+            learning.next = left.last().map_or(0, |last| last + 1);
+            ask.extend(left);
+        }
+        learning.rounds += 1;
+        for to in ask {
+            let from = learning.parts.get(&to).copied().unwrap_or(0);
+            out.push(Out::Say { to, word: Word::Recall { by: *epoch, from } });
         }
     }
 
@@ -374,13 +422,14 @@
         let next = at + entries.len() as u32;
         let more = !entries.is_empty() && next < all;
         if by == 0 {
-            // For a hand that begins: what somebody knows is better than nothing, and what is newer comes.
+            // For a hand that begins: what a majority of the keepers knows holds all that is at work.
             if !blank && self.blank {
                 self.book.take_all(&entries);
                 if more {
                     out.push(Out::Say { to: from, word: Word::Recall { by: 0, from: next } });
                 } else {
-                    self.blank = false;
+                    self.heard_all.insert(from);
+                    self.blank = self.heard_all.len() < self.majority();
                 }
                 self.obey(out);
             }
@@ -394,8 +443,12 @@
         if more {
             learning.parts.insert(from, next);
             out.push(Out::Say { to: from, word: Word::Recall { by, from: next } });
-        } else if !blank || self.fresh(sight) {
-            self.learned(from);
+        } else {
+            learning.answered.insert(from);
+            learning.knew |= !blank;
+            if self.terms.keepers.contains(&from) && (!blank || self.fresh(sight)) {
+                self.learned(from);
+            }
         }
     }
 
@@ -427,8 +480,9 @@
         self.banned = now;
     }
 
+    /// Guards against a command that goes out between the look and the ban: free is only what is looked at behind it.
     fn ack_of(&mut self, sight: &Sight, entry: &Entry) -> (Machine, Epoch, u32, bool) {
-        let free = self.banned.contains(&entry.machine) && (sight.free)(entry.machine);
+        let free = self.effective.contains(&entry.machine) && (sight.free)(entry.machine);
         let ack = (entry.epoch, entry.step, free);
         self.acked.insert(entry.machine, ack);
         (entry.machine, ack.0, ack.1, ack.2)
@@ -441,7 +495,8 @@
         for entry in leaving {
             let before = self.acked.get(&entry.machine).copied();
             let said = matches!(before, Some((epoch, step, true)) if (epoch, step) == entry.version());
-            if !said && (sight.free)(entry.machine) && heard.len() < IN_ONE {
+            let free = self.effective.contains(&entry.machine) && (sight.free)(entry.machine);
+            if !said && free && heard.len() < IN_ONE {
                 heard.push(self.ack_of(sight, &entry));
             }
         }
@@ -540,7 +595,7 @@
     /// An operator's word that nothing is out but what is known.
     fn begin(&mut self) {
         if let Chair::Learning(epoch, _) = self.chair {
-            self.blank = false;
+            (self.blank, self.keeps) = (false, true);
             self.chair = Chair::Sits(epoch);
         }
     }
@@ -724,6 +779,7 @@
         self.turned = Some(sight.now);
         let order = self.book.in_order();
         // What is over is told to those who may still keep off it.
+        let all = order.iter().filter(|entry| !entry.state.over()).count() as u32;
         let news: Vec<Entry> = order.into_iter().filter(|e| e.epoch == epoch).collect();
         let members = self.terms.members as Member;
         let mut said = 0;
@@ -733,13 +789,22 @@
                 continue;
             }
             let incarnation = sight.incarnations.get(usize::from(to)).copied().unwrap_or(0);
+            // What was said to one before it began anew is to be said again at once.
+            if self.said_to.insert(to, incarnation) != Some(incarnation) {
+                self.said.retain(|(member, _), _| *member != to);
+            }
             let acks = self.heard.get(&to).filter(|(of, _)| *of == incarnation).map(|(_, acks)| acks);
             let unheard = |entry: &&Entry| {
                 let has = acks.and_then(|acks| acks.get(&entry.machine));
                 let lately = self.said.get(&(to, entry.machine)).is_some_and(|(at, epoch, step)| {
                     sight.now < *at + AGAIN && (*epoch, *step) == entry.version()
                 });
-                !lately && has.is_none_or(|(epoch, step, _)| (*epoch, *step) < entry.version())
+                // That one has come free may have been lost on its way.
+                let leaving = entry.state == State::Leaving;
+                !lately
+                    && has.is_none_or(|(epoch, step, free)| {
+                        (*epoch, *step) < entry.version() || leaving && !*free
+                    })
             };
             let entries: Vec<Entry> = news.iter().filter(unheard).take(IN_ONE).copied().collect();
             // Also that there is nothing: who has heard of a conductor has not forgotten an order.
@@ -752,7 +817,7 @@
             for entry in &entries {
                 self.said.insert((to, entry.machine), (sight.now, entry.epoch, entry.step));
             }
-            out.push(Out::Say { to, word: Word::Tell { by: epoch, entries } });
+            out.push(Out::Say { to, word: Word::Tell { by: epoch, all, entries } });
             (said, self.next) = (said + 1, usize::from(to) + 1);
         }
     }
--- a/crates/passroad-upkeep/src/tests.rs
+++ b/crates/passroad-upkeep/src/tests.rs
@@ -181,6 +181,10 @@
         self.incarnations[me] += 100_000;
         self.banned[me].clear();
         self.hands[me] = Some(self.hand(me));
+        // What it owned by its epoch it owns no more.
+        if let Some((owner, epoch)) = self.owner.filter(|(owner, _)| usize::from(*owner) == me) {
+            self.owner = Some(((owner + 1) % self.hands.len() as Member, epoch + 1));
+        }
     }
 }
 
@@ -209,6 +213,30 @@
     assert_eq!((world.state(3), world.broken), (Some(State::AtWork), vec![]));
 }
 
+// In real processes a machine was told empty with a command on its way to it: the look was older than the ban.
+#[rstest]
+fn free_is_said_only_behind_the_ban() {
+    let mut world = World::new(3);
+    world.run(MS * 200);
+    let entry = Entry {
+        machine: 3,
+        request: 1,
+        place: 1,
+        state: State::Leaving,
+        epoch: 1,
+        step: 5,
+        lasts: 1,
+        ends: 0,
+        back: false,
+    };
+    let tell = Word::Tell { by: 1, all: 1, entries: vec![entry] };
+    let outs = world.with(2, |hand, sight| hand.hear(sight, 0, tell)).unwrap();
+    assert_eq!(outs[0], Out::Ban { machine: 3, out: true });
+    assert_eq!(outs[1], Out::Say { to: 0, word: Word::Ack { by: 1, heard: vec![(3, 1, 5, false)] } });
+    let outs = world.with(2, |hand, sight| hand.turn(sight)).unwrap();
+    assert_eq!(outs, [Out::Say { to: 0, word: Word::Ack { by: 1, heard: vec![(3, 1, 5, true)] } }]);
+}
+
 // Nobody can know what one that says nothing still sends: the order waits for it, or for an operator, and says so.
 #[rstest]
 fn who_is_cut_off_is_waited_for_or_forced_past() {
@@ -248,6 +276,7 @@
     world.run(Duration::from_secs(1));
     let late = Word::Tell {
         by: 1,
+        all: 2,
         entries: vec![Entry {
             state: State::Returning,
             step: 90,
@@ -314,6 +343,44 @@
     assert_eq!(world.answers.last(), Some(&(8, None)));
 }
 
+// A random history: what was said to it before it began anew was not said again at once, and the rest was taken for all.
+#[rstest]
+fn a_part_of_the_order_is_not_taken_for_the_whole() {
+    let mut world = World::new(3);
+    world.restart(2);
+    let entry = Entry {
+        machine: 3,
+        request: 1,
+        place: 1,
+        state: State::Queued,
+        epoch: 1,
+        step: 0,
+        lasts: 1,
+        ends: 0,
+        back: false,
+    };
+    for (machine, informed) in [(3, false), (5, true)] {
+        let word = Word::Tell { by: 1, all: 2, entries: vec![Entry { machine, ..entry }] };
+        world.with(2, |hand, sight| hand.hear(sight, 0, word));
+        assert_eq!(world.hands[2].as_ref().unwrap().informed(), informed);
+    }
+}
+
+// A random history: a keeper that began anew had asked another one, and counted as if it had known itself.
+#[rstest]
+fn a_keeper_that_has_only_asked_does_not_count() {
+    let mut world = World::new(3);
+    world.ask_long(2, 7, &[3]);
+    world.run(Duration::from_secs(1));
+    world.restart(1);
+    world.owner = None;
+    world.run(Duration::from_secs(1));
+    assert!(world.hands[1].as_ref().unwrap().informed());
+    let recall = Word::Recall { by: 9, from: 0 };
+    let outs = world.with(1, |hand, sight| hand.hear(sight, 2, recall)).unwrap();
+    assert!(matches!(outs[..], [Out::Say { word: Word::Known { blank: true, .. }, .. }]), "{outs:?}");
+}
+
 #[rstest]
 fn what_is_asked_twice_or_in_two_places_is_one_order() {
     let mut world = World::new(5);
@@ -389,7 +456,9 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(60))]
+    #![proptest_config(ProptestConfig::with_cases(
+        std::env::var("PROPTEST_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(60)
+    ))]
 
     // Cuts, losses, restarts from nothing and changes of the conductor at any time.
     #[test]
@@ -410,7 +479,7 @@
                 1 => world.cut.clear(),
                 2 => world.restart(whom),
                 _ => {
-                    epoch += 1;
+                    epoch += 100;
                     world.owner = Some((whom as Member, epoch));
                 }
             }
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -204,7 +204,10 @@
             let link = &mut held.links[endpoint];
             let address = member.host_port.filter(|_| member.mode() != Mode::Deleted);
             if link.as_ref().map(|l| l.address) != address {
-                *link = address.map(|address| Link::new(address, &self.dialer));
+                *link = address.map(|address| match link.take() {
+                    Some(link) => link.anew(address),
+                    None => Link::new(address, &self.dialer),
+                });
                 match address {
                     Some(address) => log::info!(
                         endpoint = endpoint, id = member.id.as_str(), address:% = address;
@@ -274,6 +277,19 @@
         known
     }
 
+    /// What is listed.
+    pub fn machines(&self) -> Vec<Member> {
+        self.held().members.iter().flatten().cloned().collect()
+    }
+
+    /// Whether something of this sidecar's is out on an endpoint now.
+    pub fn uses(&self, id: &str) -> bool {
+        let held = self.held();
+        let at = held.endpoints.find(id);
+        let link = at.and_then(|at| held.links.get(at)).and_then(Option::as_ref);
+        link.is_some_and(|link| !link.nothing_out())
+    }
+
     /// The same for an id that another process knows.
     pub fn turn(self: &Arc<Self>, id: &str, out: bool) {
         let mut held = self.held();
@@ -342,7 +358,7 @@
                 }
                 Action::Disconnect { endpoint } => {
                     if let Some(link) = held.links.get_mut(endpoint).and_then(Option::as_mut) {
-                        *link = Link::new(link.address, &self.dialer);
+                        *link = link.anew(link.address);
                     }
                 }
                 Action::Listen { active } => drop(self.calls.send(Call::Watch(active))),
--- a/crates/passroad/src/fleet/calls.rs
+++ b/crates/passroad/src/fleet/calls.rs
@@ -30,7 +30,7 @@
     }
 
     pub fn begin(&mut self, n: usize, duty: &DutyOrder, epoch: Epoch, me: u16, within: Duration) {
-        let request = Request::post(duty.call.clone())
+        let request = Request::post(duty.call.clone().unwrap_or_default())
             .header("Duty", duty.name.as_str())
             .header("Epoch", epoch)
             .header("Owner", me)
--- a/crates/passroad/src/fleet/mod.rs
+++ b/crates/passroad/src/fleet/mod.rs
@@ -8,11 +8,15 @@
 pub mod part;
 mod status;
 mod talk;
+mod work;
 
 pub use orders::{DutyOrder, FleetOrders, Place, read};
 pub use status::{Door, ask, table};
+pub use work::{order, refusal, table as work_table};
 
+use crate::desk::Desk;
 use crate::stop::Stages;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// For the address to come free: the process before this one gives it up when it stops.
@@ -21,7 +25,12 @@
 
 /// Begins the sidecar's part, on a thread of its own, so that load on the front can't make it late. None where the
 /// settings forbid talk between sidecars.
-pub fn begin(orders: FleetOrders, place: Place, stages: Stages) -> Result<Option<Door>, String> {
+pub fn begin(
+    orders: FleetOrders,
+    place: Place,
+    desk: &Arc<Desk>,
+    stages: Stages,
+) -> Result<Option<Door>, String> {
     if !place.may_talk {
         log::info!("fleet: off, as the settings forbid talk between sidecars (allowed.may_tell)");
         return Ok(None);
@@ -29,7 +38,8 @@
     let fault = |e: std::io::Error| format!("fleet: {e}");
     let kept = orders.state.as_deref().map(|path| kept::Kept::open(path, &place.name)).transpose()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(fault)?;
-    let (door, asked) = status::door();
+    let (door, asked) = status::door(orders.upkeep.is_some());
+    let machines = orders.upkeep.as_ref().map(|upkeep| work::Machines::new(Arc::clone(desk), upkeep));
     let (listen, members, voters, lease) = (place.listen, place.peers.len(), orders.voters, orders.lease);
     let memory = if kept.is_some() { "a state file" } else { "no state file" };
     let serve = move || {
@@ -44,7 +54,7 @@
                     Err(_) => tokio::time::sleep(ADDRESS_EVERY).await,
                 }
             };
-            talk::Talk::new(orders, place, kept, socket).run(asked, stages).await;
+            talk::Talk::new(orders, place, kept, socket, machines).run(asked, stages).await;
         });
     };
     std::thread::Builder::new().name("fleet".into()).spawn(serve).map_err(fault)?;
--- a/crates/passroad/src/fleet/orders.rs
+++ b/crates/passroad/src/fleet/orders.rs
@@ -1,7 +1,7 @@
 //! The fleet's file and what the configuration says of the other sidecars.
 
 use hyper::Uri;
-use passroad_units::{Time, Wrong, line_of};
+use passroad_units::{Share, Time, Wrong, line_of};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -28,6 +28,28 @@
     state: Option<Spanned<String>>,
     #[serde(default)]
     duty: Vec<Spanned<Duty>>,
+    #[serde(default)]
+    upkeep: Option<Spanned<Upkeep>>,
+}
+
+#[derive(Deserialize, Debug)]
+#[serde(deny_unknown_fields)]
+struct Upkeep {
+    #[serde(default = "one")]
+    at_once: usize,
+    #[serde(default = "one")]
+    at_once_in_a_zone: usize,
+    #[serde(default = "reserve")]
+    reserve: Share,
+    #[serde(default)]
+    warm: Option<Time>,
+}
+
+fn one() -> usize {
+    1
+}
+fn reserve() -> Share {
+    Share(0.1)
 }
 
 #[derive(Deserialize, Debug)]
@@ -58,14 +80,30 @@
     pub voters: usize,
     pub state: Option<PathBuf>,
     pub duties: Vec<DutyOrder>,
+    /// Machines out for work, where the file asks for it.
+    pub upkeep: Option<UpkeepOrder>,
 }
 
+/// What may be out for work at once.
+#[derive(Debug, Clone)]
+pub struct UpkeepOrder {
+    pub at_once: usize,
+    pub at_once_in_a_zone: usize,
+    pub reserve: f64,
+    /// How long a machine takes to be warm; by the settings where the file says nothing.
+    pub warm: Duration,
+}
+
+/// The duty whose owner conducts the order of work.
+pub const UPKEEP: &str = "upkeep";
+
 #[derive(Debug, Clone)]
 pub struct DutyOrder {
     pub name: String,
     pub mark: u64,
     pub every: Duration,
-    pub call: Uri,
+    /// None of the duty whose owner conducts the order of work.
+    pub call: Option<Uri>,
     /// A call ends by then, which is before any lease does that it began in.
     pub within: Duration,
 }
@@ -143,7 +181,7 @@
         let (duty, place) = (spanned.get_ref(), spanned.span().start);
         let name = duty.name.get_ref().clone();
         let odd = name.is_empty() || !name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
-        if odd || duties.iter().any(|known| known.name == name) {
+        if odd || name == UPKEEP || duties.iter().any(|known| known.name == name) {
             let at = duty.name.span().start;
             return wrong(at, format!("name: '{name}' is taken, or not of letters, digits and -"));
         }
@@ -178,10 +216,28 @@
         };
         let mark = passroad_choice::door::mark(&name);
         let _ = place;
-        duties.push(DutyOrder { name, mark, every, call: uri, within });
+        duties.push(DutyOrder { name, mark, every, call: Some(uri), within });
     }
+    let upkeep = match &told.upkeep {
+        None => None,
+        Some(told) => {
+            let (at, told) = (told.span().start, told.get_ref());
+            if told.at_once == 0 || told.at_once_in_a_zone == 0 || told.reserve.0 > 0.9 {
+                return wrong(at, "upkeep: at_once and at_once_in_a_zone from 1, reserve to 90%".into());
+            }
+            let (within, every) = (Duration::MAX, Duration::MAX);
+            let mark = passroad_choice::door::mark(UPKEEP);
+            duties.push(DutyOrder { name: UPKEEP.into(), mark, every, call: None, within });
+            Some(UpkeepOrder {
+                at_once: told.at_once,
+                at_once_in_a_zone: told.at_once_in_a_zone,
+                reserve: told.reserve.0,
+                warm: told.warm.unwrap_or_default().0,
+            })
+        }
+    };
     let state = told.state.map(|state| PathBuf::from(state.into_inner()));
-    Ok(FleetOrders { lease, period, voters, state, duties })
+    Ok(FleetOrders { lease, period, voters, state, duties, upkeep })
 }
 
 #[cfg(test)]
--- a/crates/passroad/src/fleet/part.rs
+++ b/crates/passroad/src/fleet/part.rs
@@ -1,10 +1,11 @@
 //! One sidecar's part in the fleet without socket, clock or calls: membership, leases, and when a duty's call may begin.
 //! The sidecar's thread and the rig's virtual time both drive it.
 
-use super::orders::DutyOrder;
+use super::orders::{DutyOrder, UPKEEP, UpkeepOrder};
 use log::Level;
 use passroad_lease::{self as lease, Duty, Epoch, Lease, Times, Vote, Why, Word};
 use passroad_peers::{self as peers, Known, Note, Peers, Standing};
+use passroad_upkeep::{self as upkeep, Line, Machine, Refusal, Seen, Sight, Upkeep};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,6 +13,9 @@
 /// Channels of datagrams.
 const PEERS: u8 = 0;
 const LEASES: u8 = 1;
+const WORK: u8 = 2;
+/// A whole fleet that starts for the first time does so within this.
+const TOGETHER: Duration = Duration::from_secs(60);
 /// How many of the first in a duty's order stand for it.
 const STAND: usize = 3;
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
@@ -48,6 +52,27 @@
     },
     /// A datagram was not heard.
     Unheard(&'static str),
+    /// Keep off a machine, or use it again.
+    Ban {
+        machine: Machine,
+        out: bool,
+    },
+    /// An operator's request has its answer.
+    Answer {
+        request: u64,
+        refused: Option<Refusal>,
+    },
+    /// What is told of a machine.
+    Machine {
+        machine: Machine,
+        what: Line,
+    },
+}
+
+/// What the caller sees of machines.
+pub struct View<'a> {
+    pub seen: &'a [Seen],
+    pub free: &'a dyn Fn(Machine) -> bool,
 }
 
 /// What became of a call.
@@ -65,6 +90,7 @@
     duties: Vec<DutyOrder>,
     peers: Peers,
     lease: Lease,
+    work: Option<Upkeep>,
     out: Vec<bool>,
     next: Vec<Duration>,
     told: Vec<Option<Duration>>, // of each duty's calls, the last fault
@@ -103,6 +129,7 @@
             duties,
             peers: Peers::new(terms, times.steady),
             lease: Lease::new(own, times, votes),
+            work: None,
             out: vec![false; count],
             next: vec![times.steady; count],
             told: vec![None; count],
@@ -116,6 +143,64 @@
         part
     }
 
+    /// Has this part take its share in the order of work on machines.
+    pub fn with_upkeep(mut self, order: &UpkeepOrder) -> Part {
+        let members = self.peers.known().len();
+        let mark = passroad_choice::door::mark(UPKEEP);
+        let limits = upkeep::Limits {
+            at_once: order.at_once,
+            at_once_in_a_zone: order.at_once_in_a_zone,
+            reserve: order.reserve,
+            warm: order.warm,
+            together: TOGETHER,
+        };
+        let keepers = lease::council(mark, members, self.lease.voters());
+        self.work = Some(Upkeep::new(upkeep::Terms { me: self.me, members, keepers, limits }));
+        self
+    }
+
+    pub fn upkeep(&self) -> Option<&Upkeep> {
+        self.work.as_ref()
+    }
+
+    /// An operator's word, for the conductor.
+    pub fn operator(&mut self, word: upkeep::Word) {
+        self.work.iter_mut().for_each(|work| work.ask(word.clone()));
+    }
+
+    /// The order of work: with a word that was heard, or for time alone.
+    pub fn work(&mut self, times: Times, view: &View, heard: Option<(u16, upkeep::Word)>) -> Vec<Do> {
+        let mut todo = Vec::new();
+        let Some(mut work) = self.work.take() else { return todo };
+        let mark = passroad_choice::door::mark(UPKEEP);
+        let owned = self.lease.owned(times, mark).map(|(epoch, _)| epoch);
+        let note = self.peers.note_of(mark).and_then(|note| note.holder);
+        let incarnations: Vec<u64> = self.peers.known().iter().map(|known| known.incarnation).collect();
+        let sight = Sight {
+            now: times.steady,
+            wall: times.wall,
+            owned: owned.filter(|_| !self.stops),
+            incarnations: &incarnations,
+            conductor: owned.map(|_| self.me).or(note.filter(|holder| *holder != self.me)),
+            seen: view.seen,
+            free: view.free,
+        };
+        let outs = match heard {
+            Some((from, word)) => work.hear(&sight, from, word),
+            None => work.turn(&sight),
+        };
+        self.work = Some(work);
+        for out in outs {
+            match out {
+                upkeep::Out::Say { to, word } => self.send(to, WORK, &word.bytes(), &mut todo),
+                upkeep::Out::Ban { machine, out } => todo.push(Do::Ban { machine, out }),
+                upkeep::Out::Answer { request, refused } => todo.push(Do::Answer { request, refused }),
+                upkeep::Out::Told { machine, what } => todo.push(Do::Machine { machine, what }),
+            }
+        }
+        todo
+    }
+
     /// What time has brought, and calls that are due.
     pub fn turn(&mut self, times: Times) -> Vec<Do> {
         let mut todo = Vec::new();
@@ -124,7 +209,7 @@
         let outs = self.lease.tick(times);
         self.carry_out(times, outs, &mut todo);
         for n in 0..self.duties.len() {
-            if self.stops || self.out[n] || times.steady < self.next[n] {
+            if self.stops || self.out[n] || times.steady < self.next[n] || self.duties[n].call.is_none() {
                 continue;
             }
             let duty = &self.duties[n];
@@ -144,7 +229,7 @@
     pub fn wait(&mut self, times: Times) -> Duration {
         let mut wait = self.peers.wait(times.steady).min(self.lease.wait().unwrap_or(LONGEST_WAIT));
         for n in 0..self.duties.len() {
-            if self.stops || self.out[n] {
+            if self.stops || self.out[n] || self.duties[n].call.is_none() {
                 continue;
             }
             if let Some((_, left)) = self.lease.owned(times, self.duties[n].mark) {
@@ -152,11 +237,12 @@
                 wait = wait.min(if left > self.duties[n].within { due } else { due.max(NEXT_LOOK) });
             }
         }
+        let wait = if self.work.as_ref().is_some_and(Upkeep::awake) { wait.min(upkeep::TURN) } else { wait };
         wait.min(LONGEST_WAIT)
     }
 
     /// A datagram from a member, by its address.
-    pub fn hear(&mut self, times: Times, from: u16, bytes: &[u8]) -> Vec<Do> {
+    pub fn hear(&mut self, times: Times, from: u16, bytes: &[u8], view: &View) -> Vec<Do> {
         let mut todo = Vec::new();
         let (channel, incarnation, body) = match peers::open(bytes) {
             Ok(opened) => opened,
@@ -187,6 +273,11 @@
                 }
                 None => todo.push(Do::Unheard("unreadable")),
             },
+            WORK => match upkeep::Word::read(body) {
+                Some(word) if self.work.is_some() => todo.extend(self.work(times, view, Some((from, word)))),
+                Some(_) => todo.push(Do::Unheard("of work on machines, which the file does not ask for")),
+                None => todo.push(Do::Unheard("unreadable")),
+            },
             _ => todo.push(Do::Unheard("on an unknown channel")),
         }
         todo
@@ -411,7 +502,7 @@
             name: "sweep".into(),
             mark: 7,
             every: 100 * MS,
-            call: hyper::Uri::from_static("http://127.0.0.1:1/"),
+            call: Some(hyper::Uri::from_static("http://127.0.0.1:1/")),
             within: 300 * MS,
         };
         let who = Who { me: 0, members: 1, incarnation: 5, seed: 9 };
--- a/crates/passroad/src/fleet/status.rs
+++ b/crates/passroad/src/fleet/status.rs
@@ -1,5 +1,6 @@
 //! What operators are told of the fleet: asked for at their door, answered by the fleet's thread.
 
+use passroad_upkeep::{Refusal, Word};
 use serde_json::Value;
 use std::fmt::Write as _;
 use std::io::{Read, Write as _};
@@ -11,31 +12,70 @@
 const CALL_WITHIN: Duration = Duration::from_secs(3);
 const LONGEST: u64 = 4 << 20;
 
-pub type Asked = mpsc::UnboundedReceiver<oneshot::Sender<Value>>;
+pub type Asked = mpsc::UnboundedReceiver<Ask>;
+
+/// What the fleet's thread is asked.
+pub enum Ask {
+    Status(oneshot::Sender<Value>),
+    /// The order of work, as far as it is known here; none where the file does not ask for one.
+    Work(oneshot::Sender<Value>),
+    /// An operator asks for machines, or gives a word on one; answered once the conductor has it.
+    Operator {
+        word: Word,
+        answer: oneshot::Sender<Option<Refusal>>,
+    },
+    /// Answered once this sidecar knows what is out for work.
+    Informed(oneshot::Sender<()>),
+}
 
 #[derive(Clone)]
-pub struct Door(mpsc::UnboundedSender<oneshot::Sender<Value>>);
+pub struct Door {
+    ask: mpsc::UnboundedSender<Ask>,
+    pub upkeep: bool,
+}
 
-pub fn door() -> (Door, Asked) {
-    let (door, asked) = mpsc::unbounded_channel();
-    (Door(door), asked)
+pub fn door(upkeep: bool) -> (Door, Asked) {
+    let (ask, asked) = mpsc::unbounded_channel();
+    (Door { ask, upkeep }, asked)
 }
 
 impl Door {
+    async fn answer<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask, within: Duration) -> Option<T> {
+        let (tell, told) = oneshot::channel();
+        self.ask.send(ask(tell)).ok()?;
+        tokio::time::timeout(within, told).await.ok()?.ok()
+    }
+
     /// None where the fleet's thread has ended or is too busy.
     pub async fn status(&self) -> Option<Value> {
-        let (tell, told) = oneshot::channel();
-        self.0.send(tell).ok()?;
-        tokio::time::timeout(ANSWER_WITHIN, told).await.ok()?.ok()
+        self.answer(Ask::Status, ANSWER_WITHIN).await
+    }
+
+    pub async fn work(&self) -> Option<Value> {
+        self.answer(Ask::Work, ANSWER_WITHIN).await
+    }
+
+    /// None where no conductor has answered yet: the request stands, and goes on being said.
+    pub async fn operator(&self, word: Word) -> Option<Option<Refusal>> {
+        self.answer(|answer| Ask::Operator { word, answer }, ANSWER_WITHIN).await
+    }
+
+    /// Waits until this sidecar knows what is out for work, but no longer than so.
+    pub async fn informed(&self, within: Duration) -> bool {
+        self.answer(Ask::Informed, within).await.is_some()
     }
 }
 
 /// Asks a running sidecar at its operators' door.
-pub fn ask(door: SocketAddr) -> Result<Value, String> {
+pub fn ask(door: SocketAddr, method: &str, path: &str, body: &str) -> Result<Value, String> {
     let fault = |e: std::io::Error| format!("{door}: {e}");
     let mut to = TcpStream::connect_timeout(&door, CALL_WITHIN).map_err(fault)?;
     to.set_read_timeout(Some(CALL_WITHIN)).map_err(fault)?;
-    write!(to, "GET /admin/fleet HTTP/1.1\r\nHost: {door}\r\nConnection: close\r\n\r\n").map_err(fault)?;
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {door}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n"
+    );
+    to.write_all(format!("{head}{body}").as_bytes()).map_err(fault)?;
     let mut bytes = Vec::new();
     to.take(LONGEST).read_to_end(&mut bytes).map_err(fault)?;
     let mut room = [httparse::EMPTY_HEADER; 32];
@@ -46,7 +86,7 @@
     };
     let said: Value = serde_json::from_slice(&bytes[length..]).map_err(|e| format!("{door}: {e}"))?;
     match head.code {
-        Some(200) => Ok(said),
+        Some(200 | 202) => Ok(said),
         _ => Err(format!("{door}: {}", said["error"].as_str().unwrap_or("it said no"))),
     }
 }
--- a/crates/passroad/src/fleet/talk.rs
+++ b/crates/passroad/src/fleet/talk.rs
@@ -5,19 +5,24 @@
 use super::drops::Drops;
 use super::kept::Kept;
 use super::orders::{DutyOrder, FleetOrders, Place};
-use super::part::{Came, Do, Part, Who};
-use super::status::Asked;
+use super::part::{Came, Do, Part, View, Who};
+use super::status::{Ask, Asked};
+use super::work::{self, Machines};
 use crate::stop::{Stage, Stages, reached};
 use passroad_lease::{Epoch, Times};
-use std::collections::HashMap;
+use passroad_upkeep::{Machine, Refusal, Upkeep, Word};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Datagrams that are read in a row before timers have their turn.
 const IN_A_ROW: usize = 64;
+/// How often the list is looked at while there is no work.
+const LOOK: Duration = Duration::from_secs(1);
 /// For a call that is out when this process is to stop, and for its leaves.
 const LAST_CALL: Duration = Duration::from_millis(40);
 const LAST_WORDS: Duration = Duration::from_millis(120);
@@ -33,6 +38,13 @@
     calls: Calls,
     came: Option<UnboundedReceiver<(usize, Epoch, Came)>>,
     drops: Drops,
+    machines: Option<Machines>,
+    looked: Instant,
+    /// Operators who wait for the conductor's answer.
+    operators: HashMap<u64, oneshot::Sender<Option<Refusal>>>,
+    informed: Vec<oneshot::Sender<()>>,
+    /// Bans on what was never listed here.
+    unlisted: BTreeSet<Machine>,
 }
 
 fn wall() -> Duration {
@@ -40,7 +52,13 @@
 }
 
 impl Talk {
-    pub fn new(orders: FleetOrders, place: Place, kept: Option<Kept>, socket: UdpSocket) -> Talk {
+    pub fn new(
+        orders: FleetOrders,
+        place: Place,
+        kept: Option<Kept>,
+        socket: UdpSocket,
+        machines: Option<Machines>,
+    ) -> Talk {
         // The time of the start: later processes of this name have a higher one.
         let incarnation = wall().as_millis() as u64;
         let seed = incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (u64::from(place.me) << 32);
@@ -49,9 +67,19 @@
         let votes = kept.as_ref().filter(|kept| kept.found).map(|kept| kept.votes.clone());
         let (calls, came) = Calls::new(orders.duties.len());
         let duties = orders.duties.clone();
+        let part = Part::new(&who, orders.voters, orders.lease, orders.period, duties, times, votes);
+        let part = match &orders.upkeep {
+            Some(upkeep) => part.with_upkeep(upkeep),
+            None => part,
+        };
         Talk {
             numbers: place.peers.iter().enumerate().map(|(n, at)| (*at, n as u16)).collect(),
-            part: Part::new(&who, orders.voters, orders.lease, orders.period, duties, times, votes),
+            part,
+            machines,
+            looked: Instant::now(),
+            operators: HashMap::new(),
+            informed: Vec::new(),
+            unlisted: BTreeSet::new(),
             duties: orders.duties,
             place,
             socket,
@@ -75,6 +103,7 @@
         loop {
             let todo = self.part.turn(self.times());
             self.carry_out(todo);
+            self.work();
             let due = Instant::now() + self.part.wait(self.times());
             tokio::select! {
                 got = self.socket.recv_from(&mut bytes) => {
@@ -94,11 +123,7 @@
                     let todo = self.part.ended(self.times(), n, epoch, what);
                     self.carry_out(todo);
                 }
-                Some(tell) = asked.recv() => {
-                    let mut said = self.part.status(self.times());
-                    said["datagrams"]["not_heard"] = self.drops.counts();
-                    drop(tell.send(said));
-                }
+                Some(ask) = asked.recv() => self.asked(ask),
                 () = reached(&mut stages, Stage::Leaving), if leaves.is_none() => {
                     self.part.stop();
                     leaves = Some(Instant::now() + LAST_CALL);
@@ -110,6 +135,53 @@
         }
     }
 
+    fn asked(&mut self, ask: Ask) {
+        match ask {
+            Ask::Status(tell) => {
+                let mut said = self.part.status(self.times());
+                said["datagrams"]["not_heard"] = self.drops.counts();
+                drop(tell.send(said));
+            }
+            Ask::Work(tell) => {
+                if let Some((machines, upkeep)) = self.machines.as_ref().zip(self.part.upkeep()) {
+                    drop(tell.send(machines.status(upkeep)));
+                }
+            }
+            Ask::Operator { word, answer } => {
+                if let Word::Want { request, .. } | Word::Order { request, .. } = word {
+                    self.operators.retain(|_, waits| !waits.is_closed());
+                    self.operators.insert(request, answer);
+                    self.part.operator(word);
+                }
+            }
+            Ask::Informed(tell) => self.informed.push(tell),
+        }
+    }
+
+    /// The order of work, some twenty times a second while there is one.
+    fn work(&mut self) {
+        let times = self.times();
+        let Some(machines) = &mut self.machines else { return };
+        let awake = self.part.upkeep().is_some_and(Upkeep::awake);
+        let every = if awake { passroad_upkeep::TURN } else { LOOK };
+        if self.looked.elapsed() >= every {
+            self.looked = Instant::now();
+            machines.look(times.wall);
+            // What was banned before it was listed here.
+            let machines = &*machines;
+            self.unlisted.retain(|machine| !machines.turn(*machine, true));
+        }
+        let Some(machines) = &self.machines else { return };
+        let view = View { seen: &machines.seen, free: &|machine| machines.free(machine) };
+        let todo = self.part.work(times, &view, None);
+        self.carry_out(todo);
+        if self.part.upkeep().is_some_and(Upkeep::informed) {
+            for tell in self.informed.drain(..) {
+                let _ = tell.send(());
+            }
+        }
+    }
+
     async fn leave(mut self) {
         let end = Instant::now() + LAST_WORDS;
         let todo = self.part.leave(self.times());
@@ -124,7 +196,14 @@
     fn hear(&mut self, from: SocketAddr, bytes: &[u8]) {
         match self.numbers.get(&from).copied() {
             Some(member) => {
-                let todo = self.part.hear(self.times(), member, bytes);
+                let times = self.times();
+                let todo = match &self.machines {
+                    Some(machines) => {
+                        let view = View { seen: &machines.seen, free: &|machine| machines.free(machine) };
+                        self.part.hear(times, member, bytes, &view)
+                    }
+                    None => self.part.hear(times, member, bytes, &View { seen: &[], free: &|_| false }),
+                };
                 self.carry_out(todo);
             }
             None => self.drops.note(self.began.elapsed(), "of an address that is not in peers"),
@@ -151,6 +230,25 @@
                 }
                 Do::Drop { n } => self.calls.drop(n),
                 Do::Say { level, line } => log::log!(level, "fleet: {line}"),
+                Do::Ban { machine, out } => {
+                    let listed = self.machines.as_ref().is_some_and(|machines| machines.turn(machine, out));
+                    if !listed && out {
+                        self.unlisted.insert(machine);
+                    } else {
+                        self.unlisted.remove(&machine);
+                    }
+                }
+                Do::Answer { request, refused } => {
+                    if let Some(waits) = self.operators.remove(&request) {
+                        let _ = waits.send(refused);
+                    }
+                }
+                Do::Machine { machine, what } => {
+                    let id =
+                        self.machines.as_ref().map(|machines| machines.name(machine)).unwrap_or_default();
+                    let (level, line) = work::line(&id, what);
+                    log::log!(level, "fleet: {line}");
+                }
                 Do::Unheard(cause) => self.drops.note(self.began.elapsed(), cause),
             }
         }
--- /dev/null
+++ b/crates/passroad/src/fleet/work.rs
@@ -0,0 +1,145 @@
+//! Machines out for work, as this sidecar has them: what its list says, what is out on them, and what operators are told.
+
+use super::orders::UpkeepOrder;
+use crate::desk::Desk;
+use passroad_choice::Mode;
+use passroad_upkeep::{Line, Machine, Order, Refusal, Seen, State};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Machines as the desk has them, with their ids; what has left the list is still known by name.
+pub struct Machines {
+    desk: Arc<Desk>,
+    warm: Duration,
+    names: BTreeMap<Machine, String>,
+    pub seen: Vec<Seen>,
+}
+
+impl Machines {
+    pub fn new(desk: Arc<Desk>, orders: &UpkeepOrder) -> Self {
+        Machines { desk, warm: orders.warm, names: BTreeMap::new(), seen: Vec::new() }
+    }
+
+    pub fn look(&mut self, wall: Duration) {
+        self.seen.clear();
+        let (mut zones, mut kinds) = (Vec::new(), Vec::new());
+        let number = |names: &mut Vec<String>, name: &str| {
+            names.iter().position(|known| known == name).unwrap_or_else(|| {
+                names.push(name.to_string());
+                names.len() - 1
+            })
+        };
+        for member in self.desk.machines() {
+            let machine = passroad_choice::door::mark(&member.id);
+            let warm_at = Duration::from_millis(member.up_since_ms) + self.warm;
+            self.seen.push(Seen {
+                machine,
+                zone: number(&mut zones, &member.locality),
+                kind: number(&mut kinds, &member.flavor),
+                size: member.size,
+                sound: member.mode() == Mode::Running && (member.up_since_ms == 0 || wall >= warm_at),
+                busy: None,
+            });
+            self.names.entry(machine).or_insert(member.id);
+        }
+    }
+
+    /// Whether nothing of this sidecar's is on it now. What was never listed here got nothing from here.
+    pub fn free(&self, machine: Machine) -> bool {
+        self.names.get(&machine).is_none_or(|id| !self.desk.uses(id))
+    }
+
+    /// Puts a ban into effect; false where the machine was never listed here: there is nothing to keep off yet.
+    pub fn turn(&self, machine: Machine, out: bool) -> bool {
+        let id = self.names.get(&machine);
+        id.into_iter().for_each(|id| self.desk.turn(id, out));
+        id.is_some()
+    }
+
+    pub fn name(&self, machine: Machine) -> String {
+        self.names.get(&machine).cloned().unwrap_or_else(|| format!("#{machine:016x}"))
+    }
+
+    pub fn status(&self, upkeep: &passroad_upkeep::Upkeep) -> Value {
+        let entry = |entry: &passroad_upkeep::Entry| {
+            json!({
+                "machine": self.name(entry.machine), "state": word(entry.state), "place": entry.place,
+                "epoch": entry.epoch, "step": entry.step, "ends": entry.ends, "back": entry.back,
+                "request": format!("{:016x}", entry.request), "free_here": self.free(entry.machine),
+            })
+        };
+        let order: Vec<Value> = upkeep.book.in_order().iter().map(entry).collect();
+        json!({ "conducts": upkeep.conducts(), "informed": upkeep.informed(), "order": order })
+    }
+}
+
+pub fn word(state: State) -> &'static str {
+    match state {
+        State::Queued => "queued",
+        State::Leaving => "leaving",
+        State::AtWork => "at work",
+        State::Done => "done",
+        State::Returning => "returning",
+        State::Warm => "warm",
+        State::Withdrawn => "withdrawn",
+    }
+}
+
+/// One line of the log, and whether somebody should look.
+pub fn line(id: &str, what: Line) -> (log::Level, String) {
+    match what {
+        Line::Moved(state) => (log::Level::Info, format!("work: {id} is {}", word(state))),
+        Line::Waits { unheard } => (
+            log::Level::Warn,
+            format!(
+                "work: {id} waits for {unheard} sidecars that say nothing; `passroad work force {id}` goes past them"
+            ),
+        ),
+        Line::Forced { unheard } => (
+            log::Level::Warn,
+            format!(
+                "work: {id} is taken for empty by an operator's word; {unheard} sidecars have not said that they are off it"
+            ),
+        ),
+        Line::Overdue => (
+            log::Level::Warn,
+            format!("work: {id} is out for longer than was asked; `passroad work done {id}`"),
+        ),
+        Line::PutBack => {
+            (log::Level::Warn, format!("work: {id} goes back into the queue, as others have failed"))
+        }
+    }
+}
+
+pub fn refusal(refused: Refusal) -> &'static str {
+    match refused {
+        Refusal::NoMachine => "no such machine is listed, or none was named",
+        Refusal::Begun => "its work has begun; it can only be done",
+        Refusal::NotAtWork => "it is not at work",
+        Refusal::NotLeaving => "it is not leaving",
+    }
+}
+
+/// What an operator may say of a machine.
+pub fn order(word: &str) -> Option<Order> {
+    match word {
+        "withdraw" => Some(Order::Withdraw),
+        "done" => Some(Order::Done),
+        "force" => Some(Order::Force),
+        "begin" => Some(Order::Begin),
+        _ => None,
+    }
+}
+
+/// For people.
+pub fn table(said: &Value) -> String {
+    let mut text = String::new();
+    for entry in said["order"].as_array().into_iter().flatten() {
+        let word = |key: &str| entry[key].as_str().unwrap_or_default().to_string();
+        let place = entry["place"].as_u64().unwrap_or_default();
+        text += &format!("{place:>4} {:<24} {}\n", word("machine"), word("state"));
+    }
+    if text.is_empty() { "nothing is out for work, and nothing waits\n".into() } else { text }
+}
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -24,6 +24,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// A sidecar that starts waits so long to hear what is out for work, where that is settled among the sidecars.
+const INFORMED_WITHIN: Duration = Duration::from_secs(1);
 
 /// passroad: a load balancer of which every client process runs its own copy.
 ///
@@ -51,6 +55,14 @@
         #[command(subcommand)]
         what: FleetWhat,
     },
+    /// Have machines taken out for work, one after the other, by all sidecars; ask any one of them.
+    Work {
+        #[command(subcommand)]
+        what: WorkWhat,
+        /// The sidecar's operators' door; else LB_MANAGEMENT.
+        #[arg(long, global = true, value_name = "ADDRESS")]
+        door: Option<std::net::SocketAddr>,
+    },
     /// Read configuration and routes, and say what is wrong with them: 0 if nothing is, 2 if something is.
     Check {
         #[command(flatten)]
@@ -72,6 +84,38 @@
     pub fleet: Option<PathBuf>,
 }
 
+#[derive(Subcommand)]
+enum WorkWhat {
+    /// Take these out, in this order, each when the one before is back and warm.
+    Request {
+        /// Ids of endpoints, as discovery has them.
+        #[arg(required = true)]
+        machines: Vec<String>,
+        /// How long the work on one may take: 30s, 10m. After that it is told, or with --back the machine comes back.
+        #[arg(long = "for", default_value = "10m", value_name = "TIME")]
+        lasts: String,
+        /// Bring each back by itself when that time is over.
+        #[arg(long)]
+        back: bool,
+        /// A name for the request: asked twice by it, it is one.
+        #[arg(long)]
+        name: Option<String>,
+    },
+    /// What is out, what waits, and in which order.
+    Status {
+        #[arg(long)]
+        json: bool,
+    },
+    /// The work on a machine is done: back into use.
+    Done { machine: String },
+    /// Not any more, if its work has not begun.
+    Withdraw { machine: String },
+    /// Take a machine for empty though some sidecars say nothing: they may still send to it.
+    Force { machine: String },
+    /// Go on with what is known, where a majority of the sidecars that keep the order has forgotten it.
+    Begin,
+}
+
 #[derive(Subcommand)]
 enum FleetWhat {
     /// Who is here, in doubt or gone, and who owns what by which epoch.
@@ -100,6 +144,7 @@
         None => main(),
         Some(What::Run { files, log_format }) => sidecar(files, log_format),
         Some(What::Fleet { what: FleetWhat::Status { door, json } }) => ended(fleet_status(door, json)),
+        Some(What::Work { what, door }) => ended(work(what, door)),
         Some(What::Check { files }) => ended(start::check(&files).map(|said| println!("{said}"))),
     }
 }
@@ -117,14 +162,50 @@
     }))
 }
 
-fn fleet_status(door: Option<std::net::SocketAddr>, json: bool) -> Result<(), String> {
+fn operators_door(door: Option<std::net::SocketAddr>) -> Result<std::net::SocketAddr, String> {
     let named = || std::env::var("LB_MANAGEMENT").ok().filter(|text| !text.is_empty());
-    let door = match (door, named()) {
-        (Some(door), _) => door,
-        (None, Some(text)) => text.parse().map_err(|e| format!("LB_MANAGEMENT: {e}"))?,
-        (None, None) => return Err("no door: --door and LB_MANAGEMENT are not set".into()),
+    match (door, named()) {
+        (Some(door), _) => Ok(door),
+        (None, Some(text)) => text.parse().map_err(|e| format!("LB_MANAGEMENT: {e}")),
+        (None, None) => Err("no door: --door and LB_MANAGEMENT are not set".into()),
+    }
+}
+
+fn work(what: WorkWhat, door: Option<std::net::SocketAddr>) -> Result<(), String> {
+    let door = operators_door(door)?;
+    let word = |path: &str, machine: &str| {
+        fleet::ask(
+            door,
+            "POST",
+            &format!("/admin/work/{path}"),
+            &serde_json::json!({ "machine": machine }).to_string(),
+        )
     };
-    let said = fleet::ask(door)?;
+    let said = match what {
+        WorkWhat::Status { json } => {
+            let said = fleet::ask(door, "GET", "/admin/work", "")?;
+            print!("{}", if json { format!("{said}\n") } else { fleet::work_table(&said) });
+            return Ok(());
+        }
+        WorkWhat::Request { machines, lasts, back, name } => {
+            let lasts = passroad_units::read_time(&lasts).map_err(|fault| format!("--for: {fault}"))?;
+            let body = serde_json::json!({
+                "machines": machines, "for_s": lasts.as_secs().max(1), "back": back, "name": name,
+            });
+            fleet::ask(door, "POST", "/admin/work", &body.to_string())?
+        }
+        WorkWhat::Done { machine } => word("done", &machine)?,
+        WorkWhat::Withdraw { machine } => word("withdraw", &machine)?,
+        WorkWhat::Force { machine } => word("force", &machine)?,
+        WorkWhat::Begin => word("begin", "")?,
+    };
+    println!("{}", said["ok"].as_str().unwrap_or("yes"));
+    Ok(())
+}
+
+fn fleet_status(door: Option<std::net::SocketAddr>, json: bool) -> Result<(), String> {
+    let door = operators_door(door)?;
+    let said = fleet::ask(door, "GET", "/admin/fleet", "")?;
     print!("{}", if json { format!("{said}\n") } else { fleet::table(&said) });
     Ok(())
 }
@@ -204,9 +285,17 @@
     };
     tokio::spawn(start::read_again(files, hangups, kept, retune));
     let fleet = match start.fleet {
-        Some((orders, place)) => fleet::begin(orders, place, stages.clone())?,
+        Some((orders, place)) => fleet::begin(orders, place, &desk, stages.clone())?,
         None => None,
     };
+    // Guards against commands to what is out for work, which a list may show as up.
+    if let Some(fleet) = fleet.as_ref().filter(|fleet| fleet.upkeep)
+        && !fleet.informed(INFORMED_WITHIN).await
+    {
+        log::warn!(
+            "fleet: work: nobody has said within {INFORMED_WITHIN:?} what is out; the list alone is gone by until then"
+        );
+    }
     let front = front::Front::new(most_in, start.sockets / 6, stages.clone());
     if let Some(door) = door {
         if before.is_some() {
--- a/crates/passroad/src/management.rs
+++ b/crates/passroad/src/management.rs
@@ -5,13 +5,14 @@
 use crate::stop::{Stage, Stages};
 use axum::Router;
 use axum::body::{Body, to_bytes};
-use axum::extract::State;
+use axum::extract::{Path, State};
 use axum::http::{HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use passroad_choice::door::mark;
 use serde::Deserialize;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -87,6 +88,8 @@
     Router::new()
         .route("/admin/health", get(health))
         .route("/admin/fleet", get(fleet_status))
+        .route("/admin/work", get(work_status).post(work_request))
+        .route("/admin/work/{word}", post(work_word))
         .route("/admin/cordon", post(|door, body| turn(door, body, true)))
         .route("/admin/uncordon", post(|door, body| turn(door, body, false)))
         .method_not_allowed_fallback(async || said(StatusCode::METHOD_NOT_ALLOWED, "not by this method"))
@@ -115,6 +118,105 @@
     }
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Request {
+    machines: Vec<String>,
+    #[serde(default = "ten_minutes")]
+    for_s: u32,
+    #[serde(default)]
+    back: bool,
+    #[serde(default)]
+    name: Option<String>,
+}
+
+fn ten_minutes() -> u32 {
+    600
+}
+
+#[derive(Deserialize)]
+struct OfMachine {
+    machine: String,
+}
+
+/// The fleet's part, where it settles the order of work.
+fn upkeep(door: &Door) -> Option<&fleet::Door> {
+    door.fleet.as_ref().filter(|fleet| fleet.upkeep)
+}
+
+fn no_upkeep() -> Response {
+    said(StatusCode::NOT_FOUND, "no order of work here: no fleet's file with [upkeep], or no leave to talk")
+}
+
+async fn work_status(State(door): State<Door>) -> Response {
+    let Some(fleet) = upkeep(&door) else { return no_upkeep() };
+    match fleet.work().await {
+        Some(work) => {
+            let json = (header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            let close = (header::CONNECTION, HeaderValue::from_static("close"));
+            (StatusCode::OK, [json, close], format!("{work}\n")).into_response()
+        }
+        None => said(StatusCode::SERVICE_UNAVAILABLE, "the fleet's part has ended or is too busy"),
+    }
+}
+
+async fn work_request(State(door): State<Door>, body: Body) -> Response {
+    let Some(fleet) = upkeep(&door) else { return no_upkeep() };
+    let Ok(body) = to_bytes(body, LONGEST_BODY).await else {
+        return said(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or breaks off");
+    };
+    let request: Request = match serde_json::from_slice(&body) {
+        Ok(request) => request,
+        Err(fault) => {
+            return said(StatusCode::BAD_REQUEST, &format!("not {{\"machines\":[\"ID\"]}}: {fault}"));
+        }
+    };
+    if request.machines.is_empty()
+        || request.machines.len() > passroad_upkeep::MOST_ASKED
+        || request.for_s == 0
+    {
+        let what = format!("from 1 to {} machines, for a second at least", passroad_upkeep::MOST_ASKED);
+        return said(StatusCode::BAD_REQUEST, &what);
+    }
+    // Asked twice by its name, it is one request.
+    let name = request.name.unwrap_or_else(|| format!("{:?}", std::time::SystemTime::now()));
+    let word = passroad_upkeep::Word::Want {
+        request: mark(&name),
+        lasts: request.for_s,
+        back: request.back,
+        machines: request.machines.iter().map(|id| mark(id)).collect(),
+    };
+    told(fleet.operator(word).await, "taken into the order")
+}
+
+async fn work_word(State(door): State<Door>, Path(word): Path<String>, body: Body) -> Response {
+    let Some(fleet) = upkeep(&door) else { return no_upkeep() };
+    let Some(what) = fleet::order(&word) else { return said(StatusCode::NOT_FOUND, "no such call") };
+    let body = to_bytes(body, LONGEST_BODY).await.unwrap_or_default();
+    let of: OfMachine = match serde_json::from_slice(&body) {
+        Ok(of) => of,
+        Err(fault) => return said(StatusCode::BAD_REQUEST, &format!("not {{\"machine\":\"ID\"}}: {fault}")),
+    };
+    let request = mark(&format!("{word} {} {:?}", of.machine, std::time::SystemTime::now()));
+    if word == "force" || word == "begin" {
+        log::warn!("fleet: work: an operator says {word} {}", of.machine);
+    }
+    let word = passroad_upkeep::Word::Order { request, machine: mark(&of.machine), what };
+    told(fleet.operator(word).await, "done")
+}
+
+/// The conductor's answer to an operator.
+fn told(answer: Option<Option<passroad_upkeep::Refusal>>, yes: &str) -> Response {
+    match answer {
+        Some(None) => said(StatusCode::OK, yes),
+        Some(Some(refused)) => said(StatusCode::CONFLICT, fleet::refusal(refused)),
+        None => said(
+            StatusCode::ACCEPTED,
+            "no conductor has answered yet; it goes on being asked, see the status",
+        ),
+    }
+}
+
 async fn turn(State(door): State<Door>, body: Body, out: bool) -> Response {
     let Ok(body) = to_bytes(body, LONGEST_BODY).await else {
         return said(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or breaks off");
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -60,6 +60,12 @@
         Link { address, client: dialer.client(), dialer: dialer.clone(), users: Arc::default() }
     }
 
+    /// In place of this one, with connections of its own; what is out counts on.
+    pub fn anew(&self, address: SocketAddr) -> Self {
+        let users = Arc::clone(&self.users);
+        Link { address, client: self.dialer.client(), dialer: self.dialer.clone(), users }
+    }
+
     /// Whether nobody else has a clone.
     pub fn nothing_out(&self) -> bool {
         Arc::strong_count(&self.users) == 1
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -118,7 +118,10 @@
     }
     if let Some(path) = named(&files.fleet, "LB_FLEET") {
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let orders = fleet::read(&text).map_err(|wrong| format!("{}: {wrong}", path.display()))?;
+        let mut orders = fleet::read(&text).map_err(|wrong| format!("{}: {wrong}", path.display()))?;
+        // As long as the settings say, where the file does not.
+        let warm = start.orders.warm_within;
+        orders.upkeep.iter_mut().filter(|upkeep| upkeep.warm.is_zero()).for_each(|upkeep| upkeep.warm = warm);
         start.fleet = Some((orders, fleet::Place::of(&start.name, &start.told)?));
     }
     Ok(start)
--- a/crates/passroad/tests/fleet.rs
+++ b/crates/passroad/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use stand_ins::*;
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::process::Command;
 use std::sync::{Arc, Mutex};
@@ -40,11 +40,23 @@
 
 /// The configuration of the nth of some.
 fn among(n: usize, peers: &[SocketAddr], address: SocketAddr, door: SocketAddr, may_talk: bool) -> String {
+    before(n, peers, address, door, may_talk, "")
+}
+
+/// The same before some endpoints.
+fn before(
+    n: usize,
+    peers: &[SocketAddr],
+    address: SocketAddr,
+    door: SocketAddr,
+    may_talk: bool,
+    known: &str,
+) -> String {
     let settings = SETTINGS.replacen('{', &format!(r#"{{"my_number":{n},"#), 1);
     let settings = settings.replace(r#""allowed":{"#, &format!(r#""allowed":{{"may_tell":{may_talk},"#));
     let list: Vec<String> = peers.iter().map(|at| format!("\"{at}\"")).collect();
     let own = format!(r#"{{"peer_listen":"{}","peers":[{}],"#, peers[n], list.join(","));
-    with_door(&told(address, nowhere(), "", &settings).replacen('{', &own, 1), door)
+    with_door(&told(address, nowhere(), known, &settings).replacen('{', &own, 1), door)
 }
 
 fn file(call: SocketAddr) -> String {
@@ -231,3 +243,192 @@
     let said = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(output.status.code() == Some(2) && said.contains("it is of n0, not of n1"), "{said}");
 }
+
+/// Three sidecars before four machines, which settle an order of work.
+struct Upkeep {
+    sidecars: Vec<Sidecar>,
+    doors: Vec<SocketAddr>,
+    peers: Vec<SocketAddr>,
+    machines: Vec<StandIn>,
+}
+
+const UPKEEP: &str = "lease = \"2s\"\nperiod = \"200ms\"\nvoters = 3\n[upkeep]\n";
+
+impl Upkeep {
+    fn new(act: impl Fn(usize, &Message, &mut TcpStream) -> bool + Clone + Send + Sync + 'static) -> Upkeep {
+        let machine = |n: usize| {
+            let act = act.clone();
+            stand_in(move |message, to| act(n, message, to))
+        };
+        let (peers, doors) = (datagrams(3), (0..3).map(|_| nowhere()).collect());
+        let mut upkeep =
+            Upkeep { sidecars: Vec::new(), doors, peers, machines: (0..4).map(machine).collect() };
+        upkeep.sidecars = (0..3).map(|n| upkeep.start(n)).collect();
+        upkeep
+    }
+
+    fn start(&self, n: usize) -> Sidecar {
+        let listed = |(n, machine): (usize, &StandIn)| member(&format!("s-{n}"), machine.address, "up");
+        let known: Vec<String> = self.machines.iter().enumerate().map(listed).collect();
+        let address = nowhere();
+        let text = before(n, &self.peers, address, self.doors[n], true, &known.join(","));
+        // As `patient` has it: what is held is not given up meanwhile.
+        let text = text.replace(
+            "\"response_goal\":400000000,\"time_limit\":1000000000",
+            "\"response_goal\":5000000000,\"time_limit\":8000000000",
+        );
+        Sidecar::start_among(address, &text, UPKEEP).0
+    }
+
+    /// Asks one of the sidecars by the command line.
+    fn work(&self, at: usize, words: &[&str]) -> (Option<i32>, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_passroad"));
+        let door = self.doors[at].to_string();
+        let output = command.arg("work").args(words).args(["--door", &door]).output().unwrap();
+        (output.status.code(), String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned())
+    }
+
+    /// What a sidecar says of a machine's state.
+    fn state(&self, at: usize, machine: &str) -> String {
+        let (_, said) = self.work(at, &["status"]);
+        let line = said.lines().find(|line| line.contains(machine)).unwrap_or_default();
+        line.split_whitespace().skip(2).collect::<Vec<_>>().join(" ")
+    }
+
+    fn until(&self, at: usize, machine: &str, state: &str) {
+        until(|| self.state(at, machine) == state);
+    }
+
+    /// Commands through all sidecars; at which machines they came.
+    fn ask(&self) -> Vec<usize> {
+        let counts = || self.machines.iter().map(StandIn::count).collect::<Vec<_>>();
+        let before = counts();
+        for (n, sidecar) in self.sidecars.iter().enumerate() {
+            for k in 0..20 {
+                let command = patiently(&look(&format!("{n}-{k}-{}", before[0])));
+                assert_eq!(sidecar.ask(&command).word(), "200");
+            }
+        }
+        counts()
+            .iter()
+            .zip(before)
+            .enumerate()
+            .filter(|(_, (now, then))| *now > then)
+            .map(|(n, _)| n)
+            .collect()
+    }
+}
+
+fn answers(_: usize, _: &Message, to: &mut TcpStream) -> bool {
+    answer(to, "200 OK", "", b"ok");
+    true
+}
+
+// The main job: asked at any one sidecar, one machine after the other is out at all of them, and back.
+#[rstest]
+fn machines_go_out_for_work_one_after_the_other_at_all_sidecars() {
+    let upkeep = Upkeep::new(answers);
+    assert_eq!(upkeep.ask(), [0, 1, 2, 3]);
+    until(|| {
+        upkeep.work(2, &["request", "s-1", "s-3", "--name", "patch"]).1.contains("taken into the order")
+    });
+    // Asked again by its name, and elsewhere, it stays one.
+    until(|| {
+        upkeep.work(0, &["request", "s-1", "s-3", "--name", "patch"]).1.contains("taken into the order")
+    });
+    upkeep.until(1, "s-1", "at work");
+    assert_eq!(upkeep.state(1, "s-3"), "queued");
+    assert_eq!(upkeep.ask(), [0, 2, 3]);
+    assert_eq!(upkeep.work(0, &["withdraw", "s-1"]).0, Some(2));
+    assert_eq!(upkeep.work(0, &["done", "s-1"]).0, Some(0));
+    upkeep.until(1, "s-3", "at work");
+    assert_eq!(upkeep.state(1, "s-1"), "warm");
+    assert_eq!(upkeep.ask(), [0, 1, 2]);
+    assert_eq!(upkeep.work(2, &["done", "s-3"]).0, Some(0));
+    upkeep.until(0, "s-3", "warm");
+    assert_eq!(upkeep.ask(), [0, 1, 2, 3]);
+    assert_eq!(upkeep.work(1, &["request", "s-9"]).0, Some(2));
+}
+
+// What one sidecar still has on a machine keeps the machine from work at all of them.
+#[rstest]
+fn a_machine_is_at_work_only_when_nothing_is_out_on_it_anywhere() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let upkeep = Upkeep::new(move |n, message, to| {
+        if n == 1 && message.header("req-id").is_some_and(|id| id.starts_with("held")) {
+            held.pass();
+        }
+        answers(n, message, to)
+    });
+    let mut client = upkeep.sidecars[2].client();
+    let mut n = 0;
+    // One that has come to the machine that is to go.
+    while upkeep.machines[1].seen.lock().unwrap().iter().all(|m| !m.head.contains("held")) {
+        n += 1;
+        let command = patiently(&look(&format!("held-{n}")));
+        client.get_mut().write_all(command.as_bytes()).unwrap();
+        until(|| {
+            upkeep
+                .machines
+                .iter()
+                .any(|m| m.seen.lock().unwrap().iter().any(|m| m.head.contains(&format!("held-{n}\r"))))
+        });
+        if upkeep.machines[1].seen.lock().unwrap().iter().all(|m| !m.head.contains("held")) {
+            Message::read(&mut client).unwrap();
+        }
+    }
+    until(|| upkeep.work(0, &["request", "s-1"]).1.contains("taken into the order"));
+    upkeep.until(0, "s-1", "leaving");
+    (0..3).for_each(|at| upkeep.until(at, "s-1", "leaving"));
+    let (_, said) = upkeep.work(2, &["status", "--json"]);
+    assert!(said.contains("\"free_here\":false"), "{said}");
+    gate.open();
+    upkeep.until(0, "s-1", "at work");
+}
+
+// The conductor is killed, and one sidecar starts from nothing: it knows what is out before its first command.
+#[rstest]
+fn the_order_outlives_its_conductor_and_is_learnt_by_who_starts_from_nothing() {
+    let mut upkeep = Upkeep::new(answers);
+    until(|| upkeep.work(2, &["request", "s-1", "s-3"]).1.contains("taken into the order"));
+    // Where one alone knows, it may be leaving again when that one ends.
+    (0..3).for_each(|at| upkeep.until(at, "s-1", "at work"));
+    let conducts = |at: usize| upkeep.work(at, &["status", "--json"]).1.contains("\"conducts\":true");
+    let conductor = (0..3).find(|at| conducts(*at)).unwrap();
+    upkeep.sidecars[conductor].signal("KILL");
+    let other = (conductor + 1) % 3;
+    until(|| (0..3).any(|at| at != conductor && conducts(at)));
+    assert_eq!(
+        (upkeep.state(other, "s-1").as_str(), upkeep.state(other, "s-3").as_str()),
+        ("at work", "queued")
+    );
+    let again = upkeep.start(conductor);
+    drop(std::mem::replace(&mut upkeep.sidecars[conductor], again));
+    assert_eq!(upkeep.ask(), [0, 2, 3]);
+    until(|| upkeep.work(conductor, &["done", "s-1"]).0 == Some(0));
+    upkeep.until(conductor, "s-3", "at work");
+    assert_eq!(upkeep.ask(), [0, 1, 2]);
+}
+
+// One that is stopped says nothing: the order waits for it, or for an operator.
+#[rstest]
+fn one_that_says_nothing_is_waited_for_or_forced_past() {
+    let upkeep = Upkeep::new(answers);
+    until(|| upkeep.work(2, &["request", "s-1"]).1.contains("taken into the order"));
+    upkeep.until(0, "s-1", "at work");
+    assert_eq!(upkeep.work(0, &["done", "s-1"]).0, Some(0));
+    upkeep.until(0, "s-1", "warm");
+    let conducts = |at: usize| upkeep.work(at, &["status", "--json"]).1.contains("\"conducts\":true");
+    let conductor = (0..3).find(|at| conducts(*at)).unwrap();
+    let silent = (conductor + 1) % 3;
+    upkeep.sidecars[silent].signal("STOP");
+    until(|| upkeep.work(conductor, &["request", "s-2"]).1.contains("taken into the order"));
+    upkeep.until(conductor, "s-2", "leaving");
+    assert_eq!(upkeep.work(conductor, &["done", "s-2"]).0, Some(2));
+    assert_eq!(upkeep.work(conductor, &["force", "s-2"]).0, Some(0));
+    upkeep.until(conductor, "s-2", "at work");
+    upkeep.sidecars[silent].signal("CONT");
+    upkeep.until(silent, "s-2", "at work");
+    assert_eq!(upkeep.ask(), [0, 1, 3]);
+}
