A sidecar that refutes a doubt is the same process still; work by zone, kind and cell; figures

Seen: work-late (a fifth of the datagrams lost, all late) had one machine of three worked on in 20 s. Traced by the log: one that is doubted raises its incarnation, by which the conductor took it for a process that had begun anew, and voided what it had acknowledged; datagrams from before the doubt were dropped as of a process that is over. Ruled out: the lease (one owner from 8 s on), the load (no relay out on the machine).

Change: an incarnation is when the process began, in 256ths of a millisecond; a doubt raises it within that. Requests by zone, kind and cell; at_once_in_a_cell; what the conductor's sidecar knows of load and failing endpoints counts. Test: one_that_refutes_a_doubt_lives_on.

--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -578,6 +578,15 @@
         self.survey();
     }
 
+    /// How an endpoint seems from here, for whoever is to take machines out: the share of what it may hold that it holds,
+    /// where it has said so lately, and whether it fails or can't be reached.
+    pub fn seems(&self, at: EndpointIx) -> (Option<f64>, bool) {
+        let Some(e) = self.endpoints.get(at) else { return (None, true) };
+        let told = e.heard.is_some_and(|at| self.now.saturating_sub(at) < Duration::from_secs(5));
+        let busy = (e.holds.max(e.out.len() as f64) / (e.size * e.limit).max(1e-6)).clamp(0.0, 1.0);
+        (told.then_some(busy), e.last.ailing || e.try_at > self.now)
+    }
+
     /// What was learnt here; `name` tells what an endpoint is called outside.
     pub fn memory(&self, name: impl Fn(EndpointIx) -> Option<String>) -> Memory {
         let known = self.endpoints.iter().enumerate().filter(|(_, e)| e.known);
--- a/crates/passroad-choice/src/watch.rs
+++ b/crates/passroad-choice/src/watch.rs
@@ -50,6 +50,10 @@
         Watched { lead: Balancer::new(orders), beside }
     }
 
+    pub fn seems(&self, at: EndpointIx) -> (Option<f64>, bool) {
+        self.lead.seems(at)
+    }
+
     /// What the module that decides has learnt.
     pub fn memory(&self, name: impl Fn(EndpointIx) -> Option<String>) -> Memory {
         self.lead.memory(name)
--- a/crates/passroad-peers/src/lib.rs
+++ b/crates/passroad-peers/src/lib.rs
@@ -15,9 +15,19 @@
 
 /// Place of a sidecar in the list of all.
 pub type Member = u16;
-/// When a process began, in milliseconds since 1970; raised where others think worse of it than it is.
+/// When a process began, in 256ths of a millisecond since 1970; raised by one where others think worse of it than it is.
 pub type Incarnation = u64;
 
+/// The incarnation of a process that begins now.
+pub fn begun(wall: Duration) -> Incarnation {
+    (wall.as_millis() as u64) << 8
+}
+
+/// What is the same for as long as a process lives: in milliseconds, when it began.
+pub fn life(incarnation: Incarnation) -> u64 {
+    incarnation >> 8
+}
+
 /// Datagrams that this part sends a second, at most, and in a burst.
 pub const MOST_A_SECOND: f64 = 8.0;
 const HELPERS: usize = 3;
@@ -243,7 +253,8 @@
     pub fn admit(&mut self, now: Duration, from: Member, incarnation: Incarnation) -> (bool, Vec<Out>) {
         let mut out = Vec::new();
         let Some(known) = self.known.get(usize::from(from)).copied() else { return (false, out) };
-        if from == self.terms.me || incarnation < known.incarnation {
+        // What a process said before it was doubted it has still said.
+        if from == self.terms.me || life(incarnation) < life(known.incarnation) {
             self.counts.old += 1;
             return (false, out);
         }
@@ -321,7 +332,11 @@
         if told.member == self.terms.me {
             // Guards against being thought gone for good: only a higher incarnation of one's own undoes it.
             if told.standing > Standing::Here || told.incarnation > self.incarnation {
-                self.incarnation = told.incarnation.max(self.incarnation) + 1;
+                // Of a later life than this one, where the clock was set back: it begins another, above it.
+                self.incarnation = match life(told.incarnation) > life(self.incarnation) {
+                    true => (life(told.incarnation) + 1) << 8,
+                    false => told.incarnation.max(self.incarnation) + 1,
+                };
                 self.known[usize::from(self.terms.me)].incarnation = self.incarnation;
                 self.spread(self.terms.me);
             }
--- a/crates/passroad-peers/src/tests.rs
+++ b/crates/passroad-peers/src/tests.rs
@@ -180,6 +180,22 @@
     assert_eq!(open(&bytes), Err(ill));
 }
 
+// work-late: each doubt that one refuted voided what it had acknowledged, and no machine was ever empty.
+#[rstest]
+fn one_that_refutes_a_doubt_lives_on() {
+    let mut peers = Peers::new(Terms { incarnation: begun(PERIOD), ..peers(0, 3).terms }, Duration::ZERO);
+    let before = peers.incarnation();
+    let mut out = Vec::new();
+    peers.believe(PERIOD, Told { member: 0, standing: Standing::Doubt, incarnation: before }, &mut out);
+    assert!(peers.incarnation() > before && life(peers.incarnation()) == life(before));
+    // Another process of this name has had a later one.
+    peers.believe(PERIOD, Told { member: 0, standing: Standing::Here, incarnation: 9 << 20 }, &mut out);
+    assert!(life(peers.incarnation()) > life(9 << 20));
+    // What it said before the doubt is still heard of it elsewhere.
+    let mut other = self::peers(1, 3);
+    assert!(other.admit(PERIOD, 0, before + 1).0 && other.admit(PERIOD, 0, before).0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(
         std::env::var("PROPTEST_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(4_000)
--- a/crates/passroad-routes/src/lib.rs
+++ b/crates/passroad-routes/src/lib.rs
@@ -84,6 +84,10 @@
     }
 
     /// What the module has learnt; `name` tells what an endpoint is called outside.
+    pub fn seems(&self, at: EndpointIx) -> (Option<f64>, bool) {
+        self.balancer.seems(at)
+    }
+
     pub fn memory(&self, name: impl Fn(EndpointIx) -> Option<String>) -> Memory {
         self.balancer.memory(name)
     }
--- a/crates/passroad-upkeep/src/room.rs
+++ b/crates/passroad-upkeep/src/room.rs
@@ -11,6 +11,8 @@
     pub at_once: usize,
     /// The same in one zone.
     pub at_once_in_a_zone: usize,
+    /// The same in one cell of a zone: a host, a rack, whatever the list's cells are.
+    pub at_once_in_a_cell: usize,
     /// Of the size that is in use, so much is to stay free of what is asked now.
     pub reserve: f64,
     /// How long one that is back takes to be warm.
@@ -26,6 +28,7 @@
 pub struct Seen {
     pub machine: Machine,
     pub zone: usize,
+    pub cell: usize,
     pub kind: usize,
     pub size: f64,
     /// Up, warm and not failing.
@@ -55,6 +58,9 @@
     if others().filter(|s| s.zone == own.zone).count() >= limits.at_once_in_a_zone {
         return false;
     }
+    if others().filter(|s| (s.zone, s.cell) == (own.zone, own.cell)).count() >= limits.at_once_in_a_cell {
+        return false;
+    }
     let stays = |s: &&Seen| s.sound && s.machine != machine && !away.contains(&s.machine);
     // Never the last of all, nor of a kind, which a bound verb may need.
     if !seen.iter().filter(stays).any(|s| s.kind == own.kind) {
--- a/crates/passroad-upkeep/src/tests.rs
+++ b/crates/passroad-upkeep/src/tests.rs
@@ -9,6 +9,7 @@
     Limits {
         at_once: 1,
         at_once_in_a_zone: 1,
+        at_once_in_a_cell: 1,
         reserve: 0.1,
         warm: Duration::from_secs(2),
         together: Duration::from_secs(60),
@@ -16,7 +17,7 @@
 }
 
 fn seen(machine: Machine) -> Seen {
-    Seen { machine, zone: 0, kind: 0, size: 1.0, sound: true, busy: Some(0.3) }
+    Seen { machine, zone: 0, cell: 0, kind: 0, size: 1.0, sound: true, busy: Some(0.3) }
 }
 
 /// Some sidecars, machines 1 to 6, and the words between them, which may be lost.
@@ -438,6 +439,26 @@
     assert_eq!((world.state(3), world.broken), (Some(State::AtWork), vec![]));
 }
 
+// Two may be out, but not in the same zone, or the same cell of one.
+#[rstest]
+#[case::elsewhere(2, 1, 1, 1, true)]
+#[case::same_zone(1, 2, 0, 1, false)]
+#[case::same_cell(2, 1, 0, 0, false)]
+#[case::another_cell(2, 1, 0, 1, true)]
+fn zones_and_cells_have_bounds_of_their_own(
+    #[case] zone_most: usize,
+    #[case] cell_most: usize,
+    #[case] zone: usize,
+    #[case] cell: usize,
+    #[case] may: bool,
+) {
+    let mut all: Vec<Seen> = (1..7).map(seen).collect();
+    (all[1].zone, all[1].cell) = (zone, cell);
+    let limits =
+        Limits { at_once: 2, at_once_in_a_zone: zone_most, at_once_in_a_cell: cell_most, ..limits() };
+    assert_eq!(fits(&limits, &all, &BTreeSet::from([1]), 2), may);
+}
+
 #[rstest]
 #[case::room(|_: &mut Vec<Seen>, _: &mut BTreeSet<Machine>| {}, true)]
 #[case::one_is_out(|_: &mut Vec<Seen>, away: &mut BTreeSet<Machine>| { away.insert(2); }, false)]
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -277,9 +277,12 @@
         known
     }
 
-    /// What is listed.
-    pub fn machines(&self) -> Vec<Member> {
-        self.held().members.iter().flatten().cloned().collect()
+    /// What is listed, with the share of what it may hold that it holds, where that is known, and whether it fails.
+    pub fn machines(&self) -> Vec<(Member, Option<f64>, bool)> {
+        let held = self.held();
+        let all = held.members.iter().enumerate();
+        let seems = |at: usize| held.balancer.seems(at);
+        all.filter_map(|(at, member)| Some((member.clone()?, seems(at).0, seems(at).1))).collect()
     }
 
     /// Whether something of this sidecar's is out on an endpoint now.
--- a/crates/passroad/src/fleet/mod.rs
+++ b/crates/passroad/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 
 pub use orders::{DutyOrder, FleetOrders, Place, read};
 pub use status::{Door, ask, table};
-pub use work::{order, refusal, table as work_table};
+pub use work::{Those, order, refusal, table as work_table};
 
 use crate::desk::Desk;
 use crate::stop::Stages;
--- a/crates/passroad/src/fleet/orders.rs
+++ b/crates/passroad/src/fleet/orders.rs
@@ -39,6 +39,8 @@
     at_once: usize,
     #[serde(default = "one")]
     at_once_in_a_zone: usize,
+    #[serde(default)]
+    at_once_in_a_cell: Option<usize>,
     #[serde(default = "reserve")]
     reserve: Share,
     #[serde(default)]
@@ -89,6 +91,7 @@
 pub struct UpkeepOrder {
     pub at_once: usize,
     pub at_once_in_a_zone: usize,
+    pub at_once_in_a_cell: usize,
     pub reserve: f64,
     /// How long a machine takes to be warm; by the settings where the file says nothing.
     pub warm: Duration,
@@ -222,8 +225,10 @@
         None => None,
         Some(told) => {
             let (at, told) = (told.span().start, told.get_ref());
-            if told.at_once == 0 || told.at_once_in_a_zone == 0 || told.reserve.0 > 0.9 {
-                return wrong(at, "upkeep: at_once and at_once_in_a_zone from 1, reserve to 90%".into());
+            let nought =
+                told.at_once == 0 || told.at_once_in_a_zone == 0 || told.at_once_in_a_cell == Some(0);
+            if nought || told.reserve.0 > 0.9 {
+                return wrong(at, "upkeep: at_once, in a zone and in a cell from 1, reserve to 90%".into());
             }
             let (within, every) = (Duration::MAX, Duration::MAX);
             let mark = passroad_choice::door::mark(UPKEEP);
@@ -231,6 +236,7 @@
             Some(UpkeepOrder {
                 at_once: told.at_once,
                 at_once_in_a_zone: told.at_once_in_a_zone,
+                at_once_in_a_cell: told.at_once_in_a_cell.unwrap_or(told.at_once),
                 reserve: told.reserve.0,
                 warm: told.warm.unwrap_or_default().0,
             })
--- a/crates/passroad/src/fleet/part.rs
+++ b/crates/passroad/src/fleet/part.rs
@@ -150,6 +150,7 @@
         let limits = upkeep::Limits {
             at_once: order.at_once,
             at_once_in_a_zone: order.at_once_in_a_zone,
+            at_once_in_a_cell: order.at_once_in_a_cell,
             reserve: order.reserve,
             warm: order.warm,
             together: TOGETHER,
@@ -175,7 +176,8 @@
         let mark = passroad_choice::door::mark(UPKEEP);
         let owned = self.lease.owned(times, mark).map(|(epoch, _)| epoch);
         let note = self.peers.note_of(mark).and_then(|note| note.holder);
-        let incarnations: Vec<u64> = self.peers.known().iter().map(|known| known.incarnation).collect();
+        let incarnations: Vec<u64> =
+            self.peers.known().iter().map(|known| peers::life(known.incarnation)).collect();
         let sight = Sight {
             now: times.steady,
             wall: times.wall,
--- a/crates/passroad/src/fleet/status.rs
+++ b/crates/passroad/src/fleet/status.rs
@@ -1,5 +1,6 @@
 //! What operators are told of the fleet: asked for at their door, answered by the fleet's thread.
 
+use super::work::Those;
 use passroad_upkeep::{Refusal, Word};
 use serde_json::Value;
 use std::fmt::Write as _;
@@ -19,6 +20,8 @@
     Status(oneshot::Sender<Value>),
     /// The order of work, as far as it is known here; none where the file does not ask for one.
     Work(oneshot::Sender<Value>),
+    /// The ids of machines by what the list says of them.
+    Those(Those, oneshot::Sender<Vec<String>>),
     /// An operator asks for machines, or gives a word on one; answered once the conductor has it.
     Operator {
         word: Word,
@@ -51,6 +54,10 @@
         self.answer(Ask::Status, ANSWER_WITHIN).await
     }
 
+    pub async fn those(&self, of: Those) -> Option<Vec<String>> {
+        self.answer(|tell| Ask::Those(of, tell), ANSWER_WITHIN).await
+    }
+
     pub async fn work(&self) -> Option<Value> {
         self.answer(Ask::Work, ANSWER_WITHIN).await
     }
--- a/crates/passroad/src/fleet/talk.rs
+++ b/crates/passroad/src/fleet/talk.rs
@@ -60,7 +60,7 @@
         machines: Option<Machines>,
     ) -> Talk {
         // The time of the start: later processes of this name have a higher one.
-        let incarnation = wall().as_millis() as u64;
+        let incarnation = passroad_peers::begun(wall());
         let seed = incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (u64::from(place.me) << 32);
         let who = Who { me: place.me, members: place.peers.len(), incarnation, seed };
         let times = Times { steady: Duration::ZERO, wall: wall() };
@@ -147,6 +147,10 @@
                     drop(tell.send(machines.status(upkeep)));
                 }
             }
+            Ask::Those(of, tell) => {
+                let those = self.machines.as_ref().map(|machines| machines.those(&of));
+                drop(tell.send(those.unwrap_or_default()));
+            }
             Ask::Operator { word, answer } => {
                 if let Word::Want { request, .. } | Word::Order { request, .. } = word {
                     self.operators.retain(|_, waits| !waits.is_closed());
--- a/crates/passroad/src/fleet/work.rs
+++ b/crates/passroad/src/fleet/work.rs
@@ -2,13 +2,23 @@
 
 use super::orders::UpkeepOrder;
 use crate::desk::Desk;
+use crate::members::Member;
 use passroad_choice::Mode;
 use passroad_upkeep::{Line, Machine, Order, Refusal, Seen, State};
+use serde::Deserialize;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Machines by what the list says of them.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct Those {
+    pub zone: Option<String>,
+    pub kind: Option<String>,
+    pub cell: Option<usize>,
+}
+
 /// Machines as the desk has them, with their ids; what has left the list is still known by name.
 pub struct Machines {
     desk: Arc<Desk>,
@@ -31,7 +41,7 @@
                 names.len() - 1
             })
         };
-        for member in self.desk.machines() {
+        for (member, busy, fails) in self.desk.machines() {
             let machine = passroad_choice::door::mark(&member.id);
             let warm_at = Duration::from_millis(member.up_since_ms) + self.warm;
             self.seen.push(Seen {
@@ -39,13 +49,26 @@
                 zone: number(&mut zones, &member.locality),
                 kind: number(&mut kinds, &member.flavor),
                 size: member.size,
-                sound: member.mode() == Mode::Running && (member.up_since_ms == 0 || wall >= warm_at),
-                busy: None,
+                sound: member.mode() == Mode::Running
+                    && !fails
+                    && (member.up_since_ms == 0 || wall >= warm_at),
+                cell: member.cell,
+                busy,
             });
             self.names.entry(machine).or_insert(member.id);
         }
     }
 
+    /// The ids in a zone, of a kind, in a cell, in the list's order.
+    pub fn those(&self, of: &Those) -> Vec<String> {
+        let is = |asked: &Option<String>, told: &str| asked.as_ref().is_none_or(|asked| asked == told);
+        let all = self.desk.machines().into_iter().map(|(member, ..)| member);
+        let fits = |m: &Member| {
+            is(&of.zone, &m.locality) && is(&of.kind, &m.flavor) && of.cell.is_none_or(|cell| cell == m.cell)
+        };
+        all.filter(|m| fits(m) && m.mode() != Mode::Deleted).map(|m| m.id).collect()
+    }
+
     /// Whether nothing of this sidecar's is on it now. What was never listed here got nothing from here.
     pub fn free(&self, machine: Machine) -> bool {
         self.names.get(&machine).is_none_or(|id| !self.desk.uses(id))
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -89,8 +89,17 @@
     /// Take these out, in this order, each when the one before is back and warm.
     Request {
         /// Ids of endpoints, as discovery has them.
-        #[arg(required = true)]
+        #[arg(required_unless_present_any = ["zone", "kind", "cell"], conflicts_with_all = ["zone", "kind", "cell"])]
         machines: Vec<String>,
+        /// All in this zone.
+        #[arg(long)]
+        zone: Option<String>,
+        /// All of this kind.
+        #[arg(long)]
+        kind: Option<String>,
+        /// All in this cell.
+        #[arg(long)]
+        cell: Option<usize>,
         /// How long the work on one may take: 30s, 10m. After that it is told, or with --back the machine comes back.
         #[arg(long = "for", default_value = "10m", value_name = "TIME")]
         lasts: String,
@@ -187,10 +196,12 @@
             print!("{}", if json { format!("{said}\n") } else { fleet::work_table(&said) });
             return Ok(());
         }
-        WorkWhat::Request { machines, lasts, back, name } => {
+        WorkWhat::Request { machines, zone, kind, cell, lasts, back, name } => {
             let lasts = passroad_units::read_time(&lasts).map_err(|fault| format!("--for: {fault}"))?;
+            let all =
+                machines.is_empty().then(|| serde_json::json!({ "zone": zone, "kind": kind, "cell": cell }));
             let body = serde_json::json!({
-                "machines": machines, "for_s": lasts.as_secs().max(1), "back": back, "name": name,
+                "machines": machines, "all": all, "for_s": lasts.as_secs().max(1), "back": back, "name": name,
             });
             fleet::ask(door, "POST", "/admin/work", &body.to_string())?
         }
--- a/crates/passroad/src/management.rs
+++ b/crates/passroad/src/management.rs
@@ -121,7 +121,11 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Request {
+    #[serde(default)]
     machines: Vec<String>,
+    /// In place of ids: all in a zone, of a kind, in a cell.
+    #[serde(default)]
+    all: Option<fleet::Those>,
     #[serde(default = "ten_minutes")]
     for_s: u32,
     #[serde(default)]
@@ -165,17 +169,28 @@
     let Ok(body) = to_bytes(body, LONGEST_BODY).await else {
         return said(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or breaks off");
     };
-    let request: Request = match serde_json::from_slice(&body) {
+    let mut request: Request = match serde_json::from_slice(&body) {
         Ok(request) => request,
         Err(fault) => {
             return said(StatusCode::BAD_REQUEST, &format!("not {{\"machines\":[\"ID\"]}}: {fault}"));
         }
     };
+    match request.all.take() {
+        Some(_) if !request.machines.is_empty() => {
+            return said(StatusCode::BAD_REQUEST, "machines by their ids, or all of some, not both");
+        }
+        Some(all) if all.zone.is_none() && all.kind.is_none() && all.cell.is_none() => {
+            return said(StatusCode::BAD_REQUEST, "all of which zone, kind or cell");
+        }
+        Some(all) => request.machines = fleet.those(all).await.unwrap_or_default(),
+        None => {}
+    }
     if request.machines.is_empty()
         || request.machines.len() > passroad_upkeep::MOST_ASKED
         || request.for_s == 0
     {
-        let what = format!("from 1 to {} machines, for a second at least", passroad_upkeep::MOST_ASKED);
+        let (count, most) = (request.machines.len(), passroad_upkeep::MOST_ASKED);
+        let what = format!("from 1 to {most} machines, for a second at least; these are {count}");
         return said(StatusCode::BAD_REQUEST, &what);
     }
     // Asked twice by its name, it is one request.
