--- a/crates/passroad-rig/src/sockets/ground.rs
+++ b/crates/passroad-rig/src/sockets/ground.rs
@@ -32,6 +32,8 @@
     works: Mutex<Vec<Worked>>,
     /// Who was last seen to conduct the order of work.
     conductor: AtomicUsize,
+    /// What each had sent when the day began.
+    before: Mutex<Vec<u64>>,
 }
 
 impl Ground {
@@ -44,6 +46,7 @@
             hits: AtomicUsize::new(0),
             works: Mutex::default(),
             conductor: AtomicUsize::new(usize::MAX),
+            before: Mutex::default(),
         }))
     }
 
@@ -77,6 +80,11 @@
 
     /// Brings all faults of the plan, each in its time.
     pub fn strike(self: &Arc<Self>, clients: &Arc<Clients>, sidecars: &Sidecars) {
+        let own = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep_until(own.scene.instant(Duration::ZERO)).await;
+            *held(&own.before) = own.peers.counts();
+        });
         for n in 0..self.plan.faults.len() {
             let (own, clients, sidecars) = (Arc::clone(self), Arc::clone(clients), Arc::clone(sidecars));
             tokio::spawn(async move { own.fault(n, clients, sidecars).await });
@@ -202,9 +210,15 @@
     pub fn day(&self, length: Duration) -> FleetDay {
         FleetDay {
             acts: self.resource.acts(),
-            datagrams: self.peers.counts(),
+            datagrams: self
+                .peers
+                .counts()
+                .iter()
+                .zip(held(&self.before).iter())
+                .map(|(now, then)| now - then)
+                .collect(),
             longest: self.peers.longest.load(Relaxed),
-            seconds: length.as_secs_f64(),
+            seconds: self.scene.now().max(length).as_secs_f64(),
             works: held(&self.works).clone(),
             hits: self.peers.hits() + self.resource.hits() + self.hits.load(Relaxed),
             ..FleetDay::default()
--- a/crates/passroad-rig/src/sockets/mod.rs
+++ b/crates/passroad-rig/src/sockets/mod.rs
@@ -167,6 +167,7 @@
     let fleet = ground.as_ref().map(|ground| ground.day(plan.length));
     let mut lines = Vec::new();
     let commands = scene.commands();
+    let mut stops = JoinSet::new();
     for (n, sidecar) in sidecars.iter().enumerate() {
         let mut sidecar = sidecar.lock().await;
         if let Some(status) = sidecar.crashed() {
@@ -181,14 +182,20 @@
                     "sidecar {n}: {own} commands, {cpu:.2} s CPU, {each:.0} us each, {mb:.1} MB"
                 ));
             }
-            match sidecar.stop().await? {
-                Some(0) => {}
-                code => {
-                    remarks.push(format!("sidecar {n} ended with {code:?} after SIGTERM"));
-                    scene.note(Entry::Crashed { instance: n });
-                }
-            }
+            let sidecars = Arc::clone(&sidecars);
+            stops.spawn(async move { (n, sidecars[n].lock().await.stop().await) });
+        }
+    }
+    // All together: one after the other would take a second each.
+    while let Some(stopped) = stops.join_next().await {
+        let (n, ended) = stopped.map_err(std::io::Error::other)?;
+        if !matches!(ended, Ok(Some(0))) {
+            remarks.push(format!("sidecar {n} ended with {ended:?} after SIGTERM"));
+            scene.note(Entry::Crashed { instance: n });
         }
+    }
+    for (n, sidecar) in sidecars.iter().enumerate() {
+        let sidecar = sidecar.lock().await;
         let said = std::fs::read_to_string(sidecar.log()).unwrap_or_default();
         lines.extend(said.lines().map(|line| (Duration::ZERO, n, line.to_string())));
         if let Some(keep) = keep {
