--- a/crates/passroad-rig/src/experiment.rs
+++ b/crates/passroad-rig/src/experiment.rs
@@ -503,6 +503,23 @@
     Swing,
     /// Commands that the endpoints of a zone hold, for each core.
     Load,
+    /// The most and the least relays of an endpoint, over its fair share by size.
+    Busiest,
+    Idlest,
+    /// Variance over mean of the relays of an endpoint in a second, and in 100 ms; 1 where choice is random.
+    Herding,
+    HerdingFast,
+    /// Share of endpoint-time with nothing held while another endpoint has a queue.
+    Idle,
+    /// Sidecars that used an endpoint, most and least.
+    HoldersMost,
+    HoldersLeast,
+    /// Most open connections at one endpoint.
+    LinksMost,
+    /// Connections that were opened.
+    Connections,
+    /// How often a tenth of all sidecars chose the same endpoint within 50 ms, a second.
+    Together,
     /// Most epochs of a duty whose accepted acts lie between each other's.
     OwnersAtOnce,
     /// Most that took themselves for the owner at once; seen in virtual time only.
--- a/crates/passroad-rig/src/lib.rs
+++ b/crates/passroad-rig/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod report;
 pub mod run;
 pub mod sockets;
+pub mod spread;
 pub mod virtual_time;
--- a/crates/passroad-rig/src/report.rs
+++ b/crates/passroad-rig/src/report.rs
@@ -3,9 +3,13 @@
 use crate::experiment::Plan;
 use crate::ledger::{Answer, Rule};
 use crate::run::{Held, Run, Tally, held};
+use crate::spread;
 use serde_json::{Value, json};
 use std::fmt::Write;
+use std::time::Duration;
 
+/// Sidecars from which on it is told how evenly they load.
+const SEVERAL: usize = 50;
 /// Ownerships that are told one by one.
 const MOST_REIGNS: usize = 12;
 
@@ -122,6 +126,9 @@
         let broken: Vec<_> = row.broken.iter().map(|(rule, n)| format!("{} {n}", rule.name())).collect();
         let _ = writeln!(out, "   {}", if broken.is_empty() { "none".into() } else { broken.join(", ") });
     }
+    if plan.instances >= SEVERAL {
+        rows.iter().for_each(|row| out.push_str(&spread_line(plan, runs, &row.policy)));
+    }
     for run in runs.iter().filter(|r| r.policy.starts_with("passroad")) {
         for breach in run.breaches.iter().take(5) {
             let (seed, at) = (run.seed, breach.at.as_secs_f64());
@@ -173,6 +180,31 @@
     out
 }
 
+/// How evenly the endpoints were loaded: means over the seeds.
+fn spread_line(plan: &Plan, runs: &[Run], policy: &str) -> String {
+    let own: Vec<&Run> = runs.iter().filter(|r| r.policy == policy).collect();
+    let window = plan.settle..plan.length;
+    let mean =
+        |of: &dyn Fn(&Run) -> f64| own.iter().map(|run| of(run)).sum::<f64>() / own.len().max(1) as f64;
+    let shares = |run: &Run| spread::shares(run, plan, &window);
+    let holders = |run: &Run| spread::holders(run, plan, &window);
+    let (second, fast) = (Duration::from_secs(1), Duration::from_millis(100));
+    format!(
+        "{policy:<14} busiest {:.2}, idlest {:.2} of the fair share; dispersion {:.2} in 1 s, {:.2} in 100 ms; idle beside a queue \
+         {:.3}; {:.0} to {:.0} sidecars an endpoint, {:.0} connections opened, {:.0} at one; {:.2} crowds a second\n",
+        mean(&|run| shares(run).into_iter().fold(0.0, f64::max)),
+        mean(&|run| shares(run).into_iter().fold(f64::MAX, f64::min)),
+        mean(&|run| spread::herding(run, plan, &window, second)),
+        mean(&|run| spread::herding(run, plan, &window, fast)),
+        mean(&|run| spread::idle(run, plan, &window)),
+        mean(&|run| holders(run).into_iter().min().unwrap_or(0) as f64),
+        mean(&|run| holders(run).into_iter().max().unwrap_or(0) as f64),
+        mean(&|run| run.connections as f64),
+        mean(&|run| spread::links_most(run, &window) as f64),
+        mean(&|run| spread::together(run, plan, &window)),
+    )
+}
+
 /// The same and the series, for other programs.
 pub fn json(plan: &Plan, runs: &[Run], simulated: bool) -> Value {
     let days: Vec<Value> = runs
--- a/crates/passroad-rig/src/run.rs
+++ b/crates/passroad-rig/src/run.rs
@@ -4,6 +4,7 @@
 use crate::fleet::{Act, FleetDay, world};
 use crate::ledger::{Answer, Books, Breach, Facts, Rule, Told};
 use crate::sockets::{self, Program};
+use crate::spread;
 use crate::virtual_time::{self, Look, Played};
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
@@ -271,6 +272,18 @@
             let steps = shares.windows(2).map(|pair| (pair[1] - pair[0]).abs());
             steps.sum::<f64>() / shares.len().saturating_sub(1).max(1) as f64
         }
+        Metric::Busiest => spread::shares(run, plan, &hold.window).into_iter().fold(0.0, f64::max),
+        Metric::Idlest => spread::shares(run, plan, &hold.window).into_iter().fold(f64::MAX, f64::min),
+        Metric::Herding => spread::herding(run, plan, &hold.window, Duration::from_secs(1)),
+        Metric::HerdingFast => spread::herding(run, plan, &hold.window, Duration::from_millis(100)),
+        Metric::Idle => spread::idle(run, plan, &hold.window),
+        Metric::HoldersMost => spread::holders(run, plan, &hold.window).into_iter().max().unwrap_or(0) as f64,
+        Metric::HoldersLeast => {
+            spread::holders(run, plan, &hold.window).into_iter().min().unwrap_or(0) as f64
+        }
+        Metric::LinksMost => spread::links_most(run, &hold.window) as f64,
+        Metric::Connections => run.connections as f64,
+        Metric::Together => spread::together(run, plan, &hold.window),
         Metric::OwnersAtOnce => fleet(|f| f.owners_at_once() as f64),
         Metric::Believers => fleet(|f| f.believers.map_or(f64::NAN, |n| n as f64)),
         Metric::StaleActs => fleet(|f| f.stale_acts() as f64),
--- /dev/null
+++ b/crates/passroad-rig/src/spread.rs
@@ -0,0 +1,144 @@
+//! How evenly the relays of a run lie over its endpoints, and how many connections that took.
+
+use crate::experiment::Plan;
+use crate::run::Run;
+use std::collections::BTreeSet;
+use std::ops::Range;
+use std::time::Duration;
+
+/// Sidecars that choose the same endpoint within this are counted together.
+const TOGETHER: Duration = Duration::from_millis(50);
+
+/// Relays that went out within a window, by endpoint.
+fn counts(run: &Run, plan: &Plan, window: &Range<Duration>) -> Vec<f64> {
+    let mut counts = vec![0.0; plan.endpoints.len()];
+    run.books.relays.iter().filter(|r| window.contains(&r.at)).for_each(|r| counts[r.endpoint] += 1.0);
+    counts
+}
+
+/// Of each endpoint, its relays over its fair share by cores and speed. What is down or cold meanwhile still counts whole.
+pub fn shares(run: &Run, plan: &Plan, window: &Range<Duration>) -> Vec<f64> {
+    let counts = counts(run, plan, window);
+    let size = |n: usize| plan.endpoints[n].make.cores as f64 * plan.endpoints[n].make.speed;
+    let (all, sizes) = (counts.iter().sum::<f64>(), (0..counts.len()).map(size).sum::<f64>());
+    counts.iter().enumerate().map(|(n, count)| count * sizes / (all * size(n)).max(1e-9)).collect()
+}
+
+/// Variance over mean of the relays of an endpoint within a time of this length: 1 where each choice is random.
+pub fn herding(run: &Run, plan: &Plan, window: &Range<Duration>, step: Duration) -> f64 {
+    let steps = ((window.end - window.start).as_secs_f64() / step.as_secs_f64()).floor().max(1.0) as usize;
+    let mut cells = vec![0.0f64; steps * plan.endpoints.len()];
+    for r in run.books.relays.iter().filter(|r| window.contains(&r.at)) {
+        let at = ((r.at - window.start).as_secs_f64() / step.as_secs_f64()) as usize;
+        if at < steps {
+            cells[at * plan.endpoints.len() + r.endpoint] += 1.0;
+        }
+    }
+    let mean = cells.iter().sum::<f64>() / cells.len() as f64;
+    cells.iter().map(|cell| (cell - mean) * (cell - mean)).sum::<f64>() / cells.len() as f64 / mean.max(1e-9)
+}
+
+/// Share of endpoint-time with nothing held while another endpoint holds more than it has cores for.
+pub fn idle(run: &Run, plan: &Plan, window: &Range<Duration>) -> f64 {
+    let looks: Vec<_> = run.looks.iter().filter(|look| window.contains(&look.at)).collect();
+    let queues = |held: &[usize]| (0..held.len()).any(|n| held[n] > plan.endpoints[n].make.cores);
+    let idle: usize = looks
+        .iter()
+        .filter(|look| queues(&look.held))
+        .map(|look| look.held.iter().filter(|held| **held == 0).count())
+        .sum();
+    idle as f64 / (looks.len() * plan.endpoints.len()).max(1) as f64
+}
+
+/// How many sidecars used each endpoint within a window.
+pub fn holders(run: &Run, plan: &Plan, window: &Range<Duration>) -> Vec<usize> {
+    let mut users = vec![BTreeSet::new(); plan.endpoints.len()];
+    for r in run.books.relays.iter().filter(|r| window.contains(&r.at)) {
+        users[r.endpoint].insert(run.books.commands[r.cmd].instance);
+    }
+    users.iter().map(BTreeSet::len).collect()
+}
+
+/// How often a tenth of all sidecars chose the same endpoint within 50 ms, a second.
+pub fn together(run: &Run, plan: &Plan, window: &Range<Duration>) -> f64 {
+    let mut by_endpoint = vec![Vec::new(); plan.endpoints.len()];
+    for r in run.books.relays.iter().filter(|r| window.contains(&r.at)) {
+        by_endpoint[r.endpoint].push((r.at, run.books.commands[r.cmd].instance));
+    }
+    let tenth = plan.instances.div_ceil(10).max(2);
+    let mut times = 0;
+    for mut relays in by_endpoint {
+        relays.sort_unstable();
+        let mut from = 0;
+        while from < relays.len() {
+            let end = relays[from..].iter().take_while(|(at, _)| *at < relays[from].0 + TOGETHER).count();
+            let users: BTreeSet<usize> =
+                relays[from..from + end].iter().map(|(_, instance)| *instance).collect();
+            // One crowd counts once.
+            let crowd = users.len() >= tenth;
+            times += usize::from(crowd);
+            from += if crowd { end } else { 1 };
+        }
+    }
+    times as f64 / (window.end - window.start).as_secs_f64().max(1e-9)
+}
+
+/// Most open connections at one endpoint.
+pub fn links_most(run: &Run, window: &Range<Duration>) -> usize {
+    let looks = run.looks.iter().filter(|look| window.contains(&look.at));
+    looks.flat_map(|look| look.links.iter().copied()).max().unwrap_or(0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::experiment::{read, tests::SMALL};
+    use crate::ledger::{Answer, Entry, Ledger};
+    use crate::virtual_time::Played;
+    use rstest::rstest;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    /// Relays at times, by instance and endpoint, of the small experiment: five endpoints, three instances.
+    fn run(relays: &[(u32, usize, usize)]) -> (Run, Plan) {
+        let plan = read(SMALL).unwrap();
+        let mut ledger = Ledger::default();
+        for (n, (at, instance, endpoint)) in relays.iter().enumerate() {
+            let (at, limit) = (*at * MS, 1000 * MS);
+            ledger.note(at, Entry::Asked { cmd: n, chain: n, verb: 0, instance: *instance, limit });
+            ledger.note(at, Entry::Sent { relay: n, cmd: n, endpoint: *endpoint });
+            ledger.note(at + MS, Entry::Answered { cmd: n, answer: Answer::Answered });
+        }
+        let played = Played { ledger, looks: Vec::new(), lines: Vec::new(), connections: 0 };
+        (Run::of(&plan, "passroad", 1, played, Duration::ZERO), plan)
+    }
+
+    #[rstest]
+    fn shares_are_of_the_fair_part_and_holders_of_those_that_came() {
+        let (run, plan) = run(&[(10, 0, 0), (20, 1, 0), (30, 1, 0), (40, 2, 1)]);
+        let window = Duration::ZERO..Duration::from_secs(1);
+        let sum: f64 = counts(&run, &plan, &window).iter().sum();
+        assert!((sum - 4.0).abs() < 1e-9);
+        let shares = shares(&run, &plan, &window);
+        assert!(
+            (shares[0] / shares[1] - 3.0 * weight(&plan, 1) / weight(&plan, 0)).abs() < 1e-9,
+            "{shares:?}"
+        );
+        assert_eq!(holders(&run, &plan, &window)[..3], [2, 1, 0]);
+    }
+
+    fn weight(plan: &Plan, n: usize) -> f64 {
+        plan.endpoints[n].make.cores as f64 * plan.endpoints[n].make.speed
+    }
+
+    #[rstest]
+    #[case::herd(&[(10, 0, 0), (11, 1, 0), (12, 2, 0), (13, 0, 0), (14, 1, 0)], 4.0, 1.0)]
+    #[case::spread(&[(10, 0, 0), (11, 1, 1), (12, 2, 2), (13, 0, 3), (14, 1, 4)], 0.0, 0.0)]
+    fn a_herd_shows(#[case] relays: &[(u32, usize, usize)], #[case] dispersion: f64, #[case] crowds: f64) {
+        let (run, plan) = run(relays);
+        assert_eq!((plan.endpoints.len(), plan.instances), (5, 3));
+        let window = Duration::ZERO..Duration::from_secs(1);
+        assert!((herding(&run, &plan, &window, Duration::from_secs(1)) - dispersion).abs() < 1e-9);
+        assert!((together(&run, &plan, &window) - crowds).abs() < 1e-9);
+    }
+}
