A ban is in effect before a sidecar that starts takes commands

Seen: on four cores the_order_outlives_its_conductor failed once of seven: one that had started from nothing sent to a machine at work. Traced: a ban came before the first look at the list, and waited 50 ms for the next one, while the sidecar already counted as informed. Change: what is not known by name is looked for at once.

--- a/crates/passroad/src/fleet/talk.rs
+++ b/crates/passroad/src/fleet/talk.rs
@@ -235,7 +235,13 @@
                 Do::Drop { n } => self.calls.drop(n),
                 Do::Say { level, line } => log::log!(level, "fleet: {line}"),
                 Do::Ban { machine, out } => {
-                    let listed = self.machines.as_ref().is_some_and(|machines| machines.turn(machine, out));
+                    // Guards against a ban on what was listed since the last look, which would wait for the next one.
+                    let listed = self.machines.as_mut().is_some_and(|machines| {
+                        machines.turn(machine, out) || {
+                            machines.look(wall());
+                            machines.turn(machine, out)
+                        }
+                    });
                     if !listed && out {
                         self.unlisted.insert(machine);
                     } else {
