The test of strangers' datagrams waits until all sidecars have their addresses

Seen: once of some forty runs a datagram was sent before the sidecar's thread had its socket, and the count of four never came. Whoever answers for the fleet at the operators' door has its socket by then.

--- a/crates/passroad/tests/fleet.rs
+++ b/crates/passroad/tests/fleet.rs
@@ -174,6 +174,8 @@
 #[rstest]
 fn what_strangers_send_is_not_heard() {
     let fleet = fleet(3);
+    // Whoever answers for the fleet has its address by then; before, what is sent to it is lost.
+    until(|| fleet.doors.iter().all(|door| status(*door).0 == "200"));
     let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
     for bytes in [&b"GET / HTTP/1.1"[..], &[0xb5, 1, 9], &[0; 256], &[]] {
         fleet.peers.iter().for_each(|to| drop(stranger.send_to(bytes, to)));
