Of sidecars that do not come up together the first is named, whichever was quickest

Seen: a_sidecar_that_does_not_come_up_is_named failed once of about ten runs on eight cores: sidecars start in parallel, and the one that ended first was named. Change: all starts are waited for, and the first by number is told.

--- a/crates/passroad-rig/src/sockets/mod.rs
+++ b/crates/passroad-rig/src/sockets/mod.rs
@@ -111,14 +111,15 @@
             ground.tell(n, sidecar.told());
         }
         sides.push(Arc::new(Side::new(sidecar.address)));
-        starts.spawn(async move { sidecar.start().await.map(|()| (n, sidecar)) });
+        starts.spawn(async move { (n, sidecar.start().await, sidecar) });
     }
     while let Some(started) = starts.join_next().await {
-        sidecars.push(started.map_err(std::io::Error::other)??);
+        sidecars.push(started.map_err(std::io::Error::other)?);
     }
-    sidecars.sort_by_key(|(n, _)| *n);
-    let sidecars: Vec<Mutex<Sidecar>> =
-        sidecars.into_iter().map(|(_, sidecar)| Mutex::new(sidecar)).collect();
+    sidecars.sort_by_key(|(n, ..)| *n);
+    // Of several that did not come up the first is named, whichever was the quickest.
+    let started = sidecars.into_iter().map(|(_, started, sidecar)| started.map(|()| Mutex::new(sidecar)));
+    let sidecars = started.collect::<std::io::Result<Vec<Mutex<Sidecar>>>>()?;
     let sidecars: Sidecars = Arc::new(sidecars);
     let clients = Clients::new(&scene, sides, seed);
     let asking = tokio::spawn(Arc::clone(&clients).run());
