A freed duty is looked at itself; a voter that can't keep its state votes no more

Found on reading the change once more. Of several duties the first at rest was turned when another came free (Lease::answer, duty_at_rest). A promise that could not be kept on disk was said when it was asked for again: such a voter is mute until it starts anew. Each renewal wrote the disk, with nothing new to keep. Two answers of the door written twice are one; a planted fault that nobody used, an unused place in the fleet's file and three unused functions are gone.

Tests: what_comes_free_is_that_duty (turned the other duty before), a_renewal_writes_nothing_to_the_disk, too_long.

--- a/crates/passroad-lease/src/lib.rs
+++ b/crates/passroad-lease/src/lib.rs
@@ -253,7 +253,6 @@
     pub equal_epochs: bool,
     pub no_own_end: bool,
     pub any_owner: bool,
-    pub grants_unpromised: bool,
     pub no_chance: bool, // no fault: fewer states
     pub no_look: bool,   // the same; it is not safety that looking is for
 }
@@ -372,10 +371,6 @@
         self.terms.voters
     }
 
-    pub fn votes(&self, duty: Duty) -> bool {
-        self.candidates.get(&duty).is_some_and(|c| c.council.contains(&self.terms.me))
-    }
-
     /// How long until there is something to do by time alone.
     pub fn wait(&self) -> Option<Duration> {
         let part = self.terms.lease / ANSWER_PART;
@@ -498,7 +493,7 @@
             return Vec::new();
         }
         let (duty, now) = (word.duty(), times.steady);
-        let (any_owner, unpromised) = (planted!(self, any_owner), planted!(self, grants_unpromised));
+        let any_owner = planted!(self, any_owner);
         let longest = self.terms.lease;
         // Guards against names that nobody here has heard of, without end.
         if self.votes.len() >= MOST_DUTIES && !self.votes.contains_key(&duty) {
@@ -541,7 +536,7 @@
                 Some(word) => say(from, word),
                 // Guards against leases that outlast the time for which a voter that forgot is mute.
                 None if Duration::from_millis(lease_ms.into()) > longest => {}
-                None if unpromised || vote.is_for(epoch, from, any_owner) => {
+                None if vote.is_for(epoch, from, any_owner) => {
                     let lease = Duration::from_millis(lease_ms.into());
                     vote.grant = Some(Grant { epoch, owner: from, until: now + lease, lease });
                     say(from, Word::Granted { duty, epoch, round });
@@ -555,7 +550,7 @@
             }
             _ => {}
         }
-        if *vote != before {
+        if vote.on_disk() != before.on_disk() {
             out.insert(0, Out::Keep { duty, vote: vote.clone() });
         }
         out
@@ -564,7 +559,8 @@
     fn answer(&mut self, now: Duration, times: Times, from: Member, word: Word) -> Vec<Out> {
         let (part, lease) = (self.terms.lease / ANSWER_PART, self.terms.lease);
         let (luck, equal) = (self.chance(), planted!(self, equal_epochs));
-        let Some(c) = self.candidates.get_mut(&word.duty()) else { return Vec::new() };
+        let duty = word.duty();
+        let Some(c) = self.candidates.get_mut(&duty) else { return Vec::new() };
         // Only voters have a say.
         if !c.council.contains(&from) {
             return Vec::new();
@@ -658,7 +654,7 @@
                 if asked == *epoch =>
             {
                 let instead = Some(*epoch);
-                let epoch = (times.wall.as_millis() as Epoch).max(c.highest.max(highest) + 1);
+                let epoch = (times.wall.as_millis() as Epoch).max(c.highest.max(highest).saturating_add(1));
                 c.highest = epoch;
                 *rising = Some(Rising { epoch, since: now, yes: vec![], granted: vec![] });
                 out.extend(c.say(Word::Ask { duty, epoch, instead }));
@@ -699,22 +695,16 @@
             _ => {}
         }
         if matches!(c.part, Part::Rest { until } if until <= now) {
-            self.turn(now, times, self.duty_at_rest(now), &mut out);
+            self.turn(now, times, duty, &mut out);
         }
         out
     }
-
-    /// The one that has just come free.
-    fn duty_at_rest(&self, now: Duration) -> Duty {
-        let free = |c: &Candidate| matches!(c.part, Part::Rest { until } if until <= now);
-        self.candidates.iter().find(|(_, c)| free(c)).map_or(0, |(duty, _)| *duty)
-    }
 }
 
 impl Candidate {
     /// Asks all voters for an epoch above all that were heard of.
     fn ask(&mut self, now: Duration, times: Times, equal: bool, duty: Duty, out: &mut Vec<Out>) {
-        let least = if equal { self.highest } else { self.highest + 1 };
+        let least = if equal { self.highest } else { self.highest.saturating_add(1) };
         let epoch = (times.wall.as_millis() as Epoch).max(least);
         self.highest = epoch;
         self.part = Part::Asking { epoch, since: now, yes: vec![], no: vec![] };
--- a/crates/passroad-lease/src/tests.rs
+++ b/crates/passroad-lease/src/tests.rs
@@ -170,6 +170,34 @@
     assert!(matches!(said(&outs)[..], [Word::Look { .. }, ..]), "{outs:?}");
 }
 
+// Of several duties the one that was said to be free is looked at, not the first that rests.
+#[rstest]
+fn what_comes_free_is_that_duty() {
+    let mut next = Lease::new(terms(1), at(0), Some(BTreeMap::new()));
+    next.stand(at(100), DUTY - 1, Some(0));
+    next.stand(at(100), DUTY, Some(0));
+    next.tick(at(100));
+    for from in [0, 2] {
+        let word = Word::Held { duty: DUTY, asked: 1, epoch: 1_000_099, owner: 0, left_ms: 900 };
+        next.hear(at(101), from, word);
+    }
+    // The other one is at rest, and due, when this one comes free.
+    for from in [0, 2] {
+        next.hear(at(101), from, Word::Held { duty: DUTY - 1, asked: 1, epoch: 1, owner: 0, left_ms: 100 });
+    }
+    let outs = next.hear(at(301), 2, Word::Free { duty: DUTY, epoch: 1_000_100 });
+    assert!(said(&outs).iter().all(|word| word.duty() == DUTY) && !outs.is_empty(), "{outs:?}");
+}
+
+#[rstest]
+fn a_renewal_writes_nothing_to_the_disk() {
+    let mut voter = voter();
+    voter.hear(at(1), 1, ask(5));
+    assert!(matches!(voter.hear(at(2), 1, take(5, 0))[0], Out::Keep { .. }));
+    let outs = voter.hear(at(300), 1, take(5, 1));
+    assert_eq!(outs, [Out::Say { to: 1, word: Word::Granted { duty: DUTY, epoch: 5, round: 1 } }]);
+}
+
 #[rstest]
 fn a_higher_epoch_elsewhere_ends_an_ownership_and_is_gone_over() {
     let mut lease = owner();
--- a/crates/passroad-lease/src/voter.rs
+++ b/crates/passroad-lease/src/voter.rs
@@ -36,6 +36,11 @@
         self.grant.filter(|grant| now < grant.until)
     }
 
+    /// What a restart has to know: a grant that is renewed is the same there.
+    pub(crate) fn on_disk(&self) -> (Epoch, Option<Member>, Option<(Epoch, Member, Duration)>) {
+        (self.promised, self.to, self.grant.map(|grant| (grant.epoch, grant.owner, grant.lease)))
+    }
+
     /// Promises what is higher than all before, or again what was promised to the same one.
     pub(crate) fn promise(&mut self, epoch: Epoch, to: Member, any: bool) -> bool {
         let again = epoch == self.promised && (self.to == Some(to) || any);
--- a/crates/passroad-upkeep/src/lib.rs
+++ b/crates/passroad-upkeep/src/lib.rs
@@ -419,7 +419,7 @@
         entries: Vec<Entry>,
         out: &mut Vec<Out>,
     ) {
-        let next = at + entries.len() as u32;
+        let next = at.saturating_add(entries.len() as u32);
         let more = !entries.is_empty() && next < all;
         if by == 0 {
             // For a hand that begins: what a majority of the keepers knows holds all that is at work.
@@ -584,8 +584,9 @@
             if self.book.get(*machine).is_some_and(|entry| entry.request == request) {
                 continue;
             }
-            let step = self.book.get(*machine).filter(|e| e.epoch == epoch).map_or(0, |e| e.step + 1);
-            let place = self.book.last_place() + 1;
+            let step =
+                self.book.get(*machine).filter(|e| e.epoch == epoch).map_or(0, |e| e.step.saturating_add(1));
+            let place = self.book.last_place().saturating_add(1);
             let (machine, state) = (*machine, State::Queued);
             self.book.take(Entry { machine, request, place, state, epoch, step, lasts, ends: 0, back });
         }
@@ -641,9 +642,9 @@
 
     fn step(&mut self, sight: &Sight, epoch: Epoch, machine: Machine, state: State, out: &mut Vec<Out>) {
         let Some(entry) = self.book.get(machine).copied() else { return };
-        let step = if entry.epoch == epoch { entry.step + 1 } else { 0 };
+        let step = if entry.epoch == epoch { entry.step.saturating_add(1) } else { 0 };
         let ends = match state {
-            State::AtWork => sight.wall.as_secs() as u32 + entry.lasts,
+            State::AtWork => (sight.wall.as_secs() as u32).saturating_add(entry.lasts),
             // Until it is warm.
             State::Returning => (sight.wall + self.terms.limits.warm).as_secs() as u32 + 1,
             _ => 0,
--- a/crates/passroad/src/fleet/orders.rs
+++ b/crates/passroad/src/fleet/orders.rs
@@ -181,7 +181,7 @@
     }
     let mut duties: Vec<DutyOrder> = Vec::new();
     for spanned in &told.duty {
-        let (duty, place) = (spanned.get_ref(), spanned.span().start);
+        let duty = spanned.get_ref();
         let name = duty.name.get_ref().clone();
         let odd = name.is_empty() || !name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
         if odd || name == UPKEEP || duties.iter().any(|known| known.name == name) {
@@ -218,7 +218,6 @@
             Some(told) => told.get_ref().0,
         };
         let mark = passroad_choice::door::mark(&name);
-        let _ = place;
         duties.push(DutyOrder { name, mark, every, call: Some(uri), within });
     }
     let upkeep = match &told.upkeep {
--- a/crates/passroad/src/fleet/part.rs
+++ b/crates/passroad/src/fleet/part.rs
@@ -4,7 +4,7 @@
 use super::orders::{DutyOrder, UPKEEP, UpkeepOrder};
 use log::Level;
 use passroad_lease::{self as lease, Duty, Epoch, Lease, Times, Vote, Why, Word};
-use passroad_peers::{self as peers, Known, Note, Peers, Standing};
+use passroad_peers::{self as peers, Note, Peers, Standing};
 use passroad_upkeep::{self as upkeep, Line, Machine, Refusal, Seen, Sight, Upkeep};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -319,6 +319,11 @@
         self.stops = true;
     }
 
+    /// Its voter is mute until the process starts anew.
+    pub fn vote_no_more(&mut self) {
+        self.lease.retire();
+    }
+
     pub fn any_out(&self) -> bool {
         self.out.contains(&true)
     }
@@ -340,18 +345,10 @@
         self.lease.owned(times, self.duties[n].mark).map(|(epoch, _)| epoch)
     }
 
-    pub fn known(&self) -> &[Known] {
-        self.peers.known()
-    }
-
     pub fn counts(&self) -> peers::Counts {
         self.peers.counts()
     }
 
-    pub fn sent(&self) -> u64 {
-        self.sent
-    }
-
     fn send(&mut self, to: u16, channel: u8, body: &[u8], todo: &mut Vec<Do>) {
         if let Some(bytes) = peers::seal(channel, self.peers.incarnation(), body) {
             self.sent += 1;
--- a/crates/passroad/src/fleet/talk.rs
+++ b/crates/passroad/src/fleet/talk.rs
@@ -226,7 +226,11 @@
                 Do::Keep { duty, vote } => {
                     // Guards against saying what would be forgotten: without its file the voter says nothing more.
                     if let Some(Err(fault)) = self.kept.as_mut().map(|kept| kept.keep(duty, vote)) {
-                        return log::error!("fleet: the state can't be kept, a vote is not given: {fault}");
+                        // What is not on the disk would else be said when it is asked for once more.
+                        self.part.vote_no_more();
+                        return log::error!(
+                            "fleet: the state can't be kept, this voter votes no more: {fault}"
+                        );
                     }
                 }
                 Do::Begin { n, epoch, within } => {
--- a/crates/passroad/src/management.rs
+++ b/crates/passroad/src/management.rs
@@ -30,6 +30,7 @@
 const CALL_WITHIN: Duration = Duration::from_secs(3); // the whole call with its answer
 const LONGEST_HEAD: usize = 8 << 10;
 const LONGEST_BODY: usize = 4 << 10;
+const LONGEST_WORK: u32 = 30 * 24 * 3600; // on a machine, in seconds
 const TRIES_APART: Duration = Duration::from_millis(20); // to accept, after a failure
 
 #[derive(Clone)]
@@ -108,11 +109,16 @@
     let Some(fleet) = door.fleet else {
         return said(StatusCode::NOT_FOUND, "this sidecar has no fleet's file, or may not talk to others");
     };
-    match fleet.status().await {
-        Some(status) => {
+    known(fleet.status().await)
+}
+
+/// What the fleet's thread knows, as it says it.
+fn known(told: Option<serde_json::Value>) -> Response {
+    match told {
+        Some(told) => {
             let json = (header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
             let close = (header::CONNECTION, HeaderValue::from_static("close"));
-            (StatusCode::OK, [json, close], format!("{status}\n")).into_response()
+            (StatusCode::OK, [json, close], format!("{told}\n")).into_response()
         }
         None => said(StatusCode::SERVICE_UNAVAILABLE, "the fleet's part has ended or is too busy"),
     }
@@ -154,14 +160,7 @@
 
 async fn work_status(State(door): State<Door>) -> Response {
     let Some(fleet) = upkeep(&door) else { return no_upkeep() };
-    match fleet.work().await {
-        Some(work) => {
-            let json = (header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-            let close = (header::CONNECTION, HeaderValue::from_static("close"));
-            (StatusCode::OK, [json, close], format!("{work}\n")).into_response()
-        }
-        None => said(StatusCode::SERVICE_UNAVAILABLE, "the fleet's part has ended or is too busy"),
-    }
+    known(fleet.work().await)
 }
 
 async fn work_request(State(door): State<Door>, body: Body) -> Response {
@@ -187,10 +186,10 @@
     }
     if request.machines.is_empty()
         || request.machines.len() > passroad_upkeep::MOST_ASKED
-        || request.for_s == 0
+        || !(1..=LONGEST_WORK).contains(&request.for_s)
     {
         let (count, most) = (request.machines.len(), passroad_upkeep::MOST_ASKED);
-        let what = format!("from 1 to {most} machines, for a second at least; these are {count}");
+        let what = format!("from 1 to {most} machines, for a second to thirty days; these are {count}");
         return said(StatusCode::BAD_REQUEST, &what);
     }
     // Asked twice by its name, it is one request.
--- a/crates/passroad/tests/fleet.rs
+++ b/crates/passroad/tests/fleet.rs
@@ -365,6 +365,7 @@
 #[case::both(&["request", "s-1", "--zone", "a"], 2, "cannot be used with")]
 #[case::neither(&["request"], 2, "required")]
 #[case::odd_time(&["request", "s-1", "--for", "5"], 2, "has no unit")]
+#[case::too_long(&["request", "s-1", "--for", "60000m"], 2, "to thirty days")]
 #[case::unknown(&["done", "s-9"], 2, "no such machine is listed")]
 fn machines_may_be_asked_for_by_label(#[case] words: &[&str], #[case] code: i32, #[case] what: &str) {
     let upkeep = Upkeep::new(answers);
