--- a/crates/passroad-rig/tests/command_line.rs
+++ b/crates/passroad-rig/tests/command_line.rs
@@ -149,25 +149,13 @@
     until(|| sidecars_of(child.id()) == 0);
 }
 
-const TALKS: &str = r#"
-about = "talks"
-length = "60s"
-instances = 3
-sockets = "first"
-policies = ["passroad"]
-[fleet.kind.plain]
-cores = 2
-[[fleet.group]]
-kind = "plain"
-count = 1
-[[verb]]
-name = "look"
-effect = "pure"
-work = "5ms"
-goal = "200ms"
-limit = "500ms"
-[load]
-per_second = 5
+/// The same with sidecars that talk, one of which is stopped for most of a long day.
+fn talks() -> String {
+    let talks = SMALL.replace("length = \"3s\"", "length = \"60s\"\nsockets = \"first\"");
+    talks.replace("instances = 2", "instances = 3") + STOPPED
+}
+
+const STOPPED: &str = r#"
 [peers]
 lease = "1s"
 [[peers.duty]]
@@ -197,7 +185,7 @@
 // Also a process that is stopped, and can't see that its standard input has ended.
 #[rstest]
 fn nothing_is_left_behind_when_the_rig_is_killed() {
-    let folder = Folder::with(TALKS);
+    let folder = Folder::with(&talks());
     let mut rig = Command::new(env!("CARGO_BIN_EXE_passroad-rig"));
     let mut rig = rig.arg("run").arg(folder.at("e.toml")).spawn().unwrap();
     let until = |done: &dyn Fn() -> bool| {
