A ban that an upgrade took over ends with the work, however late it is heard of

Seen on reading: the next process takes bans over by the desk; where a machine came back before that process had heard of it, nothing lifted the ban there, and the endpoint stayed idle at that sidecar. Change: a machine that returns is called back once in any case. Test: a_ban_that_was_taken_over_ends_with_the_work.

--- a/crates/passroad-upkeep/src/lib.rs
+++ b/crates/passroad-upkeep/src/lib.rs
@@ -202,6 +202,8 @@
     banned: BTreeSet<Machine>,
     /// Bans that the caller has put into effect: those that it was handed before it turned again.
     effective: BTreeSet<Machine>,
+    /// Machines that were called back, and at which place in the order.
+    lifted: BTreeMap<Machine, u32>,
     acked: BTreeMap<Machine, (Epoch, u32, bool)>,
     asked: BTreeMap<u64, Asked>,
     /// Requests whose first step is not yet with a majority, and who asked.
@@ -228,6 +230,7 @@
             said_to: BTreeMap::new(),
             banned: BTreeSet::new(),
             effective: BTreeSet::new(),
+            lifted: BTreeMap::new(),
             acked: BTreeMap::new(),
             asked: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -478,6 +481,14 @@
             out.push(Out::Ban { machine: *machine, out: false });
         }
         self.banned = now;
+        // Guards against a ban that was taken over from the process before, and ended before this one had heard of it.
+        let back: Vec<Entry> =
+            self.book.in_order().into_iter().filter(|e| e.state == State::Returning).collect();
+        for entry in back {
+            if self.lifted.insert(entry.machine, entry.place) != Some(entry.place) {
+                out.push(Out::Ban { machine: entry.machine, out: false });
+            }
+        }
     }
 
     /// Guards against a command that goes out between the look and the ban: free is only what is looked at behind it.
--- a/crates/passroad-upkeep/src/tests.rs
+++ b/crates/passroad-upkeep/src/tests.rs
@@ -296,6 +296,30 @@
     assert_eq!((world.state(5), world.broken), (Some(State::Warm), vec![]));
 }
 
+// An upgrade: the next process has the ban from the one before, and hears of the machine only when it is back.
+#[rstest]
+fn a_ban_that_was_taken_over_ends_with_the_work() {
+    let mut world = World::new(3);
+    let entry = Entry {
+        machine: 3,
+        request: 1,
+        place: 1,
+        state: State::Returning,
+        epoch: 1,
+        step: 5,
+        lasts: 1,
+        ends: 0,
+        back: false,
+    };
+    let tell = |step| Word::Tell { by: 1, all: 1, entries: vec![Entry { step, ..entry }] };
+    let lifts = |outs: Vec<Out>| outs.iter().filter(|out| matches!(out, Out::Ban { out: false, .. })).count();
+    let counts: Vec<usize> = [5, 6]
+        .iter()
+        .map(|step| lifts(world.with(2, |hand, sight| hand.hear(sight, 0, tell(*step))).unwrap()))
+        .collect();
+    assert_eq!(counts, [1, 0]);
+}
+
 // It learns the bans before anything else, from those that know.
 #[rstest]
 fn one_that_starts_from_nothing_learns_what_is_out() {
