A last look right before a relay's first byte: client, endpoint, end and time

Seen by test with the version before: a command that lay beside the end of its client when the process went on was sent (closed, reset, shut for sending), and a relay that waited for its connection was sent to an endpoint that was told to drain, to be gone, elsewhere or started anew meanwhile, or for a client that had left where relays may not be recalled.

Cause: nothing was looked at between the module's order and the first byte. command.rs turned to an order before the client's end (biased select), list and order had no tie, and the end of a client was known only once its task had read it.

Change: one place, Wire::may_begin in relay.rs. A connection writes nothing of a request before it is shown a Look, and asks it: is the command over (token of its seat, turned by the desk itself), is the endpoint as it was (token of its Link, renewed by the list, a ban, a move), is there time, does the client wait (the system is asked by peek, so an end that nobody has read yet counts). What is called off before its first byte ends at once and gives back permit and connection, also where relays may not be recalled; what is barred by its endpoint goes elsewhere as never run.

Pulled in: tokio-util for its cancellation token.

--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -2,6 +2,8 @@
 
 use crate::body::{Coming, Load};
 use crate::desk::{Desk, Order};
+use crate::front::Talk;
+use crate::look::Look;
 use crate::relay::{self, Cargo, Ended};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::Response;
@@ -29,6 +31,7 @@
     pub last: Duration, // when the answer must be there, whatever the module says
     pub again: bool,
     pub key: Option<u64>,
+    pub client: Arc<Talk>,
 }
 
 pub async fn run(desk: Arc<Desk>, need: Need, cargo: Cargo, front: oneshot::Sender<Answer>) {
@@ -61,8 +64,10 @@
                     let (n, began, cargo) = (seat.newest(), Instant::now(), Arc::clone(&cargo));
                     let left = limit.deadline().saturating_duration_since(began);
                     let within = if coming.is_some() { need.budget } else { within.min(left) };
+                    let until = coming.is_none().then(|| (began + within).into());
+                    let look = Look::new(seat.over.clone(), link.out.clone(), until, Arc::clone(&need.client));
                     relays.push(async move {
-                        let ended = relay::run(*link, Arc::clone(&cargo), within, recalled).await;
+                        let ended = relay::run(*link, Arc::clone(&cargo), Arc::new(look), within, recalled).await;
                         let since = cargo.coming().and_then(|coming| coming.since());
                         (n, ended, since.map_or(began, |since| began.max(since)).elapsed())
                     });
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant, SystemTime};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio_util::sync::CancellationToken;
 
 /// Endpoints that have left and are still known to have been listed, by eight bytes each.
 const MOST_LEFT: usize = 16 << 10;
@@ -59,7 +60,7 @@
     reports: ReportsHow,
     commands: Door<u64>,
     admitted: u64,
-    seats: Vec<Option<UnboundedSender<Order>>>,
+    seats: Vec<Option<(UnboundedSender<Order>, CancellationToken)>>,
     endpoints: Door<String>,
     revision: Option<u64>,
     members: Vec<Option<Member>>, // as listed last, by slot
@@ -169,16 +170,16 @@
 
     /// Takes a command in. Orders about it come until the module has forgotten it; then they end.
     pub fn admit(self: &Arc<Self>, arrival: impl FnOnce(CmdIx) -> Arrival) -> Seat {
-        let (tell, orders) = unbounded_channel();
+        let ((tell, orders), over) = (unbounded_channel(), CancellationToken::new());
         let mut held = self.held();
         held.admitted += 1;
         let serial = held.admitted;
         let cmd = held.commands.admit(&serial);
         let len = held.seats.len().max(cmd + 1);
         held.seats.resize_with(len, || None);
-        held.seats[cmd] = Some(tell);
+        held.seats[cmd] = Some((tell, over.clone()));
         self.decide(&mut held, Event::Arrived(arrival(cmd)));
-        Seat { desk: Arc::clone(self), cmd, orders, out: Vec::new() }
+        Seat { desk: Arc::clone(self), cmd, orders, over, out: Vec::new() }
     }
 
     pub fn listed(self: &Arc<Self>, kind: ListKind, list: &List) {
@@ -198,14 +199,18 @@
             held.balancer.name(endpoint, &member.id, &member.flavor);
             let len = held.members.len().max(endpoint + 1);
             held.members.resize(len, None);
+            let anew = held.members[endpoint].as_ref().is_some_and(|m| m.up_since_ms < member.up_since_ms);
             held.members[endpoint] = Some(member.clone()).filter(|m| m.mode() != Mode::Deleted);
             let len = held.links.len().max(endpoint + 1);
             held.links.resize_with(len, || None);
             let link = &mut held.links[endpoint];
+            if let Some(link) = link.as_mut().filter(|_| anew || member.mode() != Mode::Running) {
+                link.call_off();
+            }
             let address = member.host_port.filter(|_| member.mode() != Mode::Deleted);
             if link.as_ref().map(|l| l.address) != address {
                 *link = address.map(|address| match link.take() {
-                    Some(link) => link.anew(address),
+                    Some(mut link) => link.anew(address),
                     None => Link::new(address, &self.dialer),
                 });
                 match address {
@@ -340,9 +345,10 @@
                     Some(link) => held.order(cmd, Order::Relay { link: Box::new(link), within }),
                     None => log::error!("a relay to endpoint {endpoint}, which has no address"),
                 },
-                Action::Recall { cmd, relay } => held.order(cmd, Order::Recall { relay }),
-                Action::Decline { cmd, not_before } => held.order(cmd, Order::Decline { not_before }),
-                Action::Terminate { cmd } => held.order(cmd, Order::Terminate),
+                // The module recalls only what is concluded.
+                Action::Recall { cmd, relay } => held.last_order(cmd, Order::Recall { relay }),
+                Action::Decline { cmd, not_before } => held.last_order(cmd, Order::Decline { not_before }),
+                Action::Terminate { cmd } => held.last_order(cmd, Order::Terminate),
                 Action::Forget { cmd } => {
                     held.commands.release(cmd);
                     held.seats[cmd] = None;
@@ -434,7 +440,8 @@
         let stay: Vec<_> = list.members.iter().filter_map(|m| self.endpoints.find(&m.id)).collect();
         for (at, link) in self.links.iter_mut().enumerate().filter(|(at, _)| !stay.contains(at)) {
             self.members.get_mut(at).map(Option::take);
-            if link.take().is_some() {
+            if let Some(mut link) = link.take() {
+                link.call_off();
                 let id = self.endpoints.name(at).map_or("?", String::as_str);
                 log::info!("endpoint {at} ({id}) has left the list");
             }
@@ -442,10 +449,18 @@
     }
 
     fn order(&self, cmd: CmdIx, order: Order) {
-        if let Some(seat) = self.seats.get(cmd).and_then(Option::as_ref) {
+        if let Some((seat, _)) = self.seats.get(cmd).and_then(Option::as_ref) {
             let _ = seat.send(order);
         }
     }
+
+    /// An order with which the command is over: no relay of it may begin any more.
+    fn last_order(&self, cmd: CmdIx, order: Order) {
+        if let Some((_, over)) = self.seats.get(cmd).and_then(Option::as_ref) {
+            over.cancel();
+        }
+        self.order(cmd, order);
+    }
 }
 
 /// A command's place at the desk. Dropped early, it lapses and its relays count as recalled.
@@ -453,6 +468,8 @@
     desk: Arc<Desk>,
     cmd: CmdIx,
     orders: UnboundedReceiver<Order>,
+    /// Turns with the command's end, at once and for good.
+    pub over: CancellationToken,
     out: Vec<bool>, // relays that have not ended
 }
 
@@ -472,6 +489,7 @@
     }
 
     pub fn lapsed(&self) {
+        self.over.cancel();
         self.desk.tell(Event::Lapsed { cmd: self.cmd });
     }
 
@@ -485,6 +503,9 @@
 
     pub fn finished(&mut self, relay: usize, ended: &relay::Ended, spent: Duration, concluded: bool) {
         self.out[relay] = false;
+        if concluded {
+            self.over.cancel();
+        }
         let (outcome, report) = (ended.outcome, ended.report);
         self.desk.tell(Event::Finished { cmd: self.cmd, relay, outcome, spent, concluded, report });
     }
--- a/crates/passroad/src/frame.rs
+++ b/crates/passroad/src/frame.rs
@@ -162,47 +162,52 @@
     Some((size, part, two))
 }
 
-/// A client's stream, each byte shown to its frame.
+/// A client's stream. The look before a relay asks the system about it; nobody else reads or writes.
+pub type Shared = Arc<Mutex<TcpStream>>;
+
+/// The stream, each byte shown to its frame.
 pub struct Watched {
-    pub stream: TcpStream,
+    pub stream: Shared,
     pub talk: Arc<Talk>,
 }
 
+impl Watched {
+    fn stream(&self) -> MutexGuard<'_, TcpStream> {
+        self.stream.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = Pin::new(&mut *self.stream()).poll_read(cx, buf);
         self.talk.frame.saw(&buf.filled()[before..]);
         read
     }
 }
 
 impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.stream()).poll_write(cx, buf)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream().is_write_vectored()
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut *self.stream()).poll_write_vectored(cx, bufs)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream()).poll_shutdown(cx)
     }
 }
--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -1,7 +1,7 @@
 //! The connections of clients: let in, watched, given back. What comes over them is read in `intake`.
 
 use crate::body::Passing;
-use crate::frame::{Frame, LONGEST_HEAD, Watched};
+use crate::frame::{Frame, LONGEST_HEAD, Shared, Watched};
 use crate::intake::{Intake, ready, take};
 use crate::start::Pace;
 use crate::stop::{Stage, Stages, reached};
@@ -13,10 +13,11 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -214,6 +215,7 @@
 /// What is known of a connection's client.
 pub struct Talk {
     pub frame: Frame,
+    stream: Weak<Mutex<TcpStream>>,
     came: Instant,
     waited: Duration,              // outside, at most
     answered: AtomicBool,          // once at least, and not for something that can't be used
@@ -222,6 +224,18 @@
 }
 
 impl Talk {
+    pub fn new(stream: &Shared, came: Instant, waited: Duration) -> Self {
+        Talk {
+            frame: Frame::default(),
+            stream: Arc::downgrade(stream),
+            came,
+            waited,
+            answered: AtomicBool::new(false),
+            quiet: Mutex::new(Some(came)),
+            turned: Notify::new(),
+        }
+    }
+
     fn quiet_for(&self, span: Duration) -> bool {
         self.quiet.lock().is_ok_and(|since| since.is_some_and(|at| at.elapsed() >= span))
     }
@@ -236,6 +250,21 @@
         if self.came.elapsed() < AT_ONCE { self.waited } else { Duration::ZERO }
     }
 
+    /// Whether the client of the command in hand still waits for its answer. The system is asked: the end of a connection
+    /// may have come that nobody has read yet. What comes where nothing is due is the end of it, too.
+    pub fn waits(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else { return false };
+        let stream = stream.lock().unwrap_or_else(PoisonError::into_inner);
+        match socket2::SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => false,
+            Ok(_) => self.frame.unread(),
+            Err(fault) => {
+                matches!(fault.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+                    && !self.frame.came_ahead()
+            }
+        }
+    }
+
     /// How long the rest of a request may take at least.
     pub fn patience(&self) -> Duration {
         FIRST_WITHIN.saturating_sub(self.came.elapsed())
@@ -286,14 +315,9 @@
     let _ = stream.set_nodelay(true);
     tokio::spawn(async move {
         let (front, mut stages, came) = (&place.0, place.0.stages.clone(), Instant::now());
-        let talk = Arc::new(Talk {
-            frame: Frame::default(),
-            came,
-            waited: full.map_or(Duration::ZERO, |since| since.elapsed()),
-            answered: AtomicBool::new(false),
-            quiet: Mutex::new(Some(came)),
-            turned: Notify::new(),
-        });
+        let stream: Shared = Arc::new(Mutex::new(stream));
+        let waited = full.map_or(Duration::ZERO, |since| since.elapsed());
+        let talk = Arc::new(Talk::new(&stream, came, waited));
         let kept = Mutex::new(None);
         let service = hyper::service::service_fn(|mut request: hyper::Request<hyper::body::Incoming>| {
             request.extensions_mut().insert(Arc::clone(&talk));
@@ -359,7 +383,7 @@
         }
         let stream = connection.into_parts().io.into_inner().stream;
         match ended {
-            None if late => drop(stream.try_write(TOO_SLOW)),
+            None if late => drop(stream.lock().unwrap_or_else(PoisonError::into_inner).try_write(TOO_SLOW)),
             Some(Ok(())) if talk.frame.unread() => sleep(LINGER).await,
             _ => {}
         }
--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -159,7 +159,7 @@
         *self.stages.borrow() == Stage::Serving
     }
 
-    async fn read(&self, request: Request, talk: &Talk) -> Result<(Need, Cargo), StatusCode> {
+    async fn read(&self, request: Request, talk: &Arc<Talk>) -> Result<(Need, Cargo), StatusCode> {
         let (parts, body) = request.into_parts();
         let name = parts.uri.path().split('/').nth(1).unwrap_or_default();
         let table = self.table();
@@ -178,7 +178,7 @@
         };
         let verb = table.verb(name, carries).ok_or(StatusCode::NOT_FOUND)?;
         let verb = verb.map_err(|()| StatusCode::BAD_REQUEST)?;
-        let need = need(verb, &table.companies, &parts.headers).filter(|_| !talk.frame.two_lengths());
+        let need = need(verb, &table.companies, &parts.headers, talk).filter(|_| !talk.frame.two_lengths());
         let mut need = need.ok_or(StatusCode::BAD_REQUEST)?;
         let pure = verb.0.effect == Effect::Pure;
         let mut patience = Patience::new(talk.patience());
@@ -259,7 +259,12 @@
 }
 
 /// The fields that decisions need; none if one is malformed.
-fn need((order, verb): &(VerbOrder, usize), companies: &[String], headers: &HeaderMap) -> Option<Need> {
+fn need(
+    (order, verb): &(VerbOrder, usize),
+    companies: &[String],
+    headers: &HeaderMap,
+    client: &Arc<Talk>,
+) -> Option<Need> {
     let id = single(headers, "req-id")??;
     let limit = single(headers, "req-deadline-ms")??;
     let digits = limit.len() <= MOST_DIGITS && limit.bytes().all(|b| b.is_ascii_digit());
@@ -285,6 +290,7 @@
         last: limit - margin / 2,
         again,
         key: about.filter(|about| !about.is_empty() && *about != "-").map(mark),
+        client: Arc::clone(client),
     })
 }
 
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -12,6 +12,7 @@
 mod intake;
 mod list;
 mod logging;
+mod look;
 mod management;
 mod members;
 mod probe;
--- /dev/null
+++ b/crates/passroad/src/look.rs
@@ -0,0 +1,77 @@
+//! The last look at a command, right before the first byte of a relay. What was true when the relay was ordered may be so no
+//! longer: it waited for a place among the connections, for one to come up, for a kept one to rest, or for its turn.
+
+use crate::front::Talk;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Why nothing may go out any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Barred {
+    /// The command has its final answer, or is to have none.
+    Over,
+    /// The endpoint drains, is gone, out by hand, elsewhere, or has started anew.
+    Out,
+    /// The time is up.
+    Late,
+    /// The client has left; its connection's task is about to say so.
+    Left,
+}
+
+/// What is looked at for one relay.
+pub struct Look {
+    over: CancellationToken,
+    out: CancellationToken,
+    until: Option<Instant>,
+    client: Arc<Talk>,
+    begun: AtomicBool,
+}
+
+impl Look {
+    /// `over` turns with the command's end, `out` when its endpoint is no longer as it was.
+    pub fn new(
+        over: CancellationToken,
+        out: CancellationToken,
+        until: Option<Instant>,
+        client: Arc<Talk>,
+    ) -> Self {
+        Look { over, out, until, client, begun: AtomicBool::new(false) }
+    }
+
+    /// None if the first byte may go out now. What bars once does so for good.
+    pub fn barred(&self) -> Option<Barred> {
+        if self.over.is_cancelled() {
+            Some(Barred::Over)
+        } else if self.out.is_cancelled() {
+            Some(Barred::Out)
+        } else if self.until.is_some_and(|until| until <= Instant::now()) {
+            Some(Barred::Late)
+        } else {
+            (!self.client.waits()).then_some(Barred::Left)
+        }
+    }
+
+    /// Whether the first byte goes out now.
+    pub fn begins(&self) -> bool {
+        let begins = self.barred().is_none();
+        self.begun.fetch_or(begins, Relaxed);
+        begins
+    }
+
+    pub fn begun(&self) -> bool {
+        self.begun.load(Relaxed)
+    }
+
+    /// Ends when the command is over, or its endpoint out.
+    /// Not once something has been sent: whether that is recalled is the module's to say.
+    pub async fn called_off(&self) -> Barred {
+        let barred = tokio::select! {
+            biased;
+            () = self.over.cancelled() => Barred::Over,
+            () = self.out.cancelled() => Barred::Out,
+        };
+        if self.begun() { std::future::pending().await } else { barred }
+    }
+}
--- a/crates/passroad/src/probe.rs
+++ b/crates/passroad/src/probe.rs
@@ -33,7 +33,7 @@
     let Ok(request) = Request::get(format!("http://{at}{path}")).body(Load::default()) else {
         return Outcome::Moot.into();
     };
-    let mut ended = exchange(client, request, &|| Some(path.len()), false).await;
+    let mut ended = exchange(client, request, &|| Some(path.len()), None).await;
     let body = ended.answer.take().map(Response::into_body).unwrap_or_default().held();
     ended.report = ended.report.or_else(|| body_load(&body));
     ended
@@ -46,12 +46,15 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::front::Talk;
+    use crate::look::Look;
     use crate::relay::{Cargo, Dialer, run as relay};
     use rstest::rstest;
     use std::future::Future;
     use std::sync::Arc;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::time::{advance, pause};
+    use tokio_util::sync::CancellationToken;
 
     /// An endpoint on one connection that answers whatever comes.
     async fn endpoint() -> std::net::SocketAddr {
@@ -102,11 +105,16 @@
         let dialer = Dialer::new(4 * second, 60 * second, 1);
         let link = Link::new(endpoint().await, &dialer);
         pause();
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let _waits = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let stream = Arc::new(std::sync::Mutex::new(listener.accept().await.unwrap().0));
+        let client = Arc::new(Talk::new(&stream, std::time::Instant::now(), Duration::ZERO));
         let send = || {
             let (recall, recalled) = oneshot::channel();
             let (link, cargo) = (link.clone(), command());
+            let look = Look::new(CancellationToken::new(), link.out.clone(), None, Arc::clone(&client));
             async move {
-                let ended = relay(link, cargo, Duration::from_secs(9), recalled).await;
+                let ended = relay(link, cargo, Arc::new(look), Duration::from_secs(9), recalled).await;
                 drop(recall);
                 ended.outcome
             }
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -1,6 +1,7 @@
 //! One relay to one endpoint, and the connections that relays and probes go over.
 
 use crate::body::{Coming, LONGEST_BODY, LONGEST_HELD, Load, Long};
+use crate::look::{Barred, Look};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -11,19 +12,21 @@
 use hyper_util::client::legacy::{self, connect::capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use passroad_choice::{Outcome, Report};
+use std::convert::Infallible;
 use std::error::Error;
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll, ready};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::{Instant, Sleep};
+use tokio_util::sync::CancellationToken;
 
 const HELD_BACK: usize = 8; // connections that a process which gives way may open
 const MOST_IDLE: usize = 16; // connections kept to one endpoint
@@ -41,6 +44,7 @@
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const MARK: HeaderName = HeaderName::from_static("req-deadline-ms");
 const LOAD: &str = "srv-load";
+const BEHIND: &str = "something came behind an answer";
 const NEVER_RAN: &str = "srv-declined";
 
 pub type Client = legacy::Client<Dialer, Load>;
@@ -53,17 +57,26 @@
     pub client: Client,
     dialer: Dialer,
     users: Arc<()>,
+    /// Turns when the endpoint is no longer as it was when this was handed out.
+    pub out: CancellationToken,
 }
 
 impl Link {
     pub fn new(address: SocketAddr, dialer: &Dialer) -> Self {
-        Link { address, client: dialer.client(), dialer: dialer.clone(), users: Arc::default() }
+        let (client, dialer) = (dialer.client(), dialer.clone());
+        Link { address, client, dialer, users: Arc::default(), out: CancellationToken::new() }
     }
 
     /// In place of this one, with connections of its own; what is out counts on.
-    pub fn anew(&self, address: SocketAddr) -> Self {
+    pub fn anew(&mut self, address: SocketAddr) -> Self {
+        self.call_off();
         let users = Arc::clone(&self.users);
-        Link { address, client: self.dialer.client(), dialer: self.dialer.clone(), users }
+        Link { users, ..Link::new(address, &self.dialer) }
+    }
+
+    /// What has not sent its first byte yet does not send it.
+    pub fn call_off(&mut self) {
+        std::mem::take(&mut self.out).cancel();
     }
 
     /// Whether nobody else has a clone.
@@ -79,6 +92,16 @@
     pub answer: Option<Response<Load>>,
 }
 
+impl From<Barred> for Ended {
+    fn from(barred: Barred) -> Self {
+        Ended::from(match barred {
+            Barred::Over | Barred::Left => Outcome::Recalled,
+            Barred::Out => Outcome::Moot,
+            Barred::Late => Outcome::TimedOut,
+        })
+    }
+}
+
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
         Ended { outcome, report: None, answer: None }
@@ -166,14 +189,26 @@
 
 /// Sends a command to an endpoint and waits for its whole answer. Ends early on recall: what it holds is
 /// dropped, and that closes its connection.
-pub async fn run(link: Link, cargo: Arc<Cargo>, within: Duration, recall: oneshot::Receiver<()>) -> Ended {
+pub async fn run(
+    link: Link,
+    cargo: Arc<Cargo>,
+    look: Arc<Look>,
+    within: Duration,
+    recall: oneshot::Receiver<()>,
+) -> Ended {
     // A connection of its own for a long body: a kept one that is of no use would have taken a part of it.
     let client = cargo.coming().map_or_else(|| link.client.clone(), |_| link.dialer.client());
     let exchanged = async {
         // A kept connection that turns out to be of no use has taken nothing: the next one, or a new one, does.
         loop {
+            match look.barred() {
+                None => {}
+                // That is told by the connection's own task, and with it the command is over.
+                Some(Barred::Left) => return std::future::pending().await,
+                Some(barred) => return barred.into(),
+            }
             let Some(request) = cargo.request(link.address, within) else { return Outcome::Moot.into() };
-            let mut ended = exchange(&client, request, &|| cargo.least(), true).await;
+            let mut ended = exchange(&client, request, &|| cargo.least(), Some(&look)).await;
             if let Some(Load::Long(long)) = ended.answer.as_mut().map(hyper::Response::body_mut) {
                 long.link = Some(link.clone());
             }
@@ -189,6 +224,8 @@
         // Guards against a connection that comes up while the process stands still: past the time nothing goes out.
         biased;
         _ = recall => Outcome::Recalled.into(),
+        // Guards against a wait for a connection that nobody needs any more, where relays must not be recalled.
+        barred = look.called_off() => barred.into(),
         () = over(&cargo, within) => Outcome::TimedOut.into(),
         // Not all of it was taken: it never ran.
         () = stuck(&cargo) => Outcome::NoConnection.into(),
@@ -213,9 +250,14 @@
 
 /// One request and its answer, whole or, if that is long, as it comes. `least` tells a length that the request surely
 /// has on the wire, once that is known.
-/// `rests` tells whether its connection is to rest behind the answer. After a probe it does not, since the command that
-/// the probe was for goes out next, and most go where a probe has just been.
-pub async fn exchange(client: &Client, mut request: Request<Load>, least: Least<'_>, rests: bool) -> Ended {
+/// `look` is taken right before its first byte; a probe has none. Behind a probe's answer the connection does not rest,
+/// since the command that the probe was for goes out next, and most go where a probe has just been.
+pub async fn exchange(
+    client: &Client,
+    mut request: Request<Load>,
+    least: Least<'_>,
+    look: Option<&Arc<Look>>,
+) -> Ended {
     let way = capture_connection(&mut request);
     let ahead = Arc::new(Mutex::new(None));
     let told = Arc::clone(&ahead);
@@ -223,10 +265,12 @@
     hyper::ext::on_informational(&mut request, move |_| {
         told.lock().iter_mut().for_each(|at| **at = Some(Instant::now()));
     });
+    let (chosen, rests) = (way.clone(), look.is_some());
     let way = Open(way);
     let (mut ended, rest) = tokio::select! {
         biased;
         ended = whole(client, request, &way, least, rests) => ended,
+        never = shown(chosen, look) => match never {},
         () = stalled(&way, &ahead) => (spoilt("it stops halfway"), None),
     };
     if let Some(rest) = rest {
@@ -251,8 +295,7 @@
     /// The answer is read whole.
     pub fn answered(&self) {
         if let Some(meter) = meter(self) {
-            meter.done.store(true, Relaxed);
-            meter.rests.store(true, Relaxed);
+            meter.ends(true);
         }
     }
 }
@@ -299,8 +342,7 @@
     };
     // Before the connection can be given the next request: that needs a turn of its own task.
     if let Some(meter) = meter(way).filter(|_| rest.is_none()) {
-        meter.done.store(true, Relaxed);
-        meter.rests.store(rests, Relaxed);
+        meter.ends(rests);
     }
     let declined = parts.headers.get(NEVER_RAN).is_some_and(|v| v.as_bytes() == b"1");
     let outcome = match parts.status {
@@ -366,6 +408,15 @@
     Outcome::Broken.into()
 }
 
+/// Shows a connection what to look at before the request, as soon as the request has it. Until then it writes nothing.
+async fn shown(mut chosen: CaptureConnection, look: Option<&Arc<Look>>) -> Infallible {
+    drop(chosen.wait_for_connection_metadata().await);
+    if let Some(meter) = meter(&chosen) {
+        meter.show(look.cloned());
+    }
+    std::future::pending().await
+}
+
 /// Ends when an answer has begun and does not go on.
 async fn stalled(way: &CaptureConnection, ahead: &Mutex<Option<Instant>>) {
     loop {
@@ -494,6 +545,13 @@
     done: AtomicBool,             // the answer is read whole
     rests: AtomicBool,            // and the connection is to rest behind it
     worn: AtomicBool,             // given up with nothing of the request written
+    shown: Mutex<Shown>,          // what to look at before the request
+}
+
+#[derive(Default)]
+struct Shown {
+    look: Option<Option<Arc<Look>>>, // none before the request has its connection
+    waits: Option<Waker>,
 }
 
 impl Meter {
@@ -505,6 +563,31 @@
         self.done.store(false, Relaxed);
     }
 
+    fn show(&self, look: Option<Arc<Look>>) {
+        let mut shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
+        shown.look = Some(look);
+        shown.waits.take().into_iter().for_each(Waker::wake);
+    }
+
+    /// The answer is read whole.
+    fn ends(&self, rests: bool) {
+        self.done.store(true, Relaxed);
+        self.rests.store(rests, Relaxed);
+        self.shown.lock().unwrap_or_else(PoisonError::into_inner).look = None;
+    }
+
+    /// Whether the request may begin.
+    fn looked(&self, cx: &mut Context<'_>) -> Poll<bool> {
+        let mut shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
+        match &shown.look {
+            Some(look) => Poll::Ready(look.as_ref().is_none_or(|look| look.begins())),
+            None => {
+                shown.waits = Some(cx.waker().clone());
+                Poll::Pending
+            }
+        }
+    }
+
     fn hears(&self, count: usize) -> usize {
         self.last.lock().iter_mut().for_each(|last| **last = Some(Instant::now()));
         self.heard.fetch_add(count, Relaxed) + count
@@ -537,6 +620,16 @@
         written
     }
 
+    /// Before the first byte of a request. Guards against one that is wanted no longer, or not there.
+    fn may_begin(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.rested(cx))?;
+        // Only what relays and probes use is shown what to look at.
+        if self.bounded && self.meter.written.load(Relaxed) == 0 && !ready!(self.meter.looked(cx)) {
+            return Poll::Ready(Err(self.wear_out("what was to be sent is barred")));
+        }
+        Poll::Ready(Ok(()))
+    }
+
     /// Before the first byte of a request that follows an answer. Guards against bytes behind that answer, a second
     /// copy of it perhaps, which would be taken for the answer to this request.
     fn rested(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -559,14 +652,14 @@
                 self.meter.begins();
                 Poll::Ready(Ok(()))
             }
-            Poll::Ready(_) => Poll::Ready(Err(self.wear_out())),
+            Poll::Ready(_) => Poll::Ready(Err(self.wear_out(BEHIND))),
         }
     }
 
-    fn wear_out(&self) -> io::Error {
+    fn wear_out(&self, why: &'static str) -> io::Error {
         self.meter.begins();
         self.meter.worn.store(true, Relaxed);
-        io::Error::new(io::ErrorKind::InvalidData, "something came behind an answer")
+        io::Error::new(io::ErrorKind::InvalidData, why)
     }
 }
 
@@ -587,7 +680,7 @@
         let count = buf.filled().len() - before;
         if self.rest.is_some() {
             // The next request waits to be written.
-            return Poll::Ready(Err(self.wear_out()));
+            return Poll::Ready(Err(self.wear_out(BEHIND)));
         }
         // What an endpoint's system holds back until its last bytes are acknowledged is to show now, not behind the
         // next request.
@@ -603,7 +696,7 @@
 
 impl AsyncWrite for Wire {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        ready!(self.rested(cx))?;
+        ready!(self.may_begin(cx))?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.wrote(written)
     }
@@ -617,7 +710,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        ready!(self.rested(cx))?;
+        ready!(self.may_begin(cx))?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.wrote(written)
     }
--- /dev/null
+++ b/crates/passroad/tests/crossings.rs
@@ -0,0 +1,202 @@
+//! Two events that cross, in the bad order each time: the process is stopped and continued so that both lie ready, or
+//! a stand-in holds its byte until it has seen the other event. See `docs/crossings.md`.
+
+mod stand_ins;
+
+use rstest::rstest;
+use stand_ins::*;
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::thread::sleep;
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    Closes,
+    Resets,
+    ShutsSending,
+    ClosesBehindMore,
+}
+
+fn leave(mut client: BufReader<TcpStream>, how: Leaves) -> Option<BufReader<TcpStream>> {
+    match how {
+        Leaves::Closes => drop(client),
+        Leaves::Resets => {
+            let socket = socket2::SockRef::from(client.get_ref());
+            socket.set_linger(Some(std::time::Duration::ZERO)).unwrap();
+        }
+        Leaves::ShutsSending => {
+            client.get_ref().shutdown(Shutdown::Write).unwrap();
+            return Some(client);
+        }
+        Leaves::ClosesBehindMore => client.get_mut().write_all(b"GET /look HTTP/1.1\r\n").unwrap(),
+    }
+    None
+}
+
+fn ids(endpoint: &StandIn) -> Vec<String> {
+    endpoint.seen.lock().unwrap().iter().filter_map(|m| m.header("req-id")).collect()
+}
+
+// The command and the end of its client lie ready in one turn: the command is read first.
+#[rstest]
+#[case::closes(Leaves::Closes)]
+#[case::resets(Leaves::Resets)]
+#[case::shuts_sending(Leaves::ShutsSending)]
+#[case::closes_behind_more(Leaves::ClosesBehindMore)]
+fn what_a_client_left_behind_while_the_process_stood_still_is_not_sent(#[case] how: Leaves) {
+    let endpoint = willing("ok");
+    let sidecar = sidecar_with(&member("s-1", endpoint.address, "up"), nowhere(), &patient());
+    // One that is let in already, and a connection to the endpoint that is kept.
+    for n in 0..5 {
+        let mut known = sidecar.client();
+        assert_eq!(ask(&mut known, &patiently(&look(&format!("first{n}")))).unwrap().word(), "200");
+        sidecar.signal("STOP");
+        let gone: Vec<_> = [known, sidecar.client(), sidecar.client()]
+            .into_iter()
+            .enumerate()
+            .map(|(k, mut client)| {
+                let id = format!("left{n}-{k}");
+                let command = if k == 1 { book(&id) } else { look(&id) };
+                client.get_mut().write_all(patiently(&command).as_bytes()).unwrap();
+                leave(client, how)
+            })
+            .collect();
+        sidecar.signal("CONT");
+        assert_eq!(sidecar.ask(&patiently(&look(&format!("next{n}")))).word(), "200");
+        drop(gone);
+    }
+    assert!(ids(&endpoint).iter().all(|id| !id.starts_with("left")), "{:?}", ids(&endpoint));
+}
+
+/// An endpoint to which connections come up only once it is told to let them.
+struct Late {
+    address: SocketAddr,
+    listener: TcpListener,
+    filling: Vec<TcpStream>,
+}
+
+impl Late {
+    fn new() -> Self {
+        let (address, listener, filling) = deaf();
+        Late { address, listener, filling }
+    }
+
+    /// Lets in what waits; every byte that comes over a connection of the sidecar's within a while.
+    fn lets_in(self) -> Vec<u8> {
+        self.listener.set_nonblocking(false).unwrap();
+        // Those that filled it come first, and say nothing.
+        for filler in &self.filling {
+            let ours = filler.local_addr().unwrap();
+            let (_, from) = self.listener.accept().unwrap();
+            assert_eq!(from, ours);
+        }
+        self.listener.set_nonblocking(true).unwrap();
+        let (mut came, mut open) = (Vec::new(), Vec::new());
+        // The system tries a connection again after one second, two, and four.
+        for _ in 0..700 {
+            while let Ok((stream, _)) = self.listener.accept() {
+                stream.set_nonblocking(true).unwrap();
+                open.push(stream);
+            }
+            for stream in &mut open {
+                let mut bytes = [0; 4000];
+                while let Ok(n) = stream.read(&mut bytes) {
+                    came.extend_from_slice(&bytes[..n]);
+                    if n == 0 {
+                        break;
+                    }
+                }
+            }
+            sleep(5 * MS);
+        }
+        came
+    }
+}
+
+/// Settings under which a connection may take two seconds to come up, with no probes.
+fn unhurried() -> String {
+    let settings = patient().replace("\"probes\":true", "\"probes\":false");
+    settings.replace("\"connect_timeout\":250000000", "\"connect_timeout\":32000000000")
+}
+
+fn says(came: &[u8], id: &str) -> bool {
+    String::from_utf8_lossy(came).contains(&format!("req-id: {id}\r\n"))
+}
+
+/// Whether the process has a connection under way to an address.
+fn dials(to: SocketAddr) -> bool {
+    let SocketAddr::V4(to) = to else { unreachable!() };
+    let [a, b, c, d] = to.ip().octets();
+    let at = format!("{:02X}{:02X}{:02X}{:02X}:{:04X} 02", d, c, b, a, to.port());
+    std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&at)
+}
+
+// The connection comes up after the client has left, or in the same turn.
+#[rstest]
+#[case::later(true, false)]
+#[case::in_the_same_turn(true, true)]
+#[case::no_recalls_later(false, false)]
+#[case::no_recalls_in_the_same_turn(false, true)]
+fn a_connection_that_comes_up_late_carries_nothing_for_a_client_that_left(
+    #[case] may_recall: bool,
+    #[case] same_turn: bool,
+) {
+    let late = Late::new();
+    let settings = unhurried().replace("\"may_cancel\":true", &format!("\"may_cancel\":{may_recall}"));
+    let sidecar = sidecar_with(&member("s-1", late.address, "up"), nowhere(), &settings);
+    let mut client = sidecar.client();
+    client.get_mut().write_all(patiently(&book("left")).as_bytes()).unwrap();
+    until(|| dials(late.address));
+    if same_turn {
+        sidecar.signal("STOP");
+        drop(client);
+        let waits = std::thread::spawn(move || late.lets_in());
+        sleep(2500 * MS);
+        sidecar.signal("CONT");
+        let came = waits.join().unwrap();
+        assert!(!says(&came, "left"), "{}", String::from_utf8_lossy(&came));
+    } else {
+        drop(client);
+        // What it held is free at once: its connection is given up.
+        until(|| !dials(late.address));
+        let came = late.lets_in();
+        assert!(!says(&came, "left"), "{}", String::from_utf8_lossy(&came));
+    }
+}
+
+// What was ordered before the endpoint was told to be out has sent nothing yet: it goes elsewhere.
+#[rstest]
+#[case::draining(|at| member("s-1", at, "draining"))]
+#[case::removed(|at| member("s-1", at, "removed"))]
+#[case::left_out(|_| String::new())]
+#[case::moved(|_| member("s-1", nowhere(), "draining"))]
+#[case::started_anew(|at| member("s-1", at, "up").replace("\"up_since_ms\":0", "\"up_since_ms\":4000000000000"))]
+fn a_relay_that_has_sent_nothing_goes_elsewhere_once_its_endpoint_is_out(
+    #[case] now: fn(SocketAddr) -> String,
+    #[values(false, true)] same_turn: bool,
+) {
+    let (late, well) = (Late::new(), willing("ok"));
+    let known = member("s-1", late.address, "up");
+    let discovery = discovery(&known);
+    let sidecar = sidecar_with(&known, discovery.stand_in.address, &unhurried());
+    until(|| discovery.stand_in.count() > 0);
+    let mut client = sidecar.client();
+    client.get_mut().write_all(patiently(&book("a")).as_bytes()).unwrap();
+    until(|| dials(late.address));
+    let list = [now(late.address), member("s-2", well.address, "up")].join(",");
+    if same_turn {
+        sidecar.signal("STOP");
+        *discovery.list.lock().unwrap() = (2, list.trim_start_matches(',').to_string());
+        let waits = std::thread::spawn(move || late.lets_in());
+        sleep(2500 * MS);
+        sidecar.signal("CONT");
+        assert_eq!(Message::read(&mut client).unwrap().body, b"ok");
+        assert!(!says(&waits.join().unwrap(), "a"));
+    } else {
+        *discovery.list.lock().unwrap() = (2, list.trim_start_matches(',').to_string());
+        assert_eq!(Message::read(&mut client).unwrap().body, b"ok");
+        assert!(!says(&late.lets_in(), "a"));
+    }
+    assert_eq!(well.count(), 1);
+}
