A call of discovery that is overtaken is heard until another has answered

Seen by test with the version before: the module's next call, a SIGHUP, and the end of a watch's time each dropped a call that was out, with an answer that may be written already; what it told counts as told, so a drain in it was not known until the next answer.

Cause: list.rs selected between the module's calls, the move of discovery and the call itself, and any of the first two dropped the third; the time limit stood round the call and dropped it too. A process that stood still past the end of a watch found both ready and took the watch for silent.

Change: a word of the module leaves the call that is out alone. A call that is overtaken by a move, by a whole call or by its time is kept beside the next one and what it brings is taken, until another answer is there. The breath between calls is a time before which none goes out, so that this is heard during it, too.

Tests with real connections (crossings.rs): a_watch_that_is_out_is_not_dropped_for_a_later_word_of_the_module, what_the_old_discovery_still_says_is_heard_until_the_new_one_has_answered, the_answer_to_a_watch_that_seemed_silent_is_heard (later, in the same turn).

--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -5,6 +5,7 @@
 use crate::members::{Call, List, read};
 use crate::relay::{Client, Dialer};
 use crate::start::Pace;
+use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy;
@@ -14,7 +15,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until};
 
 const LONGEST_LIST: usize = 8 << 20; // bytes
 const GRACE: Duration = Duration::from_secs(2); // for the answer, on top of the wait that a watch asks for
@@ -35,6 +36,47 @@
     Lost(String),
 }
 
+/// A call that is out.
+struct Out {
+    at: SocketAddr,
+    answer: BoxFuture<'static, Result<List, Fault>>,
+    /// It is a watch, which may fall silent.
+    waits: bool,
+    until: Instant,
+    began: Instant,
+}
+
+impl Out {
+    fn ask(client: &Client, at: SocketAddr, from: Option<(u64, Duration)>, grace: Duration) -> Self {
+        let (began, wait) = (Instant::now(), from.map_or(Duration::ZERO, |(_, wait)| wait));
+        let answer = Box::pin(ask(client.clone(), at, from));
+        Out { at, answer, waits: from.is_some(), until: began + wait + grace, began }
+    }
+}
+
+/// What a call brings, whenever that is; never if none is out.
+async fn brings(out: &mut Option<Out>) -> Result<List, Fault> {
+    match out {
+        Some(out) => out.answer.as_mut().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The same in time. An answer that is there is read, however late the process comes to look.
+async fn answers(out: &mut Option<Out>) -> Result<List, Fault> {
+    let (until, waits) = match out {
+        Some(out) => (out.until, out.waits),
+        None => return std::future::pending().await,
+    };
+    tokio::select! {
+        biased;
+        answer = brings(out) => answer,
+        () = sleep_until(until) => {
+            Err(if waits { Fault::Lost(SILENT.into()) } else { Fault::Refused("no answer".into()) })
+        }
+    }
+}
+
 /// Serves the module's calls for as long as the sidecar runs.
 pub async fn follow(
     desk: Arc<Desk>,
@@ -47,38 +89,66 @@
     let mut client = dialer.client();
     let (mut watching, mut whole, mut sure) = (false, false, false);
     let (mut discovery, mut again) = (*at.borrow_and_update(), 0);
+    let (mut out, mut overtaken): (Option<Out>, Option<Out>) = (None, None);
+    let mut rests = Instant::now(); // no call goes out before
     loop {
-        let hold = paces.borrow().hold.clamp(FIRST_HOLD, LONGEST_HOLD);
-        // Without a list there is nothing to watch from.
-        let (wait, grace) = if sure && !whole { (hold, RENEWED_GRACE) } else { (FIRST_HOLD, GRACE) };
-        let from = revision.filter(|_| !whole).map(|from| (from, wait));
-        let began = tokio::time::Instant::now();
+        let calls_next = out.is_none() && (watching || whole);
+        if calls_next && rests <= Instant::now() {
+            let hold = paces.borrow().hold.clamp(FIRST_HOLD, LONGEST_HOLD);
+            // Without a list there is nothing to watch from.
+            let (wait, grace) = if sure && !whole { (hold, RENEWED_GRACE) } else { (FIRST_HOLD, GRACE) };
+            let from = revision.filter(|_| !whole).map(|from| (from, wait));
+            out = Some(Out::ask(&client, discovery, from, grace));
+        }
         let answer = tokio::select! {
             biased;
+            // A call that is out goes on: what its answer has to tell counts as told from when it is written.
             call = calls.recv() => {
                 match call {
                     Some(Call::Watch(on)) => watching = on,
-                    Some(Call::Whole) => whole = true,
+                    Some(Call::Whole) => {
+                        whole = true;
+                        overtaken = out.take().or(overtaken);
+                    }
                     None => return,
                 }
                 continue;
             }
-            // Guards against a list that stays behind where discovery has moved: its revisions there may be any, and
-            // neither the call that is out nor the connection it is on has anything more to tell.
+            // Guards against drains that an overtaken call was told of: until another has answered, it is heard.
+            late = brings(&mut overtaken) => {
+                let here = overtaken.take().is_some_and(|call| call.at == discovery);
+                match late {
+                    // From where these changes belong is known no more, and all is asked for.
+                    Ok(list) if !list.complete && revision.is_none_or(|held| list.revision < held) && here => {}
+                    Ok(list) => {
+                        revision = if here { Some(list.revision) } else { revision };
+                        take(&desk, &list);
+                    }
+                    Err(_) => {}
+                }
+                continue;
+            }
+            answer = answers(&mut out) => answer,
+            () = sleep_until(rests), if calls_next && out.is_none() => continue,
+            // Guards against a list that stays behind where discovery has moved: its revisions there may be any.
             Ok(()) = at.changed() => {
+                overtaken = out.take().or(overtaken);
                 (client, discovery, again) = (dialer.client(), *at.borrow_and_update(), 0);
                 (watching, whole, sure, revision) = (true, true, false, None);
                 continue;
             }
-            answer = ask(&client, discovery, from, grace), if watching || whole => answer,
         };
+        let call = out.take();
+        let began = call.as_ref().map_or_else(Instant::now, |call| call.began);
         // Guards against drains that count as told and were not heard: of an answer that broke off, and of a watch that
         // fell silent, as an open connection may. Neither is discovery's word, so it is asked at once, over another.
         let answer = match answer {
             Err(Fault::Lost(fault)) if again < MOST_AGAIN => {
                 log::warn!("discovery: {fault}; asked again at once");
-                (whole, sure, again) = (whole || fault == SILENT, false, again + 1);
-                sleep(BREATH).await;
+                let silent = fault == SILENT;
+                overtaken = call.filter(|_| silent).or(overtaken);
+                (whole, sure, again) = (whole || silent, false, again + 1);
+                rests = Instant::now() + BREATH;
                 continue;
             }
             Err(Fault::Lost(fault) | Fault::Refused(fault)) => Err(fault),
@@ -95,17 +165,17 @@
                 refused(&desk, "changes older than the list");
             }
             Ok(list) => {
-                let kind = if list.complete { ListKind::All } else { ListKind::Changes };
+                overtaken = None;
                 revision = Some(list.revision);
-                let told = !list.members.is_empty();
-                log::debug!("list {}: {} entries, {kind:?}", list.revision, list.members.len());
-                desk.listed(kind, &list);
+                take(&desk, &list);
                 // Guards against a discovery that answers watches at once with nothing: no busy loop.
-                if !told && began.elapsed() < BREATH {
-                    sleep(BREATH).await;
+                if list.members.is_empty() && began.elapsed() < BREATH {
+                    rests = Instant::now() + BREATH;
                 }
             }
             Err(fault) => {
+                // One that was only late may come yet.
+                overtaken = call.filter(|call| call.until <= Instant::now()).or(overtaken);
                 watching = false;
                 refused(&desk, &fault);
             }
@@ -113,35 +183,31 @@
     }
 }
 
+fn take(desk: &Arc<Desk>, list: &List) {
+    let kind = if list.complete { ListKind::All } else { ListKind::Changes };
+    log::debug!("list {}: {} entries, {kind:?}", list.revision, list.members.len());
+    desk.listed(kind, list);
+}
+
 /// The module says when to call again.
 fn refused(desk: &Arc<Desk>, fault: &str) {
     log::warn!("discovery: {fault}; the list before stays in force");
     desk.tell(Event::Listed { kind: ListKind::Refused, entries: Vec::new() });
 }
 
-async fn ask(
-    client: &Client,
-    at: SocketAddr,
-    from: Option<(u64, Duration)>,
-    grace: Duration,
-) -> Result<List, Fault> {
-    let (query, wait) = match from {
-        Some((from, hold)) => (format!("?from={from}&hold_ms={}", hold.as_millis()), hold),
-        None => (String::new(), Duration::ZERO),
+async fn ask(client: Client, at: SocketAddr, from: Option<(u64, Duration)>) -> Result<List, Fault> {
+    let query = match from {
+        Some((from, hold)) => format!("?from={from}&hold_ms={}", hold.as_millis()),
+        None => String::new(),
     };
     let request = Request::get(format!("http://{at}/v1/servers{query}")).body(Load::default());
-    let call = async {
-        let request = request.map_err(|e| Fault::Refused(e.to_string()))?;
-        let refused = |e: &legacy::Error| e.is_connect();
-        let fault = |e: legacy::Error| if refused(&e) { Fault::Refused } else { Fault::Lost }(e.to_string());
-        let answer = client.request(request).await.map_err(fault)?;
-        if answer.status() != StatusCode::OK {
-            return Err(Fault::Refused(format!("answered {}", answer.status())));
-        }
-        let body = Limited::new(answer.into_body(), LONGEST_LIST).collect().await;
-        read(&body.map_err(|e| Fault::Lost(e.to_string()))?.to_bytes()).map_err(Fault::Lost)
-    };
-    let late =
-        || if from.is_some() { Fault::Lost(SILENT.into()) } else { Fault::Refused("no answer".into()) };
-    timeout(wait + grace, call).await.unwrap_or_else(|_| Err(late()))
+    let request = request.map_err(|e| Fault::Refused(e.to_string()))?;
+    let refused = |e: &legacy::Error| e.is_connect();
+    let fault = |e: legacy::Error| if refused(&e) { Fault::Refused } else { Fault::Lost }(e.to_string());
+    let answer = client.request(request).await.map_err(fault)?;
+    if answer.status() != StatusCode::OK {
+        return Err(Fault::Refused(format!("answered {}", answer.status())));
+    }
+    let body = Limited::new(answer.into_body(), LONGEST_LIST).collect().await;
+    read(&body.map_err(|e| Fault::Lost(e.to_string()))?.to_bytes()).map_err(Fault::Lost)
 }
--- a/crates/passroad/tests/crossings.rs
+++ b/crates/passroad/tests/crossings.rs
@@ -7,6 +7,7 @@
 use stand_ins::*;
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::thread::sleep;
 
 /// How a client leaves.
@@ -200,3 +201,117 @@
     }
     assert_eq!(well.count(), 1);
 }
+
+// ---- the list ----
+
+/// A discovery whose answers a test gives out one by one: `act` has the call's target and its number.
+fn asked(act: impl Fn(&str, usize, &mut TcpStream) + Send + Sync + 'static) -> StandIn {
+    let calls = AtomicUsize::new(0);
+    stand_in(move |call, to| {
+        act(call.word(), calls.fetch_add(1, SeqCst), to);
+        true
+    })
+}
+
+fn changes(revision: u64, members: &str) -> String {
+    format!(r#"{{"revision":{revision},"complete":false,"members":[{members}]}}"#)
+}
+
+fn whole(revision: u64, members: &str) -> String {
+    changes(revision, members).replace("false", "true")
+}
+
+fn tells(to: &mut TcpStream, list: &str) {
+    answer(to, "200 OK", "", list.as_bytes());
+}
+
+fn paced(ask_every_ms: u64) -> String {
+    patient().replace("\"ask_every\":400000000", &format!("\"ask_every\":{ask_every_ms}000000"))
+}
+
+/// Waits until the endpoint that drains is out of use: by chance alone it would have one in two.
+fn all_go_to(sidecar: &Sidecar, well: &'static [u8]) {
+    until(|| (0..30).all(|_| sidecar.ask(&patiently(&look("a"))).body == well));
+}
+
+// The module calls again, as it had been refused; meanwhile discovery has moved, and a watch is out there.
+#[rstest]
+fn a_watch_that_is_out_is_not_dropped_for_a_later_word_of_the_module() {
+    let (first, second) = (willing("first"), willing("second"));
+    let both = [("s-1", &first), ("s-2", &second)].map(|(id, e)| member(id, e.address, "up")).join(",");
+    let refuses = asked(|_, _, to| answer(to, "503 Busy", "", b""));
+    let (known, gone) = (both.clone(), member("s-1", first.address, "draining"));
+    let answers = asked(move |target, _, to| match target {
+        "/v1/servers" => tells(to, &whole(5, &known)),
+        // The module calls again half a second to one and a half after it was refused.
+        _ if target.contains("from=5&") => {
+            sleep(1800 * MS);
+            tells(to, &changes(6, &gone));
+        }
+        _ => {}
+    });
+    let address = nowhere();
+    let text = |at| told(address, at, &both, &paced(8000));
+    let sidecar = Sidecar::start(address, &text(refuses.address));
+    until(|| refuses.count() == 1);
+    sidecar.reload(&text(answers.address));
+    until(|| answers.count() == 3);
+    let targets: Vec<_> = answers.seen.lock().unwrap().iter().map(|m| m.word().to_string()).collect();
+    assert!(targets[1].contains("from=5&") && targets[2].contains("from=6&"), "{targets:?}");
+    all_go_to(&sidecar, b"second");
+}
+
+// SIGHUP while a watch is out whose answer is about to be written: what it says counts as told.
+#[rstest]
+fn what_the_old_discovery_still_says_is_heard_until_the_new_one_has_answered() {
+    let (first, second) = (willing("first"), willing("second"));
+    let both = [("s-1", &first), ("s-2", &second)].map(|(id, e)| member(id, e.address, "up")).join(",");
+    let gate = Gate::default();
+    let (own, gone) = (gate.clone(), member("s-1", first.address, "draining"));
+    let before = asked(move |_, _, to| {
+        own.pass();
+        tells(to, &changes(2, &gone));
+    });
+    let after = asked(|_, _, _| {});
+    let address = nowhere();
+    let text = |at| told(address, at, &both, &paced(40_000));
+    let sidecar = Sidecar::start(address, &text(before.address));
+    until(|| before.count() == 1);
+    sidecar.reload(&text(after.address));
+    until(|| after.count() == 1);
+    gate.open();
+    all_go_to(&sidecar, b"second");
+    assert_eq!(after.count(), 1);
+}
+
+// A watch is over its time when its answer comes; the whole list has been asked for, and nobody answers that.
+#[rstest]
+#[case::later(false)]
+#[case::in_the_same_turn(true)]
+fn the_answer_to_a_watch_that_seemed_silent_is_heard(#[case] same_turn: bool) {
+    let (first, second) = (willing("first"), willing("second"));
+    let both = [("s-1", &first), ("s-2", &second)].map(|(id, e)| member(id, e.address, "up")).join(",");
+    let gate = Gate::default();
+    let (own, gone) = (gate.clone(), member("s-1", first.address, "draining"));
+    let discovery = asked(move |target, _, to| {
+        if target.contains("from=1&") {
+            own.pass();
+            tells(to, &changes(2, &gone));
+        }
+    });
+    let sidecar = sidecar_with(&both, discovery.address, &paced(40_000).replace("on_request", "pushed"));
+    until(|| discovery.count() == 1);
+    if same_turn {
+        sidecar.signal("STOP");
+        // Longer than the watch may last.
+        sleep(3500 * MS);
+        gate.open();
+        sleep(100 * MS);
+        sidecar.signal("CONT");
+    } else {
+        until(|| discovery.count() == 2);
+        assert_eq!(discovery.seen.lock().unwrap()[1].word(), "/v1/servers");
+        gate.open();
+    }
+    all_go_to(&sidecar, b"second");
+}
