Where lists are pushed a silent agent is watched again at once, so its return is heard

Lines at fault: list.rs asked for the whole list after a silent watch, which an agent that was silent never answers, for two seconds; choice.rs then waited list_every/16 x 2^n. With lists pushed, what the agent has at its return counts as told.

Change: where lists are pushed a whole call has half the grace for drains (rules.drain_grace, read from the settings) and then a watch goes out again, so that one is out, or was a moment before, at any time; an answer to an overtaken watch renews it; after a refusal the module calls the agent again within three eighths of the grace. Where lists are asked for all is as before.

Tests: where_lists_are_pushed_a_silent_agent_is_watched_again_at_once and an_agent_beside_that_is_down_is_asked_within_the_grace fail without it.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -84,6 +84,7 @@
             second_copies: orders.second_copies && orders.max_relays > 1,
             listen: orders.list_on_request,
             list_every: orders.ask_every,
+            drain_grace: orders.drain_grace,
             heartbeats: if asks { heartbeats } else { 0 },
             asks: orders.probe_price <= 0.007,
             finds: 0.25 / orders.probe_price.max(1e-4),
@@ -169,11 +170,15 @@
     fn read_list(&mut self, kind: ListKind, entries: Vec<Listing>) {
         let jitter = self.chance();
         match kind {
-            // Guards against a crowd at a list service that is down: later each time, never in step.
+            // Guards against a crowd at a list service that is down: later each time, never in step. Where lists
+            // are pushed it is the agent beside that is down, and what it has when it is back counts as told.
             ListKind::Refused => {
                 self.listening = false;
                 self.list_fails += 1;
-                let step = self.duty.list_every / 16 * (1 << self.list_fails.min(4));
+                let step = match self.duty.listen {
+                    true => self.duty.list_every / 16 * (1 << self.list_fails.min(4)),
+                    false => self.duty.drain_grace / 4,
+                };
                 let after = step.mul_f64(0.5 + jitter);
                 self.log(format!("list refused {} times, again in {after:.2?}", self.list_fails));
                 return self.alarm(after, ALARM_LIST);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -541,6 +541,26 @@
     assert!(b.endpoints[0].listed);
 }
 
+// galway-tills herd+mass: what the agent has when it is back counts as told, and a call seconds later broke the rule.
+#[rstest]
+#[case::asked(true)]
+#[case::pushed(false)]
+fn an_agent_beside_that_is_down_is_asked_within_the_grace(#[case] listen: bool) {
+    let mut b = sidecar(Effect::Pure, 1);
+    (b.duty.listen, b.duty.drain_grace) = (listen, Duration::from_millis(400));
+    let mut after = Vec::new();
+    for _ in 0..8 {
+        b.listening = true;
+        let out = b.decide(NOW, Event::Listed { kind: ListKind::Refused, entries: vec![] });
+        let alarm = out.iter().find_map(|a| match a {
+            Action::Alarm { after, token: ALARM_LIST } => Some(*after),
+            _ => None,
+        });
+        after.push(alarm.unwrap());
+    }
+    assert_eq!(after.iter().all(|wait| *wait <= Duration::from_millis(200)), !listen, "{after:?}");
+}
+
 #[rstest]
 fn a_concluded_command_is_forgotten_when_nothing_is_out() {
     let mut b = with_relay(Effect::Pure, 1);
@@ -1199,6 +1219,7 @@
         idle_close: Duration::from_secs(60),
         streams: 100,
         ask_every: Duration::from_secs(10),
+        drain_grace: Duration::from_millis(500),
         cold_from: 0.2,
         warm_within: Duration::from_secs(20),
         tip_multiple: 3.0,
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -83,6 +83,7 @@
     pub idle_close: Duration,
     pub streams: usize, // that one connection carries
     pub ask_every: Duration,
+    pub drain_grace: Duration,
     pub cold_from: f64,
     pub warm_within: Duration,
     pub tip_multiple: f64,
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -473,6 +473,7 @@
     pub second_copies: bool,
     pub listen: bool,
     pub list_every: Duration,
+    pub drain_grace: Duration,
     pub heartbeats: usize,  // probes that one command is worth
     pub asks: bool,         // for every command, whether or not it waits
     pub finds: f64,         // probes that one open endpoint is worth to what waits
--- a/crates/passroad-choice/src/watch.rs
+++ b/crates/passroad-choice/src/watch.rs
@@ -180,6 +180,7 @@
             idle_close: Duration::from_secs(60),
             streams: 100,
             ask_every: Duration::from_secs(10),
+            drain_grace: Duration::from_millis(500),
             cold_from: 0.2,
             warm_within: Duration::from_secs(20),
             tip_multiple: 3.0,
--- a/crates/passroad-orders/src/lib.rs
+++ b/crates/passroad-orders/src/lib.rs
@@ -214,6 +214,7 @@
         idle_close: at.span("/allowed/idle_close", Duration::from_secs(60))?,
         streams: at.number("/allowed/streams_per_conn", 1.0)? as usize,
         ask_every: at.span("/rules/ask_every", Duration::from_secs(10))?,
+        drain_grace: at.span("/rules/drain_grace", Duration::from_millis(500))?,
         cold_from: at.number("/rules/cold_from", 1.0)?,
         warm_within: at.span("/rules/warm_within", Duration::ZERO)?,
         tip_after: at.span("/rules/tip_after", Duration::from_secs(1))?,
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -23,6 +23,7 @@
 /// Guards against a known list of a revision that discovery has not come to: the first wait soon tells.
 const FIRST_HOLD: Duration = Duration::from_secs(1);
 const SILENT: &str = "a watch fell silent";
+const NO_ANSWER: &str = "no answer";
 const LONGEST_HOLD: Duration = Duration::from_secs(60); // that a watch may ask for
 const BREATH: Duration = Duration::from_millis(50); // between calls that bring nothing and don't wait
 /// Calls that broke off, asked again a breath apart: half of the shortest grace for drains is not used up by them.
@@ -72,7 +73,7 @@
         biased;
         answer = brings(out) => answer,
         () = sleep_until(until) => {
-            Err(if waits { Fault::Lost(SILENT.into()) } else { Fault::Refused("no answer".into()) })
+            Err(if waits { Fault::Lost(SILENT.into()) } else { Fault::Refused(NO_ANSWER.into()) })
         }
     }
 }
@@ -96,8 +97,14 @@
         if calls_next && rests <= Instant::now() {
             let hold = paces.borrow().hold.clamp(FIRST_HOLD, LONGEST_HOLD);
             // Without a list there is nothing to watch from.
-            let (wait, grace) = if sure && !whole { (hold, RENEWED_GRACE) } else { (FIRST_HOLD, GRACE) };
-            let from = revision.filter(|_| !whole).map(|from| (from, wait));
+            let from = revision.filter(|_| !whole);
+            let agent = paces.borrow().agent.filter(|_| revision.is_some());
+            let (wait, grace) = match from {
+                Some(_) if sure => (hold, RENEWED_GRACE),
+                Some(_) => (FIRST_HOLD, GRACE),
+                None => (Duration::ZERO, agent.unwrap_or(GRACE)),
+            };
+            let from = from.map(|from| (from, wait));
             out = Some(Out::ask(&client, discovery, from, grace));
         }
         let answer = tokio::select! {
@@ -121,8 +128,12 @@
                     // From where these changes belong is known no more, and all is asked for.
                     Ok(list) if !list.complete && revision.is_none_or(|held| list.revision < held) && here => {}
                     Ok(list) => {
-                        revision = if here { Some(list.revision) } else { revision };
                         take(&desk, &list);
+                        // It is as good as the answer that is awaited: the watch goes on from there.
+                        if here {
+                            (out, revision) = (None, Some(list.revision));
+                            (watching, whole, sure, again) = (true, false, true, 0);
+                        }
                     }
                     Err(_) => {}
                 }
@@ -143,14 +154,28 @@
         // Guards against drains that count as told and were not heard: of an answer that broke off, and of a watch that
         // fell silent, as an open connection may. Neither is discovery's word, so it is asked at once, over another.
         let answer = match answer {
+            Err(Fault::Lost(fault)) if fault == SILENT => {
+                log::warn!("discovery: {fault}; asked again at once");
+                overtaken = call;
+                (whole, sure) = (true, false);
+                rests = Instant::now() + BREATH;
+                continue;
+            }
             Err(Fault::Lost(fault)) if again < MOST_AGAIN => {
                 log::warn!("discovery: {fault}; asked again at once");
-                let silent = fault == SILENT;
-                overtaken = call.filter(|_| silent).or(overtaken);
-                (whole, sure, again) = (whole || silent, false, again + 1);
+                (sure, again) = (false, again + 1);
                 rests = Instant::now() + BREATH;
                 continue;
             }
+            // Guards against drains that an agent tells when it is back, and that count as told then: an agent that was
+            // silent answers no whole call, but a watch that is out. So one always is, or was a moment before.
+            Err(Fault::Refused(fault))
+                if fault == NO_ANSWER && paces.borrow().agent.is_some() && revision.is_some() =>
+            {
+                log::warn!("discovery: {fault}; watched again");
+                (watching, whole, sure) = (true, false, false);
+                continue;
+            }
             Err(Fault::Lost(fault) | Fault::Refused(fault)) => Err(fault),
             Ok(list) => Ok(list),
         };
--- a/crates/passroad/src/start.rs
+++ b/crates/passroad/src/start.rs
@@ -43,12 +43,16 @@
     pub hold: Duration,
     /// The longest limit that a command may have come with.
     pub longest: Duration,
+    /// Lists are pushed: who is asked is an agent beside this process, whose news counts as told at once. So long it has for
+    /// a whole list: well within the grace for drains.
+    pub agent: Option<Duration>,
 }
 
 impl Pace {
     pub fn of(orders: &StandingOrders) -> Self {
         let longest = orders.verbs.iter().map(|v| v.limit).max().unwrap_or_default();
-        Pace { hold: orders.ask_every / 4, longest }
+        let agent = (!orders.list_on_request).then_some(orders.drain_grace / 2);
+        Pace { hold: orders.ask_every / 4, longest, agent }
     }
 
     /// Other orders: commands of the ones before may be open.
--- a/crates/passroad/tests/crossings.rs
+++ b/crates/passroad/tests/crossings.rs
@@ -316,6 +316,29 @@
     all_go_to(&sidecar, b"second");
 }
 
+// galway-tills herd+mass: an agent that was silent answers no whole call once it is back, but a watch that is out; the
+// sidecar waited for the whole list and then for the module's next call, while what the agent had counted as told.
+#[rstest]
+fn where_lists_are_pushed_a_silent_agent_is_watched_again_at_once() {
+    let (first, second) = (willing("first"), willing("second"));
+    let both = [("s-1", &first), ("s-2", &second)].map(|(id, e)| member(id, e.address, "up")).join(",");
+    let gone = member("s-1", first.address, "draining");
+    let watches = AtomicUsize::new(0);
+    let agent = asked(move |target, _, to| {
+        // Back between the first watch and the second.
+        if target.contains("from=1&") && watches.fetch_add(1, SeqCst) == 1 {
+            tells(to, &changes(2, &gone));
+        }
+    });
+    // The module's next call is a minute away.
+    let settings = paced(4_000_000).replace("on_request", "pushed");
+    let sidecar = sidecar_with(&both, agent.address, &settings);
+    all_go_to(&sidecar, b"second");
+    let targets: Vec<_> = agent.seen.lock().unwrap().iter().map(|m| m.word().to_string()).collect();
+    assert_eq!(targets[1], "/v1/servers");
+    assert!(targets[0].contains("from=1&") && targets[2].contains("from=1&"), "{targets:?}");
+}
+
 // ---- connections that close ----
 
 // The endpoint closes all that is kept to it while the process stands still; the end of each and the command lie ready.
