A repeat of a receipted command begins within its window, however late its connection

Cause: the window was looked at when the relay was decided, and nowhere after it. Change: a relay says by when its first byte must go; the look before the first byte bars what is later. What is barred, or out of time with nothing sent, counts as never run.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -686,7 +686,7 @@
             (Effect::Pure, _) | (_, None) => None,
             (Effect::Effectful, Some(_)) => return None,
             (Effect::Receipted, Some(first)) => {
-                if self.now.saturating_sub(first.sent) + self.duty.tick > v.window.mul_f64(0.9) {
+                if v.window_left(first, self.now) <= self.duty.tick {
                     return None;
                 }
                 Some(&self.endpoints[first.endpoint])
@@ -750,10 +750,19 @@
         self.meet(at);
         let Some(c) = self.commands[cmd].as_mut() else { return };
         let (first, coming, due, verb) = (c.relays.is_empty(), c.coming, c.due, c.verb);
+        let v = &self.duty.verbs[verb];
+        let ran = c.relays.iter().find(|r| r.may_have_run() && v.effect == Effect::Receipted);
+        let window = ran.map(|first| v.window_left(first, now));
         c.waits = false;
         c.relays.push(Relay { endpoint: at, sent: now, ahead, told, outcome: None });
         let within = c.leave.saturating_sub(now).max(self.duty.tick);
-        self.out.push(Action::Relay { cmd, endpoint: at, within });
+        // Guards against a repeat whose connection comes up when its endpoint would no longer drop it.
+        self.out.push(Action::Relay {
+            cmd,
+            endpoint: at,
+            within,
+            begin: window.unwrap_or(within).min(within),
+        });
         let e = &mut self.endpoints[at];
         (e.used, e.pass_until, e.owed) = (Some(now), Duration::ZERO, None);
         self.book(at, now, coming);
@@ -964,6 +973,11 @@
 }
 
 impl VerbDuty {
+    /// How long a repeat may still be sent; a tenth is left for the way.
+    fn window_left(&self, first: &Relay, now: Duration) -> Duration {
+        self.window.mul_f64(0.9).saturating_sub(now.saturating_sub(first.sent))
+    }
+
     /// Like with like: a time against its verb's usual one, and for the place in line that it had.
     fn pace(&self, r: &Relay, spent: Duration) -> f64 {
         spent.as_secs_f64() / self.usual.mean.max(1e-6) / (1.0 + 0.5 * r.ahead)
--- a/crates/passroad-choice/src/lib.rs
+++ b/crates/passroad-choice/src/lib.rs
@@ -255,6 +255,8 @@
         cmd: CmdIx,
         endpoint: EndpointIx,
         within: Duration,
+        /// Later than this its first byte must not go out any more.
+        begin: Duration,
     },
     Recall {
         cmd: CmdIx,
--- a/crates/passroad-rig/src/baseline.rs
+++ b/crates/passroad-rig/src/baseline.rs
@@ -169,7 +169,8 @@
             Some(endpoint) if now < held.leave => {
                 held.relays.push((endpoint, None));
                 *self.out.entry(endpoint).or_default() += 1;
-                out.push(Action::Relay { cmd, endpoint, within: held.leave - now });
+                let within = held.leave - now;
+                out.push(Action::Relay { cmd, endpoint, within, begin: within });
             }
             _ => {
                 held.over = true;
--- a/crates/passroad-rig/src/virtual_time.rs
+++ b/crates/passroad-rig/src/virtual_time.rs
@@ -330,7 +330,7 @@
     fn act(&mut self, instance: usize, action: Action) {
         let name = |day: &Self, slot: CmdIx| day.instances[instance].commands.name(slot).copied();
         match action {
-            Action::Relay { cmd, endpoint, within } => {
+            Action::Relay { cmd, endpoint, within, .. } => {
                 if let Some(cmd) = name(self, cmd) {
                     self.send(instance, cmd, endpoint, within);
                 }
--- a/crates/passroad-wirehost/src/host.rs
+++ b/crates/passroad-wirehost/src/host.rs
@@ -138,7 +138,7 @@
         let cmds = &mut self.commands;
         let points = &self.endpoints;
         let _ = match action {
-            Action::Relay { cmd, endpoint, within } => writeln!(
+            Action::Relay { cmd, endpoint, within, .. } => writeln!(
                 reply,
                 "PLACE i={i} op_id={} endpoint={} try_for={}",
                 cmds.name(*cmd)?,
--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -58,13 +58,13 @@
             order = seat.order() => match order {
                 // Its module has forgotten the command: nothing of it is out any more.
                 None => return,
-                Some(Order::Relay { link, within }) => {
+                Some(Order::Relay { link, within, begin }) => {
                     let (recall, recalled) = oneshot::channel();
                     recalls.push(Some(recall));
                     let (n, began, cargo) = (seat.newest(), Instant::now(), Arc::clone(&cargo));
                     let left = limit.deadline().saturating_duration_since(began);
                     let within = if coming.is_some() { need.budget } else { within.min(left) };
-                    let until = coming.is_none().then(|| (began + within).into());
+                    let until = coming.is_none().then(|| (began + within.min(begin)).into());
                     let look = Look::new(seat.over.clone(), link.out.clone(), until, Arc::clone(&need.client));
                     relays.push(async move {
                         let ended = relay::run(*link, Arc::clone(&cargo), Arc::new(look), within, recalled).await;
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -32,6 +32,7 @@
     Relay {
         link: Box<Link>,
         within: Duration,
+        begin: Duration,
     },
     Recall {
         relay: usize,
@@ -356,8 +357,8 @@
     fn carry_out(self: &Arc<Self>, held: &mut Held, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Relay { cmd, endpoint, within } => match held.link(endpoint, &self.dialer) {
-                    Some(link) => held.order(cmd, Order::Relay { link: Box::new(link), within }),
+                Action::Relay { cmd, endpoint, within, begin } => match held.link(endpoint, &self.dialer) {
+                    Some(link) => held.order(cmd, Order::Relay { link: Box::new(link), within, begin }),
                     None => log::error!("a relay to endpoint {endpoint}, which has no address"),
                 },
                 // The module recalls only what is concluded.
--- a/crates/passroad/src/look.rs
+++ b/crates/passroad/src/look.rs
@@ -14,7 +14,7 @@
     Over,
     /// The endpoint drains, is gone, out by hand, elsewhere, or has started anew.
     Out,
-    /// The time is up.
+    /// The time is up in which it may begin.
     Late,
     /// The client has left; its connection's task is about to say so.
     Left,
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -97,8 +97,7 @@
     fn from(barred: Barred) -> Self {
         Ended::from(match barred {
             Barred::Over | Barred::Left => Outcome::Recalled,
-            Barred::Out => Outcome::Moot,
-            Barred::Late => Outcome::TimedOut,
+            Barred::Out | Barred::Late => Outcome::Moot,
         })
     }
 }
@@ -227,7 +226,10 @@
         _ = recall => Outcome::Recalled.into(),
         // Guards against a wait for a connection that nobody needs any more, where relays must not be recalled.
         barred = look.called_off() => barred.into(),
-        () = over(&cargo, within) => Outcome::TimedOut.into(),
+        () = over(&cargo, within) => match look.begun() {
+            true => Outcome::TimedOut.into(),
+            false => Outcome::NoConnection.into(),
+        },
         // Not all of it was taken: it never ran.
         () = stuck(&cargo) => Outcome::NoConnection.into(),
         ended = exchanged => ended,
--- a/crates/passroad/tests/crossings.rs
+++ b/crates/passroad/tests/crossings.rs
@@ -436,3 +436,35 @@
     assert!(words.iter().all(|word| word == "200"), "{words:?}");
     assert_eq!(sidecar.child.wait().unwrap().code(), Some(0));
 }
+
+// ---- the window of a receipted command ----
+
+// The first relay may have run; the next one's connection comes up when the endpoints no longer drop a repeat.
+#[rstest]
+fn past_its_window_a_receipted_command_is_not_sent_again_however_late_its_connection() {
+    let gate = Gate::default();
+    let own = gate.clone();
+    let breaks = stand_in(move |_, to| {
+        own.pass();
+        to.shutdown(Shutdown::Both).unwrap();
+        false
+    });
+    let late = Late::new();
+    let discovery = discovery(&member("s-1", breaks.address, "up"));
+    let settings = unhurried().replace("\"non_idempotent\"", "\"idempotency_key\",\"window\":1500000000");
+    let known = member("s-1", breaks.address, "up");
+    let sidecar = sidecar_with(&known, discovery.stand_in.address, &settings);
+    let mut client = sidecar.client();
+    let command = patiently(&book("once")).replace("Req-Owner", "Idempotency-Key: 7\r\nReq-Owner");
+    client.get_mut().write_all(command.as_bytes()).unwrap();
+    until(|| breaks.count() == 1);
+    let list = format!("{},{}", member("s-1", breaks.address, "draining"), member("s-2", late.address, "up"));
+    *discovery.list.lock().unwrap() = (2, list);
+    until(|| discovery.stand_in.seen.lock().unwrap().iter().any(|m| m.word().contains("from=2&")));
+    gate.open();
+    until(|| dials(late.address));
+    sleep(1500 * MS);
+    let came = late.lets_in();
+    assert!(!says(&came, "once"), "{}", String::from_utf8_lossy(&came));
+    assert!(["502", "503"].contains(&Message::read(&mut client).unwrap().word()));
+}
