--- a/crates/passroad/tests/crossings.rs
+++ b/crates/passroad/tests/crossings.rs
@@ -70,6 +70,74 @@
     assert!(ids(&endpoint).iter().all(|id| !id.starts_with("left")), "{:?}", ids(&endpoint));
 }
 
+// The same while the process stops, with half of the body read before.
+#[rstest]
+fn what_a_client_left_behind_during_a_stop_is_not_sent() {
+    let endpoint = willing("ok");
+    let mut sidecar = sidecar_with(&member("s-1", endpoint.address, "up"), nowhere(), &patient());
+    let command = patiently(&book("left-half"));
+    let (first, rest) = command.split_at(command.len() - 2);
+    let mut half = sidecar.client();
+    half.get_mut().write_all(first.as_bytes()).unwrap();
+    sleep(50 * MS);
+    sidecar.signal("STOP");
+    sidecar.signal("TERM");
+    half.get_mut().write_all(rest.as_bytes()).unwrap();
+    drop(half);
+    for n in 0..5 {
+        let mut client = sidecar.client();
+        client.get_mut().write_all(patiently(&book(&format!("left{n}"))).as_bytes()).unwrap();
+    }
+    let mut stays = sidecar.client();
+    stays.get_mut().write_all(patiently(&book("stays")).as_bytes()).unwrap();
+    sidecar.signal("CONT");
+    assert_eq!(Message::read(&mut stays).unwrap().word(), "200");
+    assert_eq!(sidecar.child.wait().unwrap().code(), Some(0));
+    assert_eq!(ids(&endpoint), ["stays"]);
+}
+
+// Commands wait in the module for room at the endpoint, others outside for a place; room and places come in the turn in
+// which their clients leave.
+#[rstest]
+#[case::in_the_module(4)]
+#[case::in_the_module_and_outside(40)]
+fn what_waited_for_room_is_not_sent_once_its_client_left(#[case] count: usize) {
+    let gate = Gate::default();
+    let own = gate.clone();
+    let endpoint = stand_in(move |_, to| {
+        own.pass();
+        answer(to, "200 OK", "", b"ok");
+        true
+    });
+    // Room is waited for, for a quarter of the goal.
+    let settings = SETTINGS.replace("\"response_goal\":400000000", "\"response_goal\":40000000000");
+    let settings = settings.replace("\"time_limit\":1000000000", "\"time_limit\":60000000000");
+    let sidecar = sidecar_with(&member("s-1", endpoint.address, "up"), nowhere(), &settings);
+    let send = |n: usize| {
+        let mut client = sidecar.client();
+        let command = book(&n.to_string()).replace("Req-Deadline-Ms: 900", "Req-Deadline-Ms: 59000");
+        client.get_mut().write_all(command.as_bytes()).unwrap();
+        client
+    };
+    let clients: Vec<_> = (0..count).map(send).collect();
+    until(|| endpoint.count() >= 2);
+    sleep(100 * MS);
+    sidecar.signal("STOP");
+    let out = ids(&endpoint);
+    assert!(out.len() < count, "{out:?}");
+    let mut stay = Vec::new();
+    for (n, client) in clients.into_iter().enumerate() {
+        stay.extend(Some(client).filter(|_| out.contains(&n.to_string())));
+    }
+    gate.open();
+    sleep(50 * MS);
+    sidecar.signal("CONT");
+    assert!(stay.iter_mut().all(|client| Message::read(client).unwrap().word() == "200"));
+    assert_eq!(sidecar.ask(&look("next").replace("Ms: 900", "Ms: 59000")).word(), "200");
+    let seen: Vec<_> = ids(&endpoint).into_iter().filter(|id| id != "next").collect();
+    assert_eq!(seen, out);
+}
+
 /// An endpoint to which connections come up only once it is told to let them.
 struct Late {
     address: SocketAddr,
