The tests' wait for an operators' door outlasts a socket that a forked child still holds

Logs of the process: it ran and had answered nobody; the caller's connection was reset. Cause, in the stand-ins: an address is found by binding and dropping a listener. A child forked by another test meanwhile holds a copy until its exec; who connects then is let in by nobody and reset. start_beside connected, then took the missing answer for a failure; two tests in sidecar.rs waited for a connection alone. Change: all wait for the answer that says ready, as Sidecar::start does; nothing that is asserted has changed.

--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -343,7 +343,7 @@
     let text = told(address, nowhere(), &list, SETTINGS).replacen("\"settings\"", WATCH, 1);
     let (mut command, folder) = program(&text);
     let child = command.env("RUST_LOG", "info").spawn().unwrap();
-    until(|| std::net::TcpStream::connect(address).is_ok());
+    until(|| ready(address));
     let mut client = std::io::BufReader::new(std::net::TcpStream::connect(address).unwrap());
     for n in 0..40 {
         let about = format!("\r\nReq-Extra: hint=3,name_key=lot:{}\r\n\r\n", n % 5);
@@ -1112,7 +1112,7 @@
     let (mut command, folder) = program(&told(address, nowhere(), &known, SETTINGS));
     for _ in 0..2 {
         let mut child = command.spawn().unwrap();
-        until(|| std::net::TcpStream::connect(address).is_ok());
+        until(|| ready(address));
         let mut client = std::io::BufReader::new(std::net::TcpStream::connect(address).unwrap());
         assert_eq!(ask(&mut client, &look("a")).unwrap().word(), "200");
         child.kill().unwrap();
--- a/crates/passroad/tests/stand_ins/mod.rs
+++ b/crates/passroad/tests/stand_ins/mod.rs
@@ -226,10 +226,16 @@
 
 /// One call of an operator: the status.
 pub fn operate(door: SocketAddr, method: &str, path: &str, body: &str) -> String {
+    call(door, method, path, body).expect("an answer")
+}
+
+/// The same; none where nobody answers. An address that `nowhere` gave is listened on for a moment more if another test
+/// starts a process just then: until its exec the child has a copy of all sockets, and then resets who has connected.
+fn call(door: SocketAddr, method: &str, path: &str, body: &str) -> Option<String> {
     let call = format!("{method} {path} HTTP/1.1\r\nHost: b\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-    let mut caller = BufReader::new(TcpStream::connect(door).unwrap());
+    let mut caller = BufReader::new(TcpStream::connect(door).ok()?);
     caller.get_mut().set_read_timeout(Some(Duration::from_secs(9))).unwrap();
-    ask(&mut caller, &call).expect("an answer").word().to_string()
+    Some(ask(&mut caller, &call)?.word().to_string())
 }
 
 pub fn cordon(door: SocketAddr, what: &str, id: &str) -> String {
@@ -275,13 +281,22 @@
     sidecar_with(known, nowhere(), SETTINGS)
 }
 
+/// Whether a sidecar there takes commands.
+pub fn ready(at: SocketAddr) -> bool {
+    TcpStream::connect(at).is_ok_and(|mut to| {
+        let _ = to.set_read_timeout(Some(100 * MS));
+        let _ = to.write_all(b"GET /healthz HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n");
+        Message::read(&mut BufReader::new(to)).is_some_and(|m| m.word() == "200")
+    })
+}
+
 impl Sidecar {
     /// Starts the program with a configuration and waits until it takes commands.
     pub fn start(address: SocketAddr, text: &str) -> Sidecar {
         let (mut command, folder) = program(text);
         let child = command.stderr(Stdio::null()).spawn().unwrap();
         let sidecar = Sidecar { address, child, folder };
-        until(|| sidecar.ready());
+        until(|| ready(address));
         sidecar
     }
 
@@ -295,7 +310,7 @@
         let (mut command, folder) = program(&with_door(text, door));
         let child = command.env("TMPDIR", shared).stderr(Stdio::null()).spawn().unwrap();
         let sidecar = Sidecar { address, child, folder };
-        until(|| TcpStream::connect(door).is_ok() && operate(door, "GET", "/admin/health", "") == "200");
+        until(|| call(door, "GET", "/admin/health", "").as_deref() == Some("200"));
         sidecar
     }
 
@@ -306,7 +321,7 @@
         std::fs::write(&file, routes).unwrap();
         let child = command.env("LB_ROUTES", file).stderr(Stdio::null()).spawn().unwrap();
         let sidecar = Sidecar { address, child, folder };
-        until(|| sidecar.ready());
+        until(|| ready(address));
         sidecar
     }
 
@@ -318,7 +333,7 @@
         let said = std::fs::File::create(&log).unwrap();
         let child = command.env("LB_FLEET", file).stderr(said).spawn().unwrap();
         let sidecar = Sidecar { address, child, folder };
-        until(|| sidecar.ready());
+        until(|| ready(address));
         (sidecar, log)
     }
 
@@ -329,14 +344,6 @@
         tasks.flatten().flat_map(|task| name(task).ok()).map(|name| name.trim().to_string()).collect()
     }
 
-    fn ready(&self) -> bool {
-        TcpStream::connect(self.address).is_ok_and(|mut to| {
-            let _ = to.set_read_timeout(Some(100 * MS));
-            let _ = to.write_all(b"GET /healthz HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n");
-            Message::read(&mut BufReader::new(to)).is_some_and(|m| m.word() == "200")
-        })
-    }
-
     pub fn client(&self) -> BufReader<TcpStream> {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(9))).unwrap();
