A connection rests five milliseconds behind an answer, as a second one may come four late

Seen: a second answer that comes after the rest, behind a command that is written by then, is taken for the answer to that command. STANDING says 'some milliseconds'. Change: the rest is 5 ms. Only a connection that is chosen again within that time waits, and for the remainder. Test: a_connection_rests_behind_the_answer_to_a_command asks for 5 ms in place of 1 ms and fails with the rest before.

--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -37,8 +37,9 @@
 const LONGEST_AHEAD: usize = 4 * LONGEST_HEAD; // of all that comes until its head is read
 /// An endpoint writes an answer at once: one that stops halfway for so long is spoilt.
 const STALL: Duration = Duration::from_millis(100);
-/// A connection rests behind an answer, so that what does not belong there shows before the next command is sent.
-const REST: Duration = Duration::from_millis(1);
+/// A connection rests behind an answer, so that what does not belong there shows before the next command is sent. STANDING,
+/// `join+mass`: a second answer may come some milliseconds late; up to 4 ms were seen.
+const REST: Duration = Duration::from_millis(5);
 /// An answer of no stated length that is this old is passed on as it comes: only its end would tell how long it is.
 const MOMENT: Duration = Duration::from_millis(10);
 const ID: HeaderName = HeaderName::from_static("req-id");
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -475,7 +475,7 @@
     assert_eq!(endpoint.count(), 50);
 }
 
-// Before it carries the next command a connection rests for a millisecond, for what comes late to show.
+// Before it carries the next command a connection rests for five milliseconds, for what comes late to show.
 #[rstest]
 fn a_connection_rests_behind_the_answer_to_a_command() {
     let answered = std::sync::Mutex::new(std::collections::HashMap::new());
@@ -491,7 +491,7 @@
     let mut client = sidecar.client();
     assert!((0..20).all(|n| ask(&mut client, &book(&n.to_string())).unwrap().word() == "200"));
     let rests = rests.lock().unwrap();
-    assert!(rests.len() > 5 && rests.iter().all(|rest| *rest >= MS), "{rests:?}");
+    assert!(rests.len() > 5 && rests.iter().all(|rest| *rest >= 5 * MS), "{rests:?}");
 }
 
 #[rstest]
