A process that takes over knows the ids of open commands before it takes one

Cause: ids were told over the link only, which the new process reads on another thread, while its front takes clients already. A real crossing, not the test's. Change: the ids that are open go along with the list and the bans; what turns meanwhile is told over the link, which follows from before the state is read. Left: an id taken in both within the link's way, which no client of the protocol sends. Test: an_id_that_is_open_is_known_before_the_first_line_of_the_other_process holds back all lines between two real processes; without the change it fails with 502 for 409.

--- a/crates/passroad/src/claims.rs
+++ b/crates/passroad/src/claims.rs
@@ -44,6 +44,7 @@
     pub fn follow(&self) -> UnboundedReceiver<Turned> {
         let (tell, told) = unbounded_channel();
         let mut ids = self.ids();
+        ids.tell.retain(|tell| !tell.is_closed());
         for id in ids.here.iter().filter_map(|id| id.to_str().ok()) {
             let _ = tell.send((true, id.into()));
         }
@@ -51,6 +52,11 @@
         told
     }
 
+    /// What is open here.
+    pub fn open(&self) -> Vec<String> {
+        self.ids().here.iter().filter_map(|id| id.to_str().ok()).map(String::from).collect()
+    }
+
     pub fn beside(&self, taken: bool, id: String) {
         let mut ids = self.ids();
         if taken {
--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -261,6 +261,7 @@
             members: held.members.iter().flatten().cloned().collect(),
             bans: held.banned.iter().cloned().collect(),
             left: held.left.order.iter().copied().collect(),
+            open: Vec::new(),
             descriptors,
             learnt: serde_json::to_value(held.balancer.memory(|at| held.endpoints.name(at).cloned()))
                 .unwrap_or_default(),
--- a/crates/passroad/src/handover.rs
+++ b/crates/passroad/src/handover.rs
@@ -1,7 +1,7 @@
 //! An upgrade: a process that starts takes the listening socket and what is known from the one beside it, and the two
 //! tell each other of bans until the old one ends.
 
-use crate::claims::Claims;
+use crate::claims::{Claims, Turned};
 use crate::desk::Desk;
 use crate::members::Known;
 use crate::stop::{Stage, Stages};
@@ -263,13 +263,15 @@
             // From here on bans are told over the link: none falls between.
             let (tell, told) = mpsc::unbounded_channel();
             self.links.lock().unwrap_or_else(PoisonError::into_inner).push(tell);
+            // So are ids that turn; those that are open now go along.
+            let ids = self.claims.follow();
             self.give(&mut stream).await?;
-            Ok::<_, io::Error>(told)
+            Ok::<_, io::Error>((told, ids))
         });
         match handed.await {
-            Ok(Ok(told)) => {
+            Ok(Ok((told, ids))) => {
                 log::info!("the next process was handed the listening socket");
-                self.run(stream, told, true).await;
+                self.run(stream, told, ids, true).await;
                 self.claims.alone();
                 if self.away.send_replace(false) {
                     self.room.give_way(false);
@@ -283,8 +285,10 @@
     }
 
     async fn give(&self, stream: &mut UnixStream) -> io::Result<()> {
-        let state = serde_json::to_vec(&self.desk.known(VERSION, self.listen, descriptors()))
-            .map_err(io::Error::other)?;
+        let known = self.desk.known(VERSION, self.listen, descriptors());
+        // Guards against an id that is taken there before the first line of the link is read.
+        let known = Known { open: self.claims.open(), ..known };
+        let state = serde_json::to_vec(&known).map_err(io::Error::other)?;
         let size = (state.len() as u32).to_be_bytes();
         loop {
             stream.writable().await?;
@@ -307,17 +311,22 @@
     async fn keep(&self, stream: UnixStream, old: bool) {
         let (tell, told) = mpsc::unbounded_channel();
         self.links.lock().unwrap_or_else(PoisonError::into_inner).push(tell);
-        self.run(stream, told, old).await;
+        self.run(stream, told, self.claims.follow(), old).await;
         self.claims.alone();
         self.links.lock().unwrap_or_else(PoisonError::into_inner).retain(|link| !link.is_closed());
     }
 
     /// Tells and hears over a link until it ends.
-    async fn run(&self, stream: UnixStream, mut told: mpsc::UnboundedReceiver<Told>, old: bool) {
+    async fn run(
+        &self,
+        stream: UnixStream,
+        mut told: mpsc::UnboundedReceiver<Told>,
+        mut ids: mpsc::UnboundedReceiver<Turned>,
+        old: bool,
+    ) {
         let (from, mut to) = stream.into_split();
         let mut from = BufReader::new(from).lines();
         let mut open: VecDeque<oneshot::Sender<()>> = VecDeque::new();
-        let mut ids = self.claims.follow();
         loop {
             tokio::select! {
                 line = from.next_line() => {
@@ -412,6 +421,7 @@
             members: Vec::new(),
             bans: vec!["s-1".into()],
             left: vec![9],
+            open: Vec::new(),
             descriptors: 20,
             learnt,
         };
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -271,7 +271,10 @@
         tokio::spawn(Arc::clone(&desk).tell_watch(every));
     }
     let revision = start.known.as_ref().map(|list| list.revision);
-    let known = before.as_mut().and_then(|before| before.known.take());
+    let mut known = before.as_mut().and_then(|before| before.known.take());
+    let claims = Arc::<claims::Claims>::default();
+    let open = known.as_mut().map(|known| std::mem::take(&mut known.open)).unwrap_or_default();
+    open.into_iter().for_each(|id| claims.beside(true, id));
     let revision = match known {
         Some(known) => desk.inherit(known),
         // An empty one, too: the module calls discovery from there on.
@@ -282,7 +285,6 @@
     };
     tokio::spawn(Arc::clone(&desk).beat());
     tokio::spawn(list::follow(Arc::clone(&desk), at, paces.clone(), revision, called));
-    let claims = Arc::<claims::Claims>::default();
     let taken = Arc::clone(&claims);
     let intake =
         Arc::new(intake::Intake::new(Arc::clone(&desk), &orders, start.memory, taken, stages.clone()));
--- a/crates/passroad/src/members.rs
+++ b/crates/passroad/src/members.rs
@@ -68,6 +68,9 @@
     pub bans: Vec<String>,
     /// Marks of ids that have left the list.
     pub left: Vec<u64>,
+    /// Ids of commands that are open.
+    #[serde(default)]
+    pub open: Vec<String>,
     pub descriptors: usize,
     /// What the module has learnt; of another form it is passed over alone.
     #[serde(default)]
--- a/crates/passroad/tests/upgrades.rs
+++ b/crates/passroad/tests/upgrades.rs
@@ -230,3 +230,76 @@
     assert!(old.descriptors() + new.descriptors() <= 256, "{} and {}", old.descriptors(), new.descriptors());
     drop((first, second));
 }
+
+/// Hands on between the two what the old process gives, its socket too, and holds back all lines that it says later.
+fn hold_back_lines(place: &std::path::Path) -> std::thread::JoinHandle<std::os::unix::net::UnixStream> {
+    use rustix::net::*;
+    use std::io::{IoSlice, IoSliceMut, Read};
+    use std::os::fd::AsFd;
+    let old = place.with_extension("old");
+    std::fs::rename(place, &old).unwrap();
+    let listener = UnixListener::bind(place).unwrap();
+    spawn(move || {
+        let (mut next, _) = listener.accept().unwrap();
+        let mut before = std::os::unix::net::UnixStream::connect(old).unwrap();
+        let mut line = Vec::new();
+        while line.last() != Some(&b'\n') {
+            let mut byte = [0];
+            next.read_exact(&mut byte).unwrap();
+            line.extend(byte);
+        }
+        before.write_all(&line).unwrap();
+        let (mut size, mut space) =
+            ([0; 4], [std::mem::MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))]);
+        let mut beside = RecvAncillaryBuffer::new(&mut space);
+        recvmsg(&before, &mut [IoSliceMut::new(&mut size)], &mut beside, RecvFlags::empty()).unwrap();
+        let sockets: Vec<_> = beside
+            .drain()
+            .filter_map(
+                |m| if let RecvAncillaryMessage::ScmRights(sockets) = m { Some(sockets) } else { None },
+            )
+            .flatten()
+            .collect();
+        let mut state = vec![0; u32::from_be_bytes(size) as usize];
+        before.read_exact(&mut state).unwrap();
+        let mut space = [std::mem::MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut beside = SendAncillaryBuffer::new(&mut space);
+        let sockets = [sockets[0].as_fd()];
+        assert!(beside.push(SendAncillaryMessage::ScmRights(&sockets)));
+        sendmsg(&next, &[IoSlice::new(&size)], &mut beside, SendFlags::empty()).unwrap();
+        next.write_all(&state).unwrap();
+        // Both stay open, and nothing more passes.
+        std::mem::forget(before);
+        next
+    })
+}
+
+// The command is open in the old process, and the new one takes clients before it has read a line of the old one's.
+#[rstest]
+fn an_id_that_is_open_is_known_before_the_first_line_of_the_other_process() {
+    let gate = Gate::default();
+    let own = gate.clone();
+    let slow = stand_in(move |_, to| {
+        own.pass();
+        answer(to, "200 OK", "", b"ok");
+        true
+    });
+    let (address, shared) = (nowhere(), shared());
+    let text = told(address, nowhere(), &member("s-1", slow.address, "up"), &patient());
+    let text = text.replace("\"sockets\":64", "\"sockets\":256");
+    let old = Sidecar::start_beside(address, nowhere(), &text, &shared.0);
+    let mut first = old.client();
+    first.get_mut().write_all(patiently(&book("a")).as_bytes()).unwrap();
+    until(|| slow.count() == 1);
+    let place = shared.0.join(format!("passroad-{}.sock", address.to_string().replace(':', "-")));
+    let proxy = hold_back_lines(&place);
+    let new = Sidecar::start_beside(address, nowhere(), &text, &shared.0);
+    let _link = proxy.join().unwrap();
+    // The old one has not been told to give way, so either may take a client; both know the id.
+    for _ in 0..30 {
+        assert_eq!(new.ask(&patiently(&book("a"))).word(), "409");
+    }
+    assert_eq!(slow.count(), 1);
+    gate.open();
+    assert_eq!(Message::read(&mut first).unwrap().word(), "200");
+}
