--- a/crates/passroad/src/desk.rs
+++ b/crates/passroad/src/desk.rs
@@ -172,7 +172,11 @@
     /// Has every open command answered, as the process is about to end.
     pub fn out_of_time(&self) {
         let held = self.held();
-        (0..held.seats.len()).for_each(|cmd| held.last_order(cmd, Order::OutOfTime));
+        let open: Vec<_> = (0..held.seats.len()).filter(|cmd| held.seats[*cmd].is_some()).collect();
+        if !open.is_empty() {
+            log::warn!("stopping: {} commands are still open and answered as out of time", open.len());
+        }
+        open.into_iter().for_each(|cmd| held.last_order(cmd, Order::OutOfTime));
     }
 
     /// A panic elsewhere must not end every later command: what is held stays in use.
--- a/crates/passroad/tests/crossings.rs
+++ b/crates/passroad/tests/crossings.rs
@@ -270,6 +270,26 @@
     assert_eq!(well.count(), 1);
 }
 
+// The same by an operator's word.
+#[rstest]
+fn a_relay_that_has_sent_nothing_goes_elsewhere_once_its_endpoint_is_out_by_hand() {
+    let (late, well, door, address) = (Late::new(), willing("ok"), nowhere(), nowhere());
+    let known = member("s-1", late.address, "up");
+    let discovery = discovery(&known);
+    let text = told(address, discovery.stand_in.address, &known, &unhurried());
+    let sidecar =
+        Sidecar::start(address, &with_door(&text.replace("\"sockets\":64", "\"sockets\":256"), door));
+    until(|| discovery.stand_in.count() > 0);
+    let mut client = sidecar.client();
+    client.get_mut().write_all(patiently(&book("a")).as_bytes()).unwrap();
+    until(|| dials(late.address));
+    *discovery.list.lock().unwrap() = (2, [known, member("s-2", well.address, "up")].join(","));
+    until(|| discovery.stand_in.seen.lock().unwrap().iter().any(|m| m.word().contains("from=2&")));
+    assert_eq!(cordon(door, "cordon", "s-1"), "200");
+    assert_eq!(Message::read(&mut client).unwrap().body, b"ok");
+    assert!(!says(&late.lets_in(), "a"));
+}
+
 // ---- the list ----
 
 /// A discovery whose answers a test gives out one by one: `act` has the call's target and its number.
