--- a/crates/passroad/src/probe.rs
+++ b/crates/passroad/src/probe.rs
@@ -129,7 +129,7 @@
         let at_once = in_no_time(&mut next).await;
         assert_eq!(at_once, probed.then_some(Outcome::Answered));
         if !probed {
-            advance(Duration::from_millis(6)).await;
+            advance(Duration::from_millis(2)).await;
             assert_eq!(in_no_time(next).await, Some(Outcome::Answered));
         }
     }
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -37,9 +37,12 @@
 const LONGEST_AHEAD: usize = 4 * LONGEST_HEAD; // of all that comes until its head is read
 /// An endpoint writes an answer at once: one that stops halfway for so long is spoilt.
 const STALL: Duration = Duration::from_millis(100);
-/// A connection rests behind an answer, so that what does not belong there shows before the next command is sent. STANDING,
-/// `join+mass`: a second answer may come some milliseconds late; up to 4 ms were seen.
-const REST: Duration = Duration::from_millis(5);
+/// A connection rests behind an answer, so that what does not belong there shows before the next command is sent.
+const REST: Duration = Duration::from_millis(1);
+/// The same where an answer was spoilt lately. STANDING, `join+mass`: a second answer may come some milliseconds late; up to 4 ms
+/// were seen.
+const LONG_REST: Duration = Duration::from_millis(5);
+const LATELY: Duration = Duration::from_secs(60);
 /// An answer of no stated length that is this old is passed on as it comes: only its end would tell how long it is.
 const MOMENT: Duration = Duration::from_millis(10);
 const ID: HeaderName = HeaderName::from_static("req-id");
@@ -210,6 +213,10 @@
             }
             let Some(request) = cargo.request(link.address, within) else { return Outcome::Moot.into() };
             let mut ended = exchange(&client, request, &|| cargo.least(), Some(&look)).await;
+            // An answer that can't be read, as against one that says it is an error.
+            if ended.outcome == Outcome::Error && ended.answer.is_none() {
+                link.dialer.spoilt.note();
+            }
             if let Some(Load::Long(long)) = ended.answer.as_mut().map(hyper::Response::body_mut) {
                 long.link = Some(link.clone());
             }
@@ -468,6 +475,22 @@
     idle: Duration,
     bounded: bool, // what is heard ahead of an answer
     permits: Arc<Semaphore>,
+    spoilt: Spoilt,
+}
+
+/// When an answer of any endpoint was spoilt last.
+#[derive(Clone, Default)]
+struct Spoilt(Arc<Mutex<Option<Instant>>>);
+
+impl Spoilt {
+    fn note(&self) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
+    fn rest(&self) -> Duration {
+        let last = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if last.is_some_and(|at| at.elapsed() < LATELY) { LONG_REST } else { REST }
+    }
 }
 
 impl Dialer {
@@ -479,7 +502,7 @@
         http.set_nodelay(true);
         http.set_connect_timeout(Some(within));
         let (idle, permits) = (idle_close.mul_f64(IDLE_SHARE), Arc::new(Semaphore::new(most)));
-        Dialer { http, within, idle, bounded: true, permits }
+        Dialer { http, within, idle, bounded: true, permits, spoilt: Spoilt::default() }
     }
 
     /// For whoever bounds by itself what it reads.
@@ -530,11 +553,12 @@
 
     fn call(&mut self, to: Uri) -> Self::Future {
         let (mut http, within, bounded) = (self.http.clone(), self.within, self.bounded);
-        let permits = Arc::clone(&self.permits);
+        let (permits, spoilt) = (Arc::clone(&self.permits), self.spoilt.clone());
         Box::pin(async move {
             let permit = tokio::time::timeout(within, permits.acquire_owned()).await??;
             let stream = http.call(to).await?.into_inner();
-            Ok(TokioIo::new(Wire { stream, meter: Arc::default(), bounded, rest: None, _permit: permit }))
+            let meter = Arc::default();
+            Ok(TokioIo::new(Wire { stream, meter, bounded, spoilt, rest: None, _permit: permit }))
         })
     }
 }
@@ -612,6 +636,7 @@
     stream: TcpStream,
     meter: Arc<Meter>,
     bounded: bool,
+    spoilt: Spoilt,
     rest: Option<Pin<Box<Sleep>>>, // between an answer and the next request
     _permit: OwnedSemaphorePermit,
 }
@@ -645,7 +670,7 @@
             return Poll::Ready(Ok(()));
         };
         if self.meter.rests.load(Relaxed) {
-            let until = last + REST;
+            let until = last + self.spoilt.rest();
             let rest = self.rest.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(until)));
             ready!(rest.as_mut().poll(cx));
         }
@@ -655,7 +680,11 @@
                 self.meter.begins();
                 Poll::Ready(Ok(()))
             }
-            Lies::Bytes | Lies::Ended => Poll::Ready(Err(self.wear_out(BEHIND))),
+            Lies::Bytes => {
+                self.spoilt.note();
+                Poll::Ready(Err(self.wear_out(BEHIND)))
+            }
+            Lies::Ended => Poll::Ready(Err(self.wear_out(BEHIND))),
         }
     }
 
