Where dear probes alone report, the limit is on all that is out

Cause: with reports by probes only, each dearer than a command gains by it (rahti-tampere), next to nothing was heard, yet limits went by reports. A lost zone filled all queues; work past its goal was called off without the limit hearing of it, and the fleet stayed under for 12 s. Change: no heartbeats there, so the limit on all that is out holds; what is called off past its goal narrows it.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -68,8 +68,10 @@
     fn duty(orders: StandingOrders) -> DutySheet {
         let goals = orders.verbs.iter().map(|v| v.goal).min().unwrap_or_default();
         let goal = goals.clamp(Duration::from_millis(1), Duration::from_secs(60));
-        // Heartbeats may cost most of a hundredth of the service; no probes or no reports, no heartbeats.
-        let asks = orders.probes && orders.reports != ReportsHow::Silent;
+        // Heartbeats may cost most of a hundredth of the service: none where each costs more, and alone reports.
+        let dear = orders.probe_price > 0.007;
+        let told = orders.reports == ReportsHow::Piggyback || orders.reports == ReportsHow::Pull && !dear;
+        let asks = orders.probes && told;
         let heartbeats = (0.007 / orders.probe_price.max(1e-4)).clamp(1.0, 4.0) as usize;
         let relays = orders.max_relays.max(1);
         DutySheet {
@@ -86,7 +88,7 @@
             list_every: orders.ask_every,
             drain_grace: orders.drain_grace,
             heartbeats: if asks { heartbeats } else { 0 },
-            asks: orders.probe_price <= 0.007,
+            asks: !dear,
             finds: 0.25 / orders.probe_price.max(1e-4),
             fresh: goal / 30,
             trust: goal / 4,
@@ -757,12 +759,8 @@
         c.relays.push(Relay { endpoint: at, sent: now, ahead, told, outcome: None });
         let within = c.leave.saturating_sub(now).max(self.duty.tick);
         // Guards against a repeat whose connection comes up when its endpoint would no longer drop it.
-        self.out.push(Action::Relay {
-            cmd,
-            endpoint: at,
-            within,
-            begin: window.unwrap_or(within).min(within),
-        });
+        let begin = window.unwrap_or(within).min(within);
+        self.out.push(Action::Relay { cmd, endpoint: at, within, begin });
         let e = &mut self.endpoints[at];
         (e.used, e.pass_until, e.owed) = (Some(now), Duration::ZERO, None);
         self.book(at, now, coming);
@@ -888,9 +886,10 @@
         let (value, answered) = (value / self.worth, outcome == Outcome::Answered);
         let share = value * (self.endpoints[at].health(self.now, Some(verb)) / self.well).min(1.0);
         self.well = (self.well + LEAST_GAIN * (f64::from(u8::from(answered)) - self.well)).max(0.1);
+        let late = answered || outcome == Outcome::Recalled && !in_time;
         if answered && in_time {
             self.window += if self.out_now + 2.0 >= 0.6 * self.window { 0.1 * value } else { 0.0 };
-        } else if answered || matches!(outcome, Outcome::TimedOut | Outcome::Full) {
+        } else if late || matches!(outcome, Outcome::TimedOut | Outcome::Full) {
             self.window = (self.window.min(2.0 * self.out_now + 4.0) - 0.5 * share).max(1.0);
         }
     }
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -460,6 +460,33 @@
     assert!(ratio >= at_least && (heartbeats == 0 || ratio == 1.0), "{ratio}");
 }
 
+// rahti-tampere zone+mass: each probe cost more than it was worth and only probes reported, so next to nothing was heard; limits
+// by reports held nothing back, a lost zone filled all queues, and it stayed so (served 0.368; 0.746 with the limit on all).
+#[rstest]
+#[case::carried_by_answers(ReportsHow::Piggyback, 0.009, 1)]
+#[case::carried_by_probes_alone(ReportsHow::Pull, 0.009, 0)]
+#[case::by_cheap_probes(ReportsHow::Pull, 0.002, 3)]
+#[case::nothing_reported(ReportsHow::Silent, 0.002, 0)]
+fn where_dear_probes_alone_report_the_limit_is_on_all(
+    #[case] reports: ReportsHow,
+    #[case] probe_price: f64,
+    #[case] heartbeats: usize,
+) {
+    let duty = Balancer::duty(StandingOrders { reports, probe_price, ..orders(Effect::Pure) });
+    assert_eq!(duty.heartbeats, heartbeats);
+}
+
+// The same day: seven in ten of what was late was called off at its goal, and the limit never heard of it.
+#[rstest]
+#[case::past_its_goal(500, true)]
+#[case::answered_elsewhere(100, false)]
+fn a_relay_called_off_past_its_goal_cuts_the_limit_on_all(#[case] after_ms: u64, #[case] cuts: bool) {
+    let mut b = with_relay(Effect::Pure, 2);
+    (b.window, b.out_now) = (20.0, 19.0);
+    b.decide(NOW + Duration::from_millis(after_ms), finished(0, Outcome::Recalled));
+    assert_eq!(b.window < 20.0, cuts, "{}", b.window);
+}
+
 // daepung-auction-web big-2: ten of fifty boxes failed, and the limit on all turned away what the others could do.
 #[rstest]
 fn late_answers_cut_the_limit_on_all_and_less_so_where_one_fails_alone() {
