No wait after a failed call of discovery leaves a change unheard for over 1.5 s

Cause: after a refused call the module waited up to 1.5 times the settings' time for asking (15 s with the usual 10 s), where lists are pushed up to three eighths of the grace for drains; a whole call to an agent could take half of that grace; and six quick repeats came with each call of the module. A change counts as told 6 s after discovery had it and could be reached.

Change: the wait is a second at most, times 0.5 to 1.5 by chance; an agent has 2 s at most; the quick repeats are used up until discovery has said something, and come 25 to 75 ms apart by chance; of the calls that were given up the first is heard as well as the last, as a discovery with a long queue answered calls that nobody heard any more and never came up.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -83,7 +83,7 @@
             may_recall: orders.may_cancel,
             second_copies: orders.second_copies && orders.max_relays > 1,
             listen: orders.list_on_request,
-            list_every: orders.ask_every,
+            list_every: orders.ask_every.min(Duration::from_secs(10)),
             drain_grace: orders.drain_grace,
             heartbeats: if asks { heartbeats } else { 0 },
             asks: orders.probe_price <= 0.007,
@@ -170,8 +170,8 @@
     fn read_list(&mut self, kind: ListKind, entries: Vec<Listing>) {
         let jitter = self.chance();
         match kind {
-            // Guards against a crowd at a list service that is down: later each time, never in step. Where lists
-            // are pushed it is the agent beside that is down, and what it has when it is back counts as told.
+            // Guards against a crowd at a list service that is down: never in step, later each time, but 1.5 s at
+            // most, as its news counts as told soon. Lists pushed: the agent beside is down; its news counts at once.
             ListKind::Refused => {
                 self.listening = false;
                 self.list_fails += 1;
@@ -179,7 +179,7 @@
                     true => self.duty.list_every / 16 * (1 << self.list_fails.min(4)),
                     false => self.duty.drain_grace / 4,
                 };
-                let after = step.mul_f64(0.5 + jitter);
+                let after = step.min(Duration::from_secs(1)).mul_f64(0.5 + jitter);
                 self.log(format!("list refused {} times, again in {after:.2?}", self.list_fails));
                 return self.alarm(after, ALARM_LIST);
             }
--- a/crates/passroad/src/list.rs
+++ b/crates/passroad/src/list.rs
@@ -5,11 +5,12 @@
 use crate::members::{Call, List, read};
 use crate::relay::{Client, Dialer};
 use crate::start::Pace;
-use futures_util::future::BoxFuture;
+use futures_util::future::{BoxFuture, select_all};
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy;
 use passroad_choice::{Event, ListKind};
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +26,9 @@
 const SILENT: &str = "a watch fell silent";
 const NO_ANSWER: &str = "no answer";
 const LONGEST_HOLD: Duration = Duration::from_secs(60); // that a watch may ask for
-const BREATH: Duration = Duration::from_millis(50); // between calls that bring nothing and don't wait
+const KEPT: Duration = Duration::from_secs(60); // how long discovery keeps an idle connection
+const BREATH: Duration = Duration::from_millis(50); // between calls that bring nothing and don't wait, in the mean
+const MOST_OVERTAKEN: usize = 2;
 /// Calls that broke off, asked again a breath apart: half of the shortest grace for drains is not used up by them.
 const MOST_AGAIN: u32 = 6;
 
@@ -63,6 +66,24 @@
     }
 }
 
+/// The same of the calls that were given up, and which.
+async fn any_brings(overtaken: &mut [Out]) -> (Result<List, Fault>, usize) {
+    if overtaken.is_empty() {
+        return std::future::pending().await;
+    }
+    let (answer, which, _) = select_all(overtaken.iter_mut().map(|out| out.answer.as_mut())).await;
+    (answer, which)
+}
+
+/// One more that was given up. The first is kept, and the last. Guards against a discovery that works through calls in turn
+/// and has more of them than it can do in the time of one: what it answers has to be of use, or it never comes up.
+fn overtake(overtaken: &mut Vec<Out>, call: Option<Out>) {
+    if call.is_some() {
+        overtaken.truncate(MOST_OVERTAKEN - 1);
+    }
+    overtaken.extend(call);
+}
+
 /// The same in time. An answer that is there is read, however late the process comes to look.
 async fn answers(out: &mut Option<Out>) -> Result<List, Fault> {
     let (until, waits) = match out {
@@ -86,11 +107,11 @@
     mut revision: Option<u64>,
     mut calls: UnboundedReceiver<Call>,
 ) {
-    let dialer = Dialer::new(GRACE, LONGEST_HOLD, 4).unbounded();
+    let dialer = Dialer::new(GRACE, KEPT, MOST_OVERTAKEN + 2).unbounded();
     let mut client = dialer.client();
     let (mut watching, mut whole, mut sure) = (false, false, false);
     let (mut discovery, mut again) = (*at.borrow_and_update(), 0);
-    let (mut out, mut overtaken): (Option<Out>, Option<Out>) = (None, None);
+    let (mut out, mut overtaken): (Option<Out>, Vec<Out>) = (None, Vec::new());
     let mut rests = Instant::now(); // no call goes out before
     loop {
         let calls_next = out.is_none() && (watching || whole);
@@ -102,7 +123,7 @@
             let (wait, grace) = match from {
                 Some(_) if sure => (hold, RENEWED_GRACE),
                 Some(_) => (FIRST_HOLD, GRACE),
-                None => (Duration::ZERO, agent.unwrap_or(GRACE)),
+                None => (Duration::ZERO, agent.map_or(GRACE, |grace| grace.min(GRACE))),
             };
             let from = from.map(|from| (from, wait));
             out = Some(Out::ask(&client, discovery, from, grace));
@@ -115,15 +136,15 @@
                     Some(Call::Watch(on)) => watching = on,
                     Some(Call::Whole) => {
                         whole = true;
-                        overtaken = out.take().or(overtaken);
+                        overtake(&mut overtaken, out.take());
                     }
                     None => return,
                 }
                 continue;
             }
             // Guards against drains that an overtaken call was told of: until another has answered, it is heard.
-            late = brings(&mut overtaken) => {
-                let here = overtaken.take().is_some_and(|call| call.at == discovery);
+            (late, which) = any_brings(&mut overtaken) => {
+                let here = overtaken.remove(which).at == discovery;
                 match late {
                     // From where these changes belong is known no more, and all is asked for.
                     Ok(list) if !list.complete && revision.is_none_or(|held| list.revision < held) && here => {}
@@ -132,6 +153,7 @@
                         // It is as good as the answer that is awaited: the watch goes on from there.
                         if here {
                             (out, revision) = (None, Some(list.revision));
+                            overtaken.clear();
                             (watching, whole, sure, again) = (true, false, true, 0);
                         }
                     }
@@ -143,7 +165,7 @@
             () = sleep_until(rests), if calls_next && out.is_none() => continue,
             // Guards against a list that stays behind where discovery has moved: its revisions there may be any.
             Ok(()) = at.changed() => {
-                overtaken = out.take().or(overtaken);
+                overtake(&mut overtaken, out.take());
                 (client, discovery, again) = (dialer.client(), *at.borrow_and_update(), 0);
                 (watching, whole, sure, revision) = (true, true, false, None);
                 continue;
@@ -156,15 +178,15 @@
         let answer = match answer {
             Err(Fault::Lost(fault)) if fault == SILENT => {
                 log::warn!("discovery: {fault}; asked again at once");
-                overtaken = call;
+                overtake(&mut overtaken, call);
                 (whole, sure) = (true, false);
-                rests = Instant::now() + BREATH;
+                rests = Instant::now() + breath();
                 continue;
             }
             Err(Fault::Lost(fault)) if again < MOST_AGAIN => {
                 log::warn!("discovery: {fault}; asked again at once");
                 (sure, again) = (false, again + 1);
-                rests = Instant::now() + BREATH;
+                rests = Instant::now() + breath();
                 continue;
             }
             // Guards against drains that an agent tells when it is back, and that count as told then: an agent that was
@@ -176,10 +198,19 @@
                 (watching, whole, sure) = (true, false, false);
                 continue;
             }
-            Err(Fault::Lost(fault) | Fault::Refused(fault)) => Err(fault),
-            Ok(list) => Ok(list),
+            // Guards against six quick repeats by every sidecar each time that the module calls a discovery that only
+            // breaks off: they are used up until it has said something.
+            Err(Fault::Lost(fault)) => Err(fault),
+            Err(Fault::Refused(fault)) => {
+                again = 0;
+                Err(fault)
+            }
+            Ok(list) => {
+                again = 0;
+                Ok(list)
+            }
         };
-        (whole, sure, again) = (false, answer.is_ok(), 0);
+        (whole, sure) = (false, answer.is_ok());
         // Guards against old news taken for new: from where it belongs is not known, so all is asked for next.
         let older = |list: &List| !list.complete && revision.is_some_and(|held| list.revision < held);
         let old = answer.as_ref().is_ok_and(older);
@@ -190,17 +221,17 @@
                 refused(&desk, "changes older than the list");
             }
             Ok(list) => {
-                overtaken = None;
+                overtaken.clear();
                 revision = Some(list.revision);
                 take(&desk, &list);
                 // Guards against a discovery that answers watches at once with nothing: no busy loop.
                 if list.members.is_empty() && began.elapsed() < BREATH {
-                    rests = Instant::now() + BREATH;
+                    rests = Instant::now() + breath();
                 }
             }
             Err(fault) => {
                 // One that was only late may come yet.
-                overtaken = call.filter(|call| call.until <= Instant::now()).or(overtaken);
+                overtake(&mut overtaken, call.filter(|call| call.until <= Instant::now()));
                 watching = false;
                 refused(&desk, &fault);
             }
@@ -208,6 +239,11 @@
     }
 }
 
+/// `BREATH` with jitter. Guards against sidecars whose watches broke off at one moment and that call again in step.
+fn breath() -> Duration {
+    BREATH / 2 + BREATH.mul_f64(RandomState::new().hash_one(()) as f64 / u64::MAX as f64)
+}
+
 fn take(desk: &Arc<Desk>, list: &List) {
     let kind = if list.complete { ListKind::All } else { ListKind::Changes };
     log::debug!("list {}: {} entries, {kind:?}", list.revision, list.members.len());
