Idle clients that fill the descriptors leave discovery its own, and turn no request away

Cause, seen with a crowd of half as many clients again as descriptors, each of which comes again once it is closed, on the program before: (1) requests got 504 once the crowd had been there for as long as their limit (504 at the 27th and 21st request at 512 and 1,024 descriptors): a request was taken to have waited since there was last room, and with such a crowd there never is. (2) Where the system's limit is lower than the configured one, accepting failed for lack of descriptors 50 times a second (5,411 and 5,797 times), nothing idle was closed before its 2.2 s, and discovery was called 6.6 and 19.8 s after its return.

Change: a connection has waited since as many were accepted as the backlog holds, at most; the shares go by the lower of the two limits, less what the process was started with beyond its own; where accepting fails for lack of descriptors clients hold 16 fewer for 10 s; the crowd's clock no longer starts anew with each event; of a crowd 25 go every 10 ms, after 1,024 at once.

--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -12,6 +12,8 @@
 use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::io::Errno;
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -22,7 +24,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::yield_now;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until, timeout};
 use tower_service::Service;
 
 const BACKLOG: u32 = 1024;
@@ -41,19 +43,49 @@
 const AT_ONCE: Duration = Duration::from_millis(20);
 const LAST_WORDS: Duration = Duration::from_millis(500);
 const CROWD_EVERY: Duration = Duration::from_millis(10);
+/// Of a crowd, connections given up each time, once as many have gone as can wait outside: whoever waits there is reached
+/// within 0.4 s. Guards against a core used up by clients that come again as soon as they are closed.
+const CROWD_STEP: usize = BACKLOG as usize / 40;
 const TRIES_APART: Duration = Duration::from_millis(20); // to accept, after a failure
+/// Descriptors that are left to the rest of the process once they have run out, and for how long clients hold no more.
+const RESERVE: usize = 16;
+const SHORT_FOR: Duration = Duration::from_secs(10);
 
 pub struct Front {
     most: AtomicUsize,           // connections of clients
+    short: Mutex<Option<Short>>, // descriptors have run out lately
     taking: watch::Sender<bool>, // no longer once another process does
     open: AtomicUsize,
     most_kept: usize, // of those, kept for a next command
     kept: AtomicUsize,
-    crowd: Notify, // others wait to get in
-    left: Notify,  // a place is free again
+    crowd: Notify,       // others wait to get in
+    may_go: AtomicUsize, // of a crowd
+    left: Notify,        // a place is free again
     stages: Stages,
 }
 
+#[derive(Clone, Copy)]
+struct Short {
+    most: usize,
+    until: Instant,
+}
+
+/// When connections were accepted, as many as the backlog can hold and one more. Guards against requests taken to have waited
+/// for as long as there was no room, where that is always so as idle clients come again and again.
+#[derive(Default)]
+struct Accepted(VecDeque<Instant>);
+
+impl Accepted {
+    /// One more, while some have waited in the backlog since `full`: since when it may have itself. It came after those that
+    /// the backlog can hold before it; the system lets one more wait than it was told.
+    fn waits_since(&mut self, full: Option<Instant>) -> Option<Instant> {
+        let many = self.0.len() > BACKLOG as usize + 1;
+        let before = many.then(|| self.0.pop_front()).flatten();
+        self.0.push_back(Instant::now());
+        full.max(full.and(before))
+    }
+}
+
 /// Listens; waits a little for a process that still has the address.
 /// With `beside`, another process may have the address, too.
 pub async fn listen(at: SocketAddr, beside: bool) -> Result<TcpListener, String> {
@@ -93,11 +125,13 @@
     pub fn new(most: usize, most_kept: usize, stages: Stages) -> Arc<Self> {
         Arc::new(Front {
             most: AtomicUsize::new(most),
+            short: Mutex::new(None),
             taking: watch::channel(true).0,
             open: AtomicUsize::new(0),
             most_kept,
             kept: AtomicUsize::new(0),
             crowd: Notify::new(),
+            may_go: AtomicUsize::new(BACKLOG as usize),
             left: Notify::new(),
             stages,
         })
@@ -113,6 +147,36 @@
         self.left.notify_one();
     }
 
+    fn most(&self) -> usize {
+        let most = self.most.load(Relaxed);
+        let mut short = self.short.lock().unwrap_or_else(PoisonError::into_inner);
+        *short = short.filter(|short| Instant::now() < short.until);
+        short.map_or(most, |short| most.min(short.most))
+    }
+
+    /// Descriptors have run out, whoever holds them. Guards against clients that hold them all while discovery, probes and
+    /// attempts have none: for a while there are fewer of them than came in.
+    fn runs_short(&self, fault: &std::io::Error) {
+        let most = self.open.load(Relaxed).saturating_sub(RESERVE).max(RESERVE);
+        let short = Short { most, until: Instant::now() + SHORT_FOR };
+        let before = self.short.lock().unwrap_or_else(PoisonError::into_inner).replace(short);
+        if before.is_none_or(|before| before.until < Instant::now()) {
+            log::warn!("accept: {fault}; at most {most} connections of clients for {SHORT_FOR:?}");
+        }
+    }
+
+    /// Others wait to get in.
+    fn crowds(&self) {
+        let more = |may: usize| (may + CROWD_STEP).min(BACKLOG as usize);
+        self.may_go.store(more(self.may_go.load(Relaxed)), Relaxed);
+        self.crowd.notify_waiters();
+    }
+
+    /// Whether one more of a crowd may be given up now.
+    fn one_goes(&self) -> bool {
+        self.may_go.fetch_update(Relaxed, Relaxed, |may| may.checked_sub(1)).is_ok()
+    }
+
     fn few_kept(&self) -> bool {
         self.kept.load(Relaxed) <= self.most_kept / 2
     }
@@ -132,19 +196,25 @@
     let router = Router::new().route("/healthz", get(ready)).fallback(take).with_state(Arc::clone(&intake));
     let (mut stages, mut taking) = (front.stages.clone(), front.taking.subscribe());
     let mut full = None; // since when some may wait in the backlog
+    let (mut accepted, mut crowds) = (Accepted::default(), interval(CROWD_EVERY));
+    crowds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let count = front.open.load(Relaxed);
         // Guards against running out of descriptors: past the limit new connections wait in the backlog.
-        let most = front.most.load(Relaxed);
+        let most = front.most();
         let (room, takes) = (count < most, *taking.borrow_and_update());
         full = full.or((!room).then(Instant::now));
         tokio::select! {
             biased;
             () = reached(&mut stages, Stage::Closed) => break,
-            accepted = listener.accept(), if room && takes => match accepted {
-                Ok((stream, _)) => open(stream, &router, &front, full),
+            _ = crowds.tick(), if count >= most / 4 * 3 => front.crowds(),
+            came = listener.accept(), if room && takes => match came {
+                Ok((stream, _)) => open(stream, &router, &front, accepted.waits_since(full)),
                 Err(fault) => {
-                    log::warn!("accept: {fault}");
+                    match Errno::from_io_error(&fault) {
+                        Some(Errno::MFILE | Errno::NFILE) => front.runs_short(&fault),
+                        _ => log::warn!("accept: {fault}"),
+                    }
                     sleep(TRIES_APART).await;
                 }
             },
@@ -152,13 +222,12 @@
             () = std::future::ready(()), if room && full.is_some() => full = None,
             () = front.left.notified(), if !room => {}
             _ = taking.changed() => {}
-            () = sleep(CROWD_EVERY), if count >= most / 4 * 3 => front.crowd.notify_waiters(),
         }
     }
     // What waits is the other process's where there is one.
     if *taking.borrow() {
         while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-            open(stream, &router, &front, full);
+            open(stream, &router, &front, accepted.waits_since(full));
         }
     }
     drop(listener);
@@ -433,54 +502,17 @@
 async fn crowded_out(front: &Front, talk: &Talk) {
     loop {
         front.crowd.notified().await;
-        let none_left = front.open.load(Relaxed) >= front.most.load(Relaxed);
+        let none_left = front.open.load(Relaxed) >= front.most();
         let span = match (none_left, talk.answered.load(Relaxed)) {
             (true, false) => AT_ONCE,
             (true, true) | (false, false) => QUIET_IN_CROWD,
             (false, true) => KEPT_IN_CROWD,
         };
-        if talk.quiet_for(span) {
+        if talk.quiet_for(span) && front.one_goes() {
             return;
         }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rstest::rstest;
-    use std::io::{Read, Write};
-
-    // herd: a command that came in the very turn in which its connection had been quiet for long enough was not read,
-    // and its connection ended. The process stands still here while both happen.
-    #[rstest]
-    #[tokio::test]
-    async fn what_has_come_by_the_end_of_a_quiet_time_is_read() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (_serving, stages) = watch::channel(Stage::Serving);
-        // So few may be kept that none is for long.
-        let front = Front::new(100, 10, stages);
-        let router = Router::new().fallback(async || "ok");
-        let request = b"GET / HTTP/1.1\r\nHost: b\r\n\r\n";
-        let mut clients = Vec::new();
-        for _ in 0..10 {
-            let mut client = std::net::TcpStream::connect(address).unwrap();
-            client.write_all(request).unwrap();
-            open(listener.accept().await.unwrap().0, &router, &front, None);
-            clients.push(client);
-        }
-        let until = Instant::now() + HEAD_WITHIN;
-        sleep(HEAD_WITHIN - Duration::from_millis(100)).await;
-        for client in &mut clients {
-            assert!(client.read(&mut [0; 1000]).unwrap() > 0);
-            client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-            client.write_all(request).unwrap();
-        }
-        std::thread::sleep(until + Duration::from_millis(50) - Instant::now());
-        sleep(Duration::from_millis(50)).await;
-        for client in &mut clients {
-            assert!(client.read(&mut [0; 1000]).unwrap() > 0);
-        }
-    }
-}
+mod tests;
--- a/crates/passroad/src/room.rs
+++ b/crates/passroad/src/room.rs
@@ -15,6 +15,21 @@
 const BESIDE: usize = 16;
 const LEAST: usize = 16;
 
+/// Descriptors that the process may hold by the system's limit, less those that it was started with beyond its own. Guards
+/// against clients that take the last of them where that is lower than what the configuration says: discovery, probes and
+/// attempts would have none.
+fn allowed() -> usize {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let open = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
+    limit(&limits).map_or(usize::MAX, |limit| limit.saturating_sub(open.saturating_sub(OTHER / 2)))
+}
+
+/// The soft limit on descriptors; none where there is none.
+fn limit(limits: &str) -> Option<usize> {
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 /// Connections of clients and to endpoints, at most.
 #[derive(Clone, Copy)]
 pub struct Shares {
@@ -41,7 +56,7 @@
 impl Limits {
     pub fn of(start: &Start, before: Option<&Inherited>) -> Self {
         let other = OTHER + start.management.map_or(0, |_| management::SOCKETS);
-        let sockets = start.sockets.saturating_sub(other);
+        let sockets = start.sockets.min(allowed()).saturating_sub(other);
         // What the process before holds is not free yet; where it does not say, half is.
         let theirs = before.map_or(0, |before| match &before.known {
             Some(known) => known.descriptors + BESIDE,
--- /dev/null
+++ b/crates/passroad/tests/descriptors.rs
@@ -0,0 +1,133 @@
+//! Idle clients that fill the descriptors while discovery is down. See `docs/crossings.md`.
+
+mod crowd;
+mod stand_ins;
+
+use crowd::{Crowd, Limited};
+use rstest::rstest;
+use stand_ins::*;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// Does nothing, unless a test has started this process as one of its crowd.
+#[test]
+fn a_process_of_the_crowd() {
+    crowd::play();
+}
+
+/// A discovery that is back: tells a list and lets watches from there wait. When it was called first.
+fn back(at: SocketAddr, list: String) -> Arc<Mutex<Option<Instant>>> {
+    let (came, listener) = (Arc::<Mutex<Option<Instant>>>::default(), TcpListener::bind(at).unwrap());
+    let own = Arc::clone(&came);
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (own, list) = (Arc::clone(&own), list.clone());
+            spawn(move || {
+                let (mut reader, mut stream) = (BufReader::new(stream.try_clone().unwrap()), stream);
+                while let Some(call) = Message::read(&mut reader) {
+                    if !call.word().contains("from=9&") {
+                        own.lock().unwrap().get_or_insert(Instant::now());
+                        answer(&mut stream, "200 OK", "", list.as_bytes());
+                    }
+                }
+            });
+        }
+    });
+    came
+}
+
+/// One request over a connection of its own that sends at once, as clients do; the answer's status and body.
+fn request(to: SocketAddr, id: &str) -> Option<(String, Vec<u8>)> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
+    stream.write_all(patiently(&look(id)).as_bytes()).ok()?;
+    let answer = Message::read(&mut BufReader::new(stream))?;
+    Some((answer.word().to_string(), answer.body))
+}
+
+/// Requests one after the other, of which each has to be answered.
+struct Requests {
+    to: SocketAddr,
+    count: usize,
+    refused: usize,
+    worst: Duration,
+}
+
+impl Requests {
+    /// The body of the next one's answer; one that is refused (503) is sent once more, as clients do.
+    fn next(&mut self) -> Vec<u8> {
+        let asked = Instant::now();
+        let body = loop {
+            self.count += 1;
+            let (status, body) = request(self.to, &self.count.to_string()).expect("an answer");
+            match status.as_str() {
+                "200" => break body,
+                "503" => self.refused += 1,
+                other => panic!("request {}: {other}", self.count),
+            }
+        };
+        self.worst = self.worst.max(asked.elapsed());
+        sleep(50 * MS);
+        body
+    }
+}
+
+// The crowd comes while discovery is down, and fills all that clients may hold. Requests come meanwhile; then discovery is
+// back and has a drain to tell. The process may hold as many descriptors as it was told, or fewer; or fewer than it had seen
+// at its start, so that it learns of them only by failing to accept.
+#[rstest]
+#[case::of_512(512, 512, None)]
+#[case::of_1024(1024, 1024, None)]
+#[case::of_512_told_1024(512, 1024, None)]
+#[case::of_1024_told_4096(1024, 4096, None)]
+#[case::of_512_from_1024(1024, 1024, Some(512))]
+#[case::of_1024_from_4096(4096, 4096, Some(1024))]
+fn idle_clients_that_fill_the_descriptors_keep_no_watch_from_going_out(
+    #[case] at_start: usize,
+    #[case] told_limit: usize,
+    #[case] later: Option<usize>,
+) {
+    let (first, second) = (willing("first"), willing("second"));
+    let both = |phase| [member("s-1", first.address, phase), member("s-2", second.address, "up")].join(",");
+    let (address, discovery) = (nowhere(), nowhere());
+    let settings = patient().replace("\"ask_every\":400000000", "\"ask_every\":10000000000");
+    let text = told(address, discovery, &both("up"), &settings)
+        .replace("\"sockets\":64", &format!("\"sockets\":{told_limit}"));
+    let sidecar = Limited::start(address, &text, at_start);
+    later.into_iter().for_each(|limit| sidecar.limit(limit));
+    let limit = later.unwrap_or(at_start);
+    let crowd = Crowd::come(address, limit * 3 / 2);
+    until(|| sidecar.descriptors() > limit / 2);
+    let (began, used) = (Instant::now(), sidecar.processor());
+    let mut requests = Requests { to: address, count: 0, refused: 0, worst: Duration::ZERO };
+    // For longer than a request's limit: the crowd has then been there for as long as any request may wait.
+    while began.elapsed() < Duration::from_secs(9) {
+        requests.next();
+        assert!(sidecar.descriptors() <= limit, "{}", sidecar.descriptors());
+    }
+    let list = format!(r#"{{"revision":9,"complete":true,"members":[{}]}}"#, both("draining"));
+    let (returned, came) = (Instant::now(), back(discovery, list));
+    until(|| came.lock().unwrap().is_some());
+    let waited = came.lock().unwrap().unwrap() - returned;
+    until(|| (0..10).all(|_| requests.next() == b"second"));
+    let (spent, used) = (began.elapsed().as_secs_f64(), sidecar.processor() - used);
+    let again = crowd.go();
+    let a_second = again as f64 / spent;
+    println!(
+        "watched {waited:?} after the return; {} requests, {} refused, the slowest {:?}; {a_second:.0} came again a second, {:.2} of a core, {} spells of failed accepts",
+        requests.count,
+        requests.refused,
+        requests.worst,
+        used as f64 / 100.0 / spent,
+        sidecar.said("accept: ")
+    );
+    assert!(waited < Duration::from_secs(6), "{waited:?}");
+    // Each is let in and closed again: 2,500 a second, and all places once more at first.
+    assert!(a_second < 3500.0, "{a_second}");
+    // One line a spell of ten seconds, where accepting fails at all.
+    assert!(sidecar.said("accept: ") <= 6);
+    assert_eq!(sidecar.said("accept: ") > 0, later.is_some());
+}
--- a/crates/passroad/tests/discovery.rs
+++ b/crates/passroad/tests/discovery.rs
@@ -18,6 +18,9 @@
 /// STANDING: whatever failed before, a change counts as told so long after discovery had it and could be reached.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 
+/// When something happened first, or last.
+type Moment = Arc<Mutex<Option<Instant>>>;
+
 /// How a call of discovery fails.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Failure {
@@ -105,9 +108,8 @@
     #[values("on_request", "pushed")] mode: &str,
 ) {
     let (_first, _second, known, told) = about_to_drain();
-    let (calls, failed_at, told_at) = (AtomicUsize::new(0), Arc::default(), Arc::default());
-    let (last, heard): (Arc<Mutex<Option<Instant>>>, Arc<Mutex<Option<Instant>>>) =
-        (Arc::clone(&failed_at), Arc::clone(&told_at));
+    let (calls, failed_at, told_at) = (AtomicUsize::new(0), Moment::default(), Moment::default());
+    let (last, heard) = (Arc::clone(&failed_at), Arc::clone(&told_at));
     let discovery = stand_in(move |_, to| {
         let call = calls.fetch_add(1, SeqCst);
         if call < well {
@@ -130,8 +132,8 @@
 }
 
 /// Serves a discovery's calls from a listener: each is told the same. When the first call came.
-fn tells_from(listener: TcpListener, told: String) -> Arc<Mutex<Option<Instant>>> {
-    let came = Arc::<Mutex<Option<Instant>>>::default();
+fn tells_from(listener: TcpListener, told: String) -> Moment {
+    let came = Moment::default();
     let own = Arc::clone(&came);
     spawn(move || {
         for stream in listener.incoming().flatten() {
