--- /dev/null
+++ b/crates/passroad/tests/cancellation.rs
@@ -0,0 +1,286 @@
+//! A client that has closed, reset or shut its connection has gone: no attempt of its request begins any more, neither the
+//! first nor a further one nor a second copy, wherever it waited. The process stands still for 150 ms between the leaving and
+//! what would have been the send; both lie ready when it goes on. See `docs/crossings.md`.
+
+mod clients;
+mod stand_ins;
+
+use clients::*;
+use rstest::rstest;
+use stand_ins::*;
+use std::io::BufReader;
+use std::net::{Shutdown, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::thread::sleep;
+
+/// Rounds, so that each of two endpoints alike comes first in some.
+const ROUNDS: usize = 4;
+
+/// A request that goes on after `first` where its client stays.
+fn request(first: First, id: &str) -> String {
+    patiently(&if first == First::Declined { book(id) } else { look(id) })
+}
+
+fn warm_up(sidecar: &Sidecar, endpoints: [&StandIn; 2]) {
+    let mut n = 0;
+    until(|| {
+        n += 1;
+        let mut clients: Vec<_> =
+            (0..3).map(|k| sends(sidecar, &patiently(&look(&format!("warm{n}-{k}"))))).collect();
+        clients.iter_mut().for_each(|client| assert_eq!(Message::read(client).unwrap().word(), "200"));
+        endpoints.iter().all(|endpoint| endpoint.count() > 3)
+    });
+}
+
+// ---- further attempts ----
+
+// What came of the first attempt and the leaving lie ready in one turn. The next attempt would need a new connection, or one
+// that is kept and rests.
+#[rstest]
+fn no_further_attempt_begins_once_the_client_left(
+    #[values(First::Declined, First::Failed, First::Reset)] first: First,
+    #[values(Leaves::Closes, Leaves::Resets, Leaves::ShutsSending, Leaves::BehindNext)] how: Leaves,
+    #[values(false, true)] kept: bool,
+) {
+    for _ in 0..ROUNDS {
+        let (gate, attempts) = (Gate::default(), Arc::<AtomicUsize>::default());
+        let (one, other) = (fails_first(&gate, &attempts, first), fails_first(&gate, &attempts, first));
+        let sidecar = sidecar_with(&both(&one, &other), nowhere(), &unhurried());
+        if kept {
+            warm_up(&sidecar, [&one, &other]);
+        }
+        let client = sends(&sidecar, &request(first, "left"));
+        until(|| attempts.load(SeqCst) == 1);
+        let rest = cross(&sidecar, client, how, || gate.open());
+        assert_eq!(sidecar.ask(&patiently(&look("next-one"))).word(), "200");
+        sleep(50 * MS);
+        assert_eq!(attempts.load(SeqCst), 1);
+        drop(rest);
+    }
+}
+
+// The same where the client stays: there is a further attempt, so the test above tells something.
+#[rstest]
+fn a_further_attempt_begins_where_the_client_stays(
+    #[values(First::Declined, First::Failed, First::Reset)] first: First,
+) {
+    let (gate, attempts) = (Gate::default(), Arc::<AtomicUsize>::default());
+    let (one, other) = (fails_first(&gate, &attempts, first), fails_first(&gate, &attempts, first));
+    let sidecar = sidecar_with(&both(&one, &other), nowhere(), &unhurried());
+    let mut client = sends(&sidecar, &request(first, "left"));
+    until(|| attempts.load(SeqCst) == 1);
+    gate.open();
+    assert_eq!(Message::read(&mut client).unwrap().word(), "200");
+    assert_eq!(attempts.load(SeqCst), 2);
+}
+
+/// A sidecar whose first attempt of `left` was turned away, and whose next one waits for a connection.
+fn second_waits_for_a_connection() -> (Sidecar, BufReader<std::net::TcpStream>, Late) {
+    let (gate, attempts, late) = (Gate::default(), Arc::<AtomicUsize>::default(), Late::new());
+    let first = fails_first(&gate, &attempts, First::Declined);
+    let known = member("s-1", first.address, "up");
+    let discovery = discovery(&known);
+    let sidecar = sidecar_with(&known, discovery.stand_in.address, &unhurried());
+    let client = sends(&sidecar, &patiently(&book("left")));
+    until(|| attempts.load(SeqCst) == 1);
+    let list = format!("{},{}", member("s-1", first.address, "draining"), member("s-2", late.address, "up"));
+    *discovery.list.lock().unwrap() = (2, list);
+    until(|| discovery.stand_in.seen.lock().unwrap().iter().any(|m| m.word().contains("from=2&")));
+    gate.open();
+    until(|| dials(late.address));
+    (sidecar, client, late)
+}
+
+// The connection of a further attempt comes up after the client has left, or in the same turn.
+#[rstest]
+fn the_connection_of_a_further_attempt_comes_up_for_nobody(
+    #[values(Leaves::Closes, Leaves::Resets, Leaves::ShutsSending, Leaves::BehindNext)] how: Leaves,
+    #[values(false, true)] same_turn: bool,
+) {
+    let (sidecar, client, late) = second_waits_for_a_connection();
+    let address = late.address;
+    let (came, _rest) = if same_turn {
+        sidecar.signal("STOP");
+        let rest = leave(client, how);
+        let waits = late.lets_in();
+        sleep(2500 * MS);
+        sidecar.signal("CONT");
+        (waits.join().unwrap(), rest)
+    } else {
+        let rest = leave(client, how);
+        // What it held is free at once: its connection is given up.
+        until(|| !dials(address));
+        (late.lets_in().join().unwrap(), rest)
+    };
+    assert!(!says(&came, "left"), "{}", String::from_utf8_lossy(&came));
+}
+
+// All endpoints refuse connections, and the request waits out their backoff; one takes connections again, and the backoff
+// ends in the turn in which the client leaves.
+#[rstest]
+#[case::closes(Leaves::Closes)]
+#[case::resets(Leaves::Resets)]
+#[case::shuts_sending(Leaves::ShutsSending)]
+#[case::behind_a_next_request(Leaves::BehindNext)]
+fn no_attempt_begins_behind_a_backoff_once_the_client_left(#[case] how: Leaves) {
+    for _ in 0..ROUNDS {
+        let address = nowhere();
+        let sidecar = sidecar_with(&member("s-1", address, "up"), nowhere(), &unhurried());
+        let client = sends(&sidecar, &patiently(&book("left")));
+        sleep(30 * MS);
+        let mut listens = None;
+        let _rest = cross(&sidecar, client, how, || {
+            let listener = TcpListener::bind(address).unwrap();
+            let came = Arc::new(std::sync::Mutex::new(Vec::new()));
+            let own = Arc::clone(&came);
+            std::thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let mut reader = BufReader::new(stream);
+                    while let Some(message) = Message::read(&mut reader) {
+                        own.lock().unwrap().push(message.header("req-id"));
+                        answer(reader.get_mut(), "200 OK", "", b"ok");
+                    }
+                }
+            });
+            listens = Some(came);
+            sleep(1000 * MS);
+        });
+        let came = listens.unwrap();
+        until(|| sidecar.ask(&patiently(&look("next-one"))).word() == "200");
+        assert!(!came.lock().unwrap().contains(&Some("left".into())), "{:?}", came.lock().unwrap());
+    }
+}
+
+// ---- second copies ----
+
+fn with_copies() -> String {
+    unhurried().replace("\"second_copies\":false", "\"second_copies\":true")
+}
+
+/// An endpoint that takes its time, so that a copy is due some time after the first attempt; `left` is never answered.
+fn unhurried_endpoint(attempts: &Arc<AtomicUsize>) -> StandIn {
+    let attempts = Arc::clone(attempts);
+    stand_in(move |message, to| {
+        if message.header("req-id").is_some_and(|id| id.starts_with("left")) {
+            attempts.fetch_add(1, SeqCst);
+            return true;
+        }
+        sleep(150 * MS);
+        answer(to, "200 OK", "", b"ok");
+        true
+    })
+}
+
+/// A sidecar that knows how long its endpoints take.
+fn knows_pace(settings: &str, attempts: &Arc<AtomicUsize>) -> (Sidecar, StandIn, StandIn) {
+    let (one, other) = (unhurried_endpoint(attempts), unhurried_endpoint(attempts));
+    let sidecar = sidecar_with(&both(&one, &other), nowhere(), settings);
+    for n in 0..12 {
+        assert_eq!(sidecar.ask(&patiently(&look(&format!("warm{n}")))).word(), "200");
+    }
+    (sidecar, one, other)
+}
+
+// The first attempt hangs; its copy is due in the turn in which the client leaves.
+#[rstest]
+#[case::closes(Leaves::Closes)]
+#[case::resets(Leaves::Resets)]
+#[case::shuts_sending(Leaves::ShutsSending)]
+#[case::behind_a_next_request(Leaves::BehindNext)]
+fn no_second_copy_begins_once_the_client_left(#[case] how: Leaves) {
+    let attempts = Arc::<AtomicUsize>::default();
+    let (sidecar, ..) = knows_pace(&with_copies(), &attempts);
+    let mut rounds = 0;
+    // On a slow machine the copy may have gone out before the process stands still.
+    for n in 0..40 {
+        attempts.store(0, SeqCst);
+        let client = sends(&sidecar, &patiently(&look(&format!("left{n}"))));
+        until(|| attempts.load(SeqCst) > 0);
+        sidecar.signal("STOP");
+        sleep(5 * MS);
+        let before = attempts.load(SeqCst);
+        let rest = leave(client, how);
+        sleep(1500 * MS);
+        sidecar.signal("CONT");
+        assert_eq!(sidecar.ask(&patiently(&look(&format!("next{n}")))).word(), "200");
+        assert_eq!(attempts.load(SeqCst), before);
+        drop(rest);
+        rounds += usize::from(before == 1);
+        if rounds == 2 {
+            return;
+        }
+    }
+    panic!("the copy always went out before");
+}
+
+#[rstest]
+fn a_second_copy_begins_where_the_client_stays() {
+    let attempts = Arc::<AtomicUsize>::default();
+    let (sidecar, ..) = knows_pace(&with_copies(), &attempts);
+    let _client = sends(&sidecar, &patiently(&look("left")));
+    until(|| attempts.load(SeqCst) == 2);
+}
+
+// ---- waiting for a permit ----
+
+// All connections to endpoints are taken; one ends in the turn in which the client of what waits for it leaves.
+#[rstest]
+fn what_waited_for_a_permit_to_connect_is_not_sent_once_its_client_left(
+    #[values(false, true)] further: bool,
+    #[values(Leaves::Closes, Leaves::Resets, Leaves::ShutsSending, Leaves::BehindNext)] how: Leaves,
+) {
+    // Six connections to endpoints.
+    const OUT: usize = 6;
+    let (gate, turns_away, attempts) = (Gate::default(), Gate::default(), Arc::<AtomicUsize>::default());
+    let endpoint = |_| {
+        let (own, turns_away, attempts) = (gate.clone(), turns_away.clone(), Arc::clone(&attempts));
+        stand_in(move |message, to| {
+            if message.header("req-id").is_some_and(|id| id.starts_with("left")) {
+                if attempts.fetch_add(1, SeqCst) == 0 && further {
+                    turns_away.pass();
+                    declines(to);
+                    let _ = to.shutdown(Shutdown::Both);
+                    return false;
+                }
+                answer(to, "200 OK", "", b"ok");
+                return true;
+            }
+            own.pass();
+            answer(to, "200 OK", "Connection: close\r\n", b"ok");
+            let _ = to.shutdown(Shutdown::Both);
+            false
+        })
+    };
+    let endpoints: Vec<_> = (0..12).map(endpoint).collect();
+    let known: Vec<_> =
+        endpoints.iter().enumerate().map(|(n, e)| member(&format!("s-{n}"), e.address, "up")).collect();
+    let address = nowhere();
+    let text = told(address, nowhere(), &known.join(","), &unhurried());
+    let sidecar = Sidecar::start(address, &text.replace("\"sockets\":64", "\"sockets\":48"));
+    let out = || endpoints.iter().map(StandIn::count).sum::<usize>();
+    let holds = |n: usize| sends(&sidecar, &patiently(&book(&format!("holds{n}"))));
+    let (client, others): (_, Vec<_>) = if further {
+        let client = sends(&sidecar, &patiently(&book("left")));
+        until(|| attempts.load(SeqCst) == 1);
+        // The last of them gets the connection that `left` gives back.
+        let others = (0..OUT).map(holds).collect();
+        until(|| out() == OUT);
+        turns_away.open();
+        until(|| out() == OUT + 1);
+        (client, others)
+    } else {
+        let others = (0..OUT).map(holds).collect();
+        until(|| out() == OUT);
+        (sends(&sidecar, &patiently(&book("left"))), others)
+    };
+    sleep(100 * MS);
+    let before = attempts.load(SeqCst);
+    let rest = cross(&sidecar, client, how, || gate.open());
+    for mut other in others {
+        assert_eq!(Message::read(&mut other).unwrap().word(), "200");
+    }
+    sleep(50 * MS);
+    assert_eq!(attempts.load(SeqCst), before);
+    drop(rest);
+}
