--- a/crates/passroad-rig/src/lib.rs
+++ b/crates/passroad-rig/src/lib.rs
@@ -1,6 +1,7 @@
 //! The rig: a fleet, its clients and its faults as models, in virtual time and behind real sockets, with a ledger that
 //! judges what went over the wire, baselines to be held against, experiments as files, and reports.
 
+pub mod added_latency;
 pub mod baseline;
 pub mod chance;
 pub mod compare;
--- a/crates/passroad-rig/src/main.rs
+++ b/crates/passroad-rig/src/main.rs
@@ -1,6 +1,7 @@
 //! `passroad-rig`: experiments from files, played and judged.
 
 use clap::{Parser, Subcommand};
+use passroad_rig::added_latency::{self, Asked, Connections};
 use passroad_rig::experiment::{self, POLICIES, Plan, Sockets};
 use passroad_rig::sockets::{self, Program};
 use passroad_rig::{compare, report, run};
@@ -88,11 +89,75 @@
         #[arg(long)]
         no_fence: bool,
     },
+    /// Measure what a call gains in a sidecar: the same load straight to the endpoints and through it, by turns.
+    AddedLatency(AddedLatency),
     /// Run the sidecar itself, as the rig does on sockets; it reads LB_CONFIG and ends with its standard input.
     #[command(hide = true)]
     Sidecar,
 }
 
+#[derive(clap::Args)]
+struct AddedLatency {
+    /// Calls a second, one measurement each.
+    #[arg(long, value_delimiter = ',', default_value = "230,920", value_parser = clap::value_parser!(u32).range(1..=20_000))]
+    rate: Vec<u32>,
+    /// Whether connections outlive a call: warm, cold.
+    #[arg(long, value_delimiter = ',', default_value = "warm,cold", value_parser = connections)]
+    connections: Vec<Connections>,
+    /// How long each arm has the load, in turns of a second.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u32).range(2..=600))]
+    seconds: u32,
+    /// Calls within calls, each with a sidecar of its own.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=9))]
+    depth: u32,
+    /// Endpoints of each tier.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u32).range(1..=60))]
+    endpoints: u32,
+    /// Of a call at its endpoint, in milliseconds.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(0..=100))]
+    work_ms: u64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Only straight and as shipped, not the arms that say where the difference goes.
+    #[arg(long)]
+    no_parts: bool,
+    /// Start this program in place of the one built in.
+    #[arg(long, value_name = "PATH")]
+    sidecar: Option<PathBuf>,
+    /// Write points for slopes as JSON to this file.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+fn connections(text: &str) -> Result<Connections, String> {
+    match text {
+        "warm" => Ok(Connections::Warm),
+        "cold" => Ok(Connections::Cold),
+        _ => Err(format!("'{text}' is neither warm nor cold")),
+    }
+}
+
+/// Whether every call was answered.
+fn added(told: AddedLatency) -> Result<bool, String> {
+    let asked = Asked {
+        rates: told.rate,
+        connections: told.connections,
+        rounds: told.seconds as usize,
+        depth: told.depth as usize,
+        endpoints: told.endpoints as usize,
+        work: Duration::from_millis(told.work_ms),
+        seed: told.seed,
+        parts: !told.no_parts,
+    };
+    let all = added_latency::run(&asked, &program(told.sidecar)?)?;
+    print!("{}", added_latency::text(&asked, &all));
+    if let Some(path) = &told.json {
+        let points = added_latency::json(&asked, &all, &added_latency::command(), &added_latency::commit());
+        write(path, &serde_json::to_string_pretty(&points).map_err(|e| e.to_string())?)?;
+    }
+    Ok(all.iter().all(added_latency::Measured::whole))
+}
+
 /// Where reports go beside standard output.
 #[derive(clap::Args)]
 struct Out {
@@ -194,6 +259,7 @@
 fn act(what: What) -> Result<bool, String> {
     match what {
         What::Sidecar => Ok(true),
+        What::AddedLatency(told) => added(told),
         What::Histories { from, count, threads, no_fence } => {
             let sums = passroad_rig::fleet::histories::run(from, count, threads, !no_fence);
             println!(
