--- a/crates/passroad-rig/src/added_latency/mod.rs
+++ b/crates/passroad-rig/src/added_latency/mod.rs
@@ -143,6 +143,8 @@
     pub arms: Vec<Arm>,
     /// Microseconds by which calls were sent after they were due.
     pub late: Histogram<u64>,
+    /// The share of all cores' time that the machine's host gave to others meanwhile.
+    pub stolen: f64,
 }
 
 impl Measured {
@@ -335,6 +337,7 @@
     }
     let due = schedule(rate, asked.seed, built.len(), asked.rounds);
     let (next, made, begins) = (AtomicUsize::new(0), Mutex::new(Vec::new()), Instant::now() + LEAD);
+    let before = clock();
     let mut sums = vec![(Seen::default(), Used::default(), Used::default()); built.len()];
     std::thread::scope(|scope| -> io::Result<()> {
         for _ in 0..CALLERS {
@@ -406,7 +409,17 @@
             arm.due[call.round - 1].saturating_record(micros(lateness + took));
         }
     }
-    Ok(Measured { rate, connections, arms, late })
+    let (all, stolen) = clock();
+    let stolen = (stolen - before.1) / (all - before.0).max(1.0);
+    Ok(Measured { rate, connections, arms, late, stolen })
+}
+
+/// Ticks of all cores so far, and of those the ones that the machine's host gave to others; none where it is not told.
+fn clock() -> (f64, f64) {
+    let stat = std::fs::read_to_string("/proc/stat").unwrap_or_default();
+    let ticks = stat.lines().next().unwrap_or_default().split_whitespace().skip(1);
+    let ticks: Vec<f64> = ticks.take(8).filter_map(|n| n.parse().ok()).collect();
+    (ticks.iter().sum(), ticks.get(7).copied().unwrap_or_default())
 }
 
 /// One caller: takes the next call that nobody has, waits until it is due, and makes it.
--- a/crates/passroad-rig/src/added_latency/report.rs
+++ b/crates/passroad-rig/src/added_latency/report.rs
@@ -26,6 +26,14 @@
     whole.unwrap_or_else(|| Histogram::new(3).expect("three digits are allowed"))
 }
 
+/// The share of calls that took longer than the budget on top of the median straight call.
+fn over(arm: &Arm, direct: &Arm) -> f64 {
+    let most = sum(&direct.sent).value_at_quantile(0.5) + (BUDGET_MS * 1000.0) as u64;
+    let whole = sum(&arm.sent);
+    let within = whole.count_between(0, most);
+    (whole.len() - within) as f64 / whole.len().max(1) as f64
+}
+
 fn ms(of: &Histogram<u64>, quantile: f64) -> f64 {
     of.value_at_quantile(quantile) as f64 / 1000.0
 }
@@ -152,8 +160,17 @@
     )?;
     writeln!(
         out,
-        "{:<34} {:>7} {:>6}  {:>8} {:>8} {:>8}   {:>8} {:>8} {:>8}",
-        "ms from sent, then from due", "calls", "failed", "p50", "p99", "p99.9", "p50", "p99", "p99.9"
+        "{:<34} {:>7} {:>6}  {:>8} {:>8} {:>8}   {:>8} {:>8} {:>8} {:>9}",
+        "ms from sent, then from due",
+        "calls",
+        "failed",
+        "p50",
+        "p99",
+        "p99.9",
+        "p50",
+        "p99",
+        "p99.9",
+        "over"
     )?;
     for arm in &measured.arms {
         write!(out, "{:<34} {:>7} {:>6} ", name(arm.way, asked), arm.calls, arm.failed)?;
@@ -162,7 +179,10 @@
             QUANTILES.iter().try_for_each(|(_, q)| write!(out, " {:>8.3}", ms(&whole, *q)))?;
             write!(out, "  ")?;
         }
-        writeln!(out)?;
+        match measured.arm(Way::Direct) {
+            Some(direct) => writeln!(out, "{:>7.2}%", over(arm, direct) * 100.0)?,
+            None => writeln!(out)?,
+        }
     }
     if let (Some(via), Some(direct)) = (measured.arm(Way::SHIPPED), measured.arm(Way::Direct)) {
         let added = gains(&via.sent, &direct.sent, asked.seed);
@@ -170,6 +190,11 @@
         line(out, "added", "the same, from due", gains(&via.due, &direct.due, asked.seed))?;
         let (p99, error) = (added[1].ms / BUDGET_MS, added[1].error / BUDGET_MS);
         writeln!(out, "  budget {BUDGET_MS} ms for 99 in 100: {p99:.2} +- {error:.2} of it")?;
+        writeln!(
+            out,
+            "  over: share of calls that took {BUDGET_MS} ms longer than the median straight one; as shipped less direct {:.2}%",
+            (over(via, direct) - over(direct, direct)) * 100.0
+        )?;
     }
     for (part, what, more, less) in parts(measured) {
         line(out, part, what, gains(&more.sent, &less.sent, asked.seed))?;
@@ -204,10 +229,11 @@
     }
     writeln!(
         out,
-        "  the load itself was late by p50 {:.3}, p99 {:.3}, p99.9 {:.3} ms",
+        "  the load itself was late by p50 {:.3}, p99 {:.3}, p99.9 {:.3} ms; the machine's host took {:.2}% of its time",
         ms(&measured.late, 0.5),
         ms(&measured.late, 0.99),
-        ms(&measured.late, 0.999)
+        ms(&measured.late, 0.999),
+        measured.stolen * 100.0
     )?;
     writeln!(
         out,
@@ -256,6 +282,8 @@
             put(format!("added-{q}-error"), "ms", "twice-standard-error", from_sent[n].error);
             put(format!("added-{q}-from-due"), "ms", "mean", from_due[n].ms);
         }
+        put("direct-over-budget".into(), "share", "mean", over(direct, direct));
+        put("via-over-budget".into(), "share", "mean", over(via, direct));
         let costs = costs(via, asked, measured.arms.len());
         put("cpu-per-call".into(), "us", "mean", costs.cpu_us);
         put("cpu".into(), "core", "mean", costs.cpu);
