--- a/crates/passroad-rig/src/lib.rs
+++ b/crates/passroad-rig/src/lib.rs
@@ -2,6 +2,7 @@
 //! judges what went over the wire, baselines to be held against, experiments as files, and reports.
 
 pub mod baseline;
+pub mod capacity;
 pub mod chance;
 pub mod compare;
 pub mod experiment;
--- a/crates/passroad-rig/src/main.rs
+++ b/crates/passroad-rig/src/main.rs
@@ -88,6 +88,8 @@
         #[arg(long)]
         no_fence: bool,
     },
+    /// Write the tables of docs/CAPACITY.md: what each role needs at the target's size, and what breaks first.
+    Capacity(passroad_rig::capacity::Told),
     /// Run the sidecar itself, as the rig does on sockets; it reads LB_CONFIG and ends with its standard input.
     #[command(hide = true)]
     Sidecar,
@@ -194,6 +196,7 @@
 fn act(what: What) -> Result<bool, String> {
     match what {
         What::Sidecar => Ok(true),
+        What::Capacity(told) => passroad_rig::capacity::act(&told, write),
         What::Histories { from, count, threads, no_fence } => {
             let sums = passroad_rig::fleet::histories::run(from, count, threads, !no_fence);
             println!(
--- /dev/null
+++ b/crates/passroad-rig/tests/capacity.rs
@@ -0,0 +1,327 @@
+//! The page of capacity: fits that find laws, targets that are refused, and a check that sees a changed figure.
+
+use passroad_rig::capacity::fit::{Form, fit};
+use passroad_rig::capacity::page::{BEGIN, END, breaking, figure, tables, with_tables};
+use passroad_rig::capacity::roles::ROLES;
+use passroad_rig::capacity::slopes::{Source, from_points, read_points};
+use passroad_rig::capacity::target;
+use proptest::prelude::*;
+use rstest::rstest;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+
+const SIZES: [f64; 5] = [61.0, 122.0, 305.0, 610.0, 1220.0];
+
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn target_text() -> String {
+    std::fs::read_to_string(repository().join("capacity/target.toml")).unwrap()
+}
+
+/// A folder with what the command reads and a page, gone with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        static COUNT: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("rig-capacity-{}-{}", std::process::id(), COUNT.fetch_add(1, SeqCst));
+        let folder = Folder(std::env::temp_dir().join(name));
+        std::fs::create_dir_all(folder.0.join("capacity/points")).unwrap();
+        std::fs::create_dir_all(folder.0.join("docs")).unwrap();
+        folder.put("capacity/target.toml", &target_text());
+        folder.put(
+            "capacity/assumed.toml",
+            "[[law]]\nrole = \"discovery\"\nquantity = \"bytes-out\"\nunit = \"B/s\"\ncondition = \"event:start\"\n\
+             statistic = \"worst-second\"\nby = \"sidecars*endpoints\"\nslope = 150\nwhy = \"an entry is 150 bytes\"\n",
+        );
+        folder.put("capacity/points/one.json", &points("one", false, |n| 100.0 + 2.0 * n));
+        folder.put("docs/CAPACITY.md", &format!("# Capacity\n\n{BEGIN}\n{END}\n\nEnd.\n"));
+        folder
+    }
+
+    fn put(&self, name: &str, text: &str) {
+        std::fs::write(self.0.join(name), text).unwrap();
+    }
+
+    fn get(&self, name: &str) -> String {
+        std::fs::read_to_string(self.0.join(name)).unwrap()
+    }
+
+    fn rig(&self, words: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_passroad-rig"));
+        command.args(["capacity", "--root"]).arg(&self.0).args(words).output().unwrap()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Bytes into a sidecar at rest, at all sizes.
+fn points(run: &str, simulated: bool, law: impl Fn(f64) -> f64) -> String {
+    let point = |n: &f64| {
+        serde_json::json!({
+            "role": "control", "quantity": "bytes-in", "unit": "B/s", "condition": "rest", "statistic": "busiest",
+            "kind": "hollow", "at": { "sidecars": n, "endpoints": n, "services": 62 }, "value": law(*n),
+        })
+    };
+    let points: Vec<_> = SIZES.iter().map(point).collect();
+    serde_json::json!({ "run": run, "commit": "abc", "seed": 1, "simulated": simulated, "points": points })
+        .to_string()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+proptest! {
+    #[test]
+    fn fits_find_the_law_they_are_given(
+        form in prop::sample::select(vec![Form::Constant, Form::Linear, Form::Sqrt, Form::Log, Form::Quadratic]),
+        constant in 1.0..100.0f64,
+        rise in 1.0..20.0f64, // of the largest size, over the constant
+        noise in prop::collection::vec(-1.0..1.0f64, 15),
+    ) {
+        let slope = constant * rise / form.of(1220.0).max(1.0);
+        let law = |x: f64| constant + slope * form.of(x);
+        // Three seeds at each size, a thousandth apart.
+        let dots: Vec<(f64, f64)> = (0..15)
+            .map(|n| (SIZES[n % 5], law(SIZES[n % 5]) + noise[n] * 1e-3 * constant))
+            .collect();
+        let found = fit(&dots).expect("points");
+        prop_assert_eq!(found.form, form);
+        for x in [100.0, 610.0, 3050.0] {
+            prop_assert!((found.at(x) / law(x) - 1.0).abs() < 0.02, "{} for {} at {}", found.at(x), law(x), x);
+        }
+        prop_assert!(found.error <= 1.1e-3 * constant);
+    }
+
+    #[test]
+    fn noise_alone_is_no_growth_that_leads_far_away(noise in prop::collection::vec(-1.0..1.0f64, 15)) {
+        let dots: Vec<(f64, f64)> = (0..15).map(|n| (SIZES[n % 5], 50.0 + noise[n])).collect();
+        let found = fit(&dots).expect("points");
+        prop_assert!((found.at(610.0) - 50.0).abs() < 2.0);
+    }
+}
+
+#[rstest]
+#[case(&[], None)]
+#[case(&[(610.0, 4.0), (610.0, 6.0)], Some((Form::Constant, 5.0, 1.0, 1)))]
+#[case(&[(61.0, 10.0), (610.0, 10.1)], Some((Form::Constant, 10.05, 0.05, 2)))]
+#[case(&[(61.0, 10.0), (610.0, 100.0)], Some((Form::Linear, 100.0, 0.0, 2)))]
+// Three sizes make no curve.
+#[case(&[(1.0, 1.0), (2.0, 4.0), (3.0, 9.0)], Some((Form::Linear, 2436.666667, 0.471405, 3)))]
+fn few_sizes_make_no_curves(#[case] dots: &[(f64, f64)], #[case] expected: Option<(Form, f64, f64, usize)>) {
+    let found = fit(dots);
+    match (found, expected) {
+        (None, None) => {}
+        (Some(found), Some((form, at_610, error, sizes))) => {
+            assert_eq!((found.form, found.sizes), (form, sizes));
+            assert!((found.at(610.0) - at_610).abs() < 1e-4, "{}", found.at(610.0));
+            assert!((found.error - error).abs() < 1e-4, "{}", found.error);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[rstest]
+#[case("endpoints = 610", "endpoint = 610", 7, "size.endpoint: unknown key")]
+#[case("endpoints = 610\n", "", 5, "size.endpoints: missing")]
+#[case("endpoints = 610", "endpoints = -610", 7, "size.endpoints: -610 is less than one")]
+#[case("endpoints = 610", "endpoints = 610.5", 7, "size.endpoints: 610.5 is no whole number")]
+#[case("endpoints = 610", "endpoints = \"many\"", 7, "size.endpoints: \"many\" is no number")]
+#[case(
+    "calls_per_second = 140000",
+    "calls_per_second = 0",
+    11,
+    "size.calls_per_second: 0 is not above nought"
+)]
+#[case("calls_per_second = 140000", "calls_per_second = nan", 11, "size.calls_per_second: nan is no number")]
+#[case("zones = 11", "zones = 2", 10, "size.zones: fewer than regions")]
+#[case("added_p99 = \"0.53ms\"", "added_p99 = 0.53", 16, "budget.added_p99: 0.53 is no time")]
+#[case("added_p99 = \"0.53ms\"", "added_p99 = \"0.53\"", 16, "budget.added_p99: '0.53' has no unit")]
+#[case("control_cpu = \"2.9%\"", "control_cpu = \"290%\"", 17, "budget.control_cpu: \"290%\" is above one")]
+#[case("[machine]", "[machines]", 24, "machines: unknown key")]
+#[case("about = \"In about two years\"", "about = 2", 3, "about: not a text")]
+#[case("regions = 3", "regions 3", 9, "key")]
+fn a_bad_target_is_told_with_file_line_and_key(
+    #[case] old: &str,
+    #[case] new: &str,
+    #[case] line: usize,
+    #[case] what: &str,
+) {
+    let folder = Folder::new();
+    assert!(target_text().contains(old));
+    folder.put("bad.toml", &target_text().replacen(old, new, 1));
+    let path = folder.0.join("bad.toml");
+    let out = folder.rig(&["--target", path.to_str().unwrap()]);
+    let said = text(&out.stderr);
+    assert_eq!((out.status.code(), said.trim_end().lines().count()), (Some(2), 1), "{said}");
+    assert!(said.contains(&format!("{}: line {line}: ", path.display())) && said.contains(what), "{said}");
+    assert!(out.stdout.is_empty());
+}
+
+#[rstest]
+fn a_check_sees_what_was_changed_by_hand() {
+    let folder = Folder::new();
+    assert!(folder.rig(&["--fit"]).status.success());
+    let page = folder.get("docs/CAPACITY.md");
+    assert!(page.starts_with("# Capacity\n") && page.ends_with("\nEnd.\n"));
+    assert!(folder.rig(&["--check"]).status.success());
+    // 100 + 2 x 610.
+    let (from, to) = ("1,320", "1,310");
+    assert!(page.contains(from));
+    folder.put("docs/CAPACITY.md", &page.replacen(from, to, 1));
+    let out = folder.rig(&["--check"]);
+    let said = text(&out.stdout);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(said.contains("docs/CAPACITY.md: line") && said.contains(to), "{said}");
+    assert!(folder.get("docs/CAPACITY.md").contains(to), "a check changes nothing");
+    // What is around the tables is not the command's.
+    folder.put("docs/CAPACITY.md", &page.replace("End.", "Another end."));
+    assert!(folder.rig(&["--check"]).status.success());
+    // Nor may a law be changed by hand, or the points beneath it.
+    let slopes = folder.get("capacity/slopes.json");
+    folder.put("capacity/slopes.json", &slopes.replacen("\"slope\": 2.0", "\"slope\": 1.0", 1));
+    assert_ne!(slopes, folder.get("capacity/slopes.json"));
+    assert_eq!(folder.rig(&["--check"]).status.code(), Some(1));
+    folder.put("capacity/slopes.json", &slopes);
+    folder.put("capacity/points/two.json", &points("two", false, |n| 90.0 + 2.0 * n));
+    assert_eq!(folder.rig(&["--check"]).status.code(), Some(1));
+}
+
+#[rstest]
+fn another_target_gets_its_own_tables_and_leaves_the_page() {
+    let folder = Folder::new();
+    assert!(folder.rig(&["--fit"]).status.success());
+    let page = folder.get("docs/CAPACITY.md");
+    let small =
+        target_text().replace("sidecars = 610 #", "sidecars = 100 #").replace("about two years", "our house");
+    folder.put("small.toml", &small);
+    let path = folder.0.join("small.toml");
+    let out = folder.rig(&["--target", path.to_str().unwrap()]);
+    let said = text(&out.stdout);
+    assert!(out.status.success() && said.contains("In our house: 100 sidecars"), "{said}");
+    // 100 + 2 x 100, and nothing played at that size.
+    assert!(said.contains("| 300 |") && !said.contains("1,320 |"), "{said}");
+    assert_eq!(page, folder.get("docs/CAPACITY.md"));
+}
+
+#[rstest]
+fn json_and_curves_are_whole() {
+    let folder = Folder::new();
+    assert!(folder.rig(&["--fit"]).status.success());
+    let out = folder.rig(&["--json", "-"]);
+    let json: serde_json::Value = serde_json::from_slice(&out.stdout).expect("JSON alone");
+    let rows = json["rows"].as_array().expect("rows");
+    let row =
+        rows.iter().find(|r| r["role"] == "control" && r["quantities"] == serde_json::json!(["bytes-in"]));
+    let rest = &row.expect("a row")["conditions"]["rest"];
+    assert_eq!((rest["value"].as_f64(), rest["played"].as_f64()), (Some(1320.0), Some(1320.0)));
+    // 100 + 2 x 2950 = 6000.
+    assert!((rest["passes_at_sidecars"].as_f64().unwrap() - 2950.0).abs() < 1.0, "{rest}");
+    assert_eq!(rest["source"], "measured");
+    let path = folder.0.join("curves.html");
+    assert!(folder.rig(&["--html", path.to_str().unwrap()]).status.success());
+    let page = folder.get("curves.html");
+    assert!(page.contains("2,540 B/s") || page.contains("1,320 B/s"), "{page}");
+    assert!(
+        page.matches("<svg").count() >= 2 && page.matches("<svg").count() == page.matches("</svg>").count()
+    );
+    for outside in ["http://", "https://", "<script", "<link", "NaN", "inf\""] {
+        assert!(!page.contains(outside), "{outside}");
+    }
+}
+
+#[rstest]
+fn what_is_assumed_gives_way_to_what_is_simulated_and_that_to_what_is_measured() {
+    let folder = Folder::new();
+    let target = target::read(&target_text()).expect("a target");
+    let of = |law: &dyn Fn(f64) -> f64, simulated, name: &str| {
+        std::fs::write(folder.0.join("capacity/points").join(name), points(name, simulated, law)).unwrap();
+    };
+    of(&|_| 7.0, true, "simulated.json");
+    let files = read_points(&folder.0.join("capacity/points")).expect("points");
+    let slopes = from_points(&files, Vec::new());
+    assert_eq!(slopes.laws.len(), 2);
+    let shown = tables(&slopes, &target);
+    assert!(shown.contains("| bytes in, probes apart, B/s | 1,320 |"), "{shown}");
+    std::fs::remove_file(folder.0.join("capacity/points/one.json")).unwrap();
+    let files = read_points(&folder.0.join("capacity/points")).expect("points");
+    let slopes = from_points(&files, Vec::new());
+    assert_eq!(slopes.laws[0].source, Source::Simulated);
+    assert!(tables(&slopes, &target).contains("| bytes in, probes apart, B/s | 7.00 s |"));
+}
+
+#[rstest]
+#[case("\"role\":\"control\"", "\"role\":\"controls\"", "role: unknown 'controls'")]
+#[case("\"condition\":\"rest\"", "\"condition\":\"event:\"", "condition: unknown 'event:'")]
+#[case("\"statistic\":\"busiest\"", "\"statistic\":\"most\"", "statistic: unknown 'most'")]
+#[case("\"seed\":1", "\"seeds\":1", "unknown field `seeds`")]
+fn points_that_can_not_be_used_are_told_with_their_file(
+    #[case] old: &str,
+    #[case] new: &str,
+    #[case] what: &str,
+) {
+    let folder = Folder::new();
+    let text_of = folder.get("capacity/points/one.json");
+    assert!(text_of.contains(old), "{text_of}");
+    folder.put("capacity/points/one.json", &text_of.replacen(old, new, 1));
+    let out = folder.rig(&["--fit"]);
+    let said = text(&out.stderr);
+    assert_eq!(out.status.code(), Some(2));
+    assert!(said.contains("one.json: ") && said.contains(what), "{said}");
+}
+
+#[rstest]
+#[case(0.0, "0")]
+#[case(0.00012, "1.2e-4")]
+#[case(0.0123, "0.012")]
+#[case(1.0, "1.00")]
+#[case(12.34, "12.3")]
+#[case(610.0, "610")]
+#[case(999.7, "1,000")]
+#[case(1234.0, "1,230")]
+#[case(55_815_000.0, "55,800,000")]
+fn figures_have_three_digits(#[case] value: f64, #[case] shown: &str) {
+    assert_eq!(figure(value), shown);
+}
+
+#[rstest]
+#[case("a", None)]
+#[case("a <B>x<E> b", Some("a <B>\n\ntables\n<E> b"))]
+#[case("a <E><B>", None)]
+#[case("<B><E><B><E>", None)]
+fn tables_go_between_the_marks(#[case] page: &str, #[case] whole: Option<&str>) {
+    let marked = |text: &str| text.replace("<B>", BEGIN).replace("<E>", END);
+    assert_eq!(with_tables(&marked(page), "tables\n"), whole.map(marked));
+}
+
+#[rstest]
+fn every_mechanism_is_in_the_file_that_it_names() {
+    for role in &ROLES {
+        let files = role.rows.iter().filter_map(|r| r.carried.file);
+        for file in files.chain(role.state.iter().filter_map(|(_, _, m)| m.file)) {
+            assert!(repository().join(file).is_file(), "{}: {file}", role.key);
+        }
+    }
+}
+
+/// Of the page that stands: the order of what breaks, and that nothing is called measured that isn't.
+#[rstest]
+fn the_first_to_break_come_first() {
+    let target = target::read(&target_text()).expect("a target");
+    let folder = Folder::new();
+    let files = read_points(&folder.0.join("capacity/points")).expect("points");
+    let slopes = from_points(&files, Vec::new());
+    let all = breaking(&slopes, &target);
+    // Nothing is known of most rows here: those without a mechanism come first, those with one last.
+    let at = |wanted: &dyn Fn(&str) -> bool| all.iter().position(|b| wanted(b.row.title)).expect("a row");
+    assert!(all[0].figure.is_none() && all[0].row.carried.file.is_none());
+    assert!(at(&|t| t.starts_with("bytes in, probes")) < at(&|t| t.starts_with("added to a call, p99")));
+}
