Points of capacity from virtual time, and laws parted by what they were taken at

Points that differ in more than the size make laws of their own: a size of six services beside sizes of 62 is no part of their line.

--- a/crates/passroad-rig/src/capacity/mod.rs
+++ b/crates/passroad-rig/src/capacity/mod.rs
@@ -5,6 +5,7 @@
 pub mod page;
 pub mod plot;
 pub mod roles;
+pub mod simulate;
 pub mod slopes;
 pub mod target;
 
@@ -35,6 +36,18 @@
     /// Write a page with each figure's curve and its budget as a line.
     #[arg(long, value_name = "FILE")]
     html: Option<PathBuf>,
+    /// Play this experiment in virtual time and write its points to the file of --json, {seed} in its name being the seed.
+    #[arg(long, value_name = "FILE", requires = "json", conflicts_with_all = ["fit", "check", "target", "html"])]
+    simulate: Option<PathBuf>,
+    /// Of --simulate: so many sidecars, endpoints and load in proportion; else as the file says.
+    #[arg(long, value_delimiter = ',', requires = "simulate")]
+    sizes: Vec<usize>,
+    /// Of --simulate.
+    #[arg(long, value_delimiter = ',', default_value = "1", requires = "simulate")]
+    seeds: Vec<u64>,
+    /// Of --simulate: the commit of what was played.
+    #[arg(long, default_value = "unknown", requires = "simulate")]
+    commit: String,
     /// The folder that holds capacity/ and docs/.
     #[arg(long, value_name = "FOLDER", default_value = ".")]
     root: PathBuf,
@@ -47,6 +60,15 @@
 
 /// Whether all held; a fault names what can't be used.
 pub fn act(told: &Told, write: impl Fn(&Path, &str) -> Result<(), String>) -> Result<bool, String> {
+    if let (Some(file), Some(path)) = (&told.simulate, &told.json) {
+        for seed in &told.seeds {
+            let points = simulate::points(file, &told.sizes, *seed, &told.commit)?;
+            let text = serde_json::to_string_pretty(&points).map_err(|e| e.to_string())?;
+            let path = path.display().to_string().replace("{seed}", &seed.to_string());
+            write(Path::new(&path), &(text + "\n"))?;
+        }
+        return Ok(true);
+    }
     let at = |name: &str| told.root.join(name);
     let target = read_target(told.target.as_deref().unwrap_or(&at(TARGET)))?;
     let fitted = || -> Result<String, String> {
--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -101,10 +101,10 @@
     slopes.laws.iter().filter(fits).min_by_key(rank)
 }
 
-/// Three digits, and no more than the size of the figure asks for.
+/// Three digits; whole numbers as they are.
 pub fn figure(value: f64) -> String {
     match value.abs() {
-        0.0 => "0".into(),
+        v if v < 999.5 && v.fract() == 0.0 => format!("{value:.0}"),
         v if v >= 999.5 => thousands(value),
         v if v >= 99.95 => format!("{value:.0}"),
         v if v >= 9.995 => format!("{value:.1}"),
@@ -284,39 +284,46 @@
     out
 }
 
+/// A figure with its unit, and where it comes from, in a sentence.
+fn spoken(f: &Figure, unit: &str) -> String {
+    let unit = match unit {
+        "1/s" => " a second".into(),
+        "" => String::new(),
+        unit => format!(" {unit}"),
+    };
+    let from = match f.source() {
+        Source::Measured => "measured",
+        Source::Simulated => "simulated",
+        Source::Assumed => "assumed",
+    };
+    format!("{}{unit} ({from})", figure(f.at(1.0)))
+}
+
 fn in_words(b: &Breaking, slopes: &Slopes, target: &Target) -> String {
-    // What the role would have to carry, where the row itself has nothing to show.
-    let sent = b.role.rows.iter().find(|r| r.parts == ["messages-out"]);
-    let load = sent.and_then(|row| {
-        let f = Figure::find(slopes, target, b.role, row, "ordinary")?;
-        Some(format!(
-            "; {}{} {} {} were to be carried",
-            figure(f.at(1.0)),
-            mark(f.source()),
-            row.unit,
-            row.title
-        ))
-    });
-    let load = load.unwrap_or_default();
-    let what = format!("{}: {}", b.role.title, b.row.title);
-    let (budget, unit) = (figure(b.budget), b.row.unit);
-    match &b.figure {
-        Some(f) => format!(
-            "{what}, {}: {}{} {unit} for {budget}, x{}; passes it {}; {}",
-            b.condition,
-            figure(f.at(1.0)),
-            mark(f.source()),
-            figure(f.at(1.0) / b.budget),
-            match b.passes {
-                Some(times) if times > 0.0 => format!("at {}", size_of(b.passes, target)),
-                _ => size_of(b.passes, target),
-            },
-            carried(b.row.carried)
-        ),
-        None => {
-            format!("{what}: {budget} {unit} allowed, nothing to measure{}; {}", load, carried(b.row.carried))
-        }
-    }
+    let role = b.role.title.split(':').next().unwrap_or_default();
+    let what = format!("{role}: {}", b.row.title);
+    let budget = format!("{} {}", figure(b.budget), b.row.unit);
+    let Some(f) = &b.figure else {
+        // What the role would have to carry, where the row itself has nothing to show.
+        let sent = b.role.rows.iter().find(|r| r.parts == ["messages-out"]);
+        let sent =
+            sent.and_then(|row| Some((Figure::find(slopes, target, b.role, row, "ordinary")?, row.unit)));
+        let load =
+            sent.map_or(String::new(), |(f, unit)| format!("; {} would have to go out", spoken(&f, unit)));
+        return format!("{what}: {budget} allowed, no figure{load}; {}", carried(b.row.carried));
+    };
+    let passes = match b.passes {
+        Some(times) if times > 0.0 => format!("passed at {}", size_of(b.passes, target)),
+        Some(_) => "passed at any size".into(),
+        None => format!("passed {}", size_of(None, target)),
+    };
+    format!(
+        "{what}, {}: {} for a budget of {budget}, x{}, {passes}; {}",
+        b.condition,
+        spoken(f, b.row.unit),
+        figure(f.at(1.0) / b.budget),
+        carried(b.row.carried)
+    )
 }
 
 fn first_missing(slopes: &Slopes, target: &Target, out: &mut String) {
@@ -556,7 +563,22 @@
          | role | quantity | condition | statistic | of | law | points: size: figure | error | at the target | played there | \
          run: seed |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
     );
-    for law in slopes.laws.iter().filter(|l| l.source != Source::Assumed) {
+    let error_of = |law: &Law| {
+        // Where a run told the error of its own figure, that stands for it.
+        let name = format!("{}-error", law.quantity);
+        let same = |l: &&Law| {
+            let key = |l: &Law| (l.role.clone(), l.condition.clone(), l.kind.clone(), l.source);
+            l.quantity == name && key(l) == key(law) && l.fixed == law.fixed
+        };
+        let told = slopes.laws.iter().find(same).and_then(|l| l.at(target, 1.0));
+        match (told, law.error) {
+            (Some(told), _) => format!("+- {} (two standard errors)", figure(told)),
+            (None, Some(error)) => figure(error),
+            (None, None) => "-".into(),
+        }
+    };
+    let shown = |l: &&Law| l.source != Source::Assumed && !l.quantity.ends_with("-error");
+    for law in slopes.laws.iter().filter(shown) {
         let points: Vec<String> =
             law.points.iter().map(|p| format!("{}: {}", figure(p.x), figure(p.value))).collect();
         let points = match law.by.is_empty() {
@@ -587,7 +609,7 @@
             fixed.join(", "),
             law_text(law),
             points.join("; "),
-            law.error.map_or("-".into(), figure),
+            error_of(law),
             law.at(target, 1.0).map_or("-".into(), figure),
             law.played(target).map_or("-".into(), figure),
             runs.join(", ")
--- a/crates/passroad-rig/src/capacity/roles.rs
+++ b/crates/passroad-rig/src/capacity/roles.rs
@@ -2,7 +2,8 @@
 //! carries it.
 
 pub const CONDITIONS: [&str; 2] = ["rest", "ordinary"];
-pub const STATISTICS: [&str; 3] = ["mean", "busiest", "worst-second"];
+pub const STATISTICS: [&str; 8] =
+    ["mean", "busiest", "worst-second", "most", "p50", "p99", "p999", "twice-standard-error"];
 
 /// Events, as conditions name them after `event:` and `return:`, and as the page does.
 pub const EVENTS: [(&str, &str); 9] = [
@@ -33,6 +34,7 @@
 const MACHINES_MEMORY: Option<Budget> =
     Some(Budget { keys: &["control_machines", "memory_mb"], factor: 1.0 });
 const ADDED: Option<Budget> = Some(Budget { keys: &["added_p99"], factor: 1000.0 });
+const ADDED_EACH_HOP: Option<Budget> = Some(Budget { keys: &["added_p99", "depth"], factor: 1000.0 });
 const IN_FORCE: Option<Budget> = Some(Budget { keys: &["change_in_force"], factor: 1.0 });
 
 /// What carries it: what it does, and the file; no file where nothing carries it.
@@ -230,6 +232,7 @@
     rows: &[
         row("open watches", &["open-watches"], "", None, ONE_WATCH),
         row("calls", &["calls"], "1/s", None, ONE_WATCH),
+        row("until all have a change of the list", &["known-by-all"], "s", None, ONE_WATCH),
         row("messages in", &["messages-in"], "1/s", None, ONE_WATCH),
         row("messages out", &["messages-out"], "1/s", None, ONE_WATCH),
         row("bytes in", &["bytes-in"], "B/s", MACHINES_BYTES, ONE_WATCH),
@@ -328,6 +331,11 @@
     ],
 };
 
+const SERVICE: Option<(&str, &str)> = Some(("of", "service"));
+const POOL: Option<(&str, &str)> = Some(("of", "pool"));
+const DRAW: Mechanism = by("the weighted draw", CHOICE);
+const NEAR: Mechanism = by("`near`, the price of a handshake", CHOICE);
+const PROBES: Mechanism = by("`trust`, the price of a probe", PROBE);
 const ENDPOINT: Role = Role {
     key: "endpoint",
     title: "An endpoint: what it sees of the sidecars",
@@ -337,31 +345,40 @@
         by("the price of a handshake; 16 idle ones kept by each", RELAY),
     )],
     rows: &[
-        row("connections", &["connections"], "", None, by("`near`, the price of a handshake", CHOICE)),
-        row("attempts", &["calls"], "1/s", None, by("the weighted draw", CHOICE)),
-        row(
-            "probes for each call",
-            &["probes-per-call"],
-            "",
-            None,
-            by("`trust`, the price of a probe", PROBE),
-        ),
-        row(
-            "messages in (attempts and probes)",
-            &["messages-in"],
-            "1/s",
-            None,
-            by("the weighted draw", CHOICE),
-        ),
-        row("bytes in", &["bytes-in"], "B/s", None, by("the weighted draw", CHOICE)),
-        row("bytes out", &["bytes-out"], "B/s", None, by("the weighted draw", CHOICE)),
-        row(
-            "share of the busiest, over its fair one",
-            &["busiest"],
-            "",
-            None,
-            by("the weighted draw", CHOICE),
-        ),
+        Row {
+            with: SERVICE,
+            ..row("connections, a service of ten called by thirty", &["connections"], "", None, NEAR)
+        },
+        Row {
+            with: POOL,
+            ..row("connections, one pool for all, a twentieth of the calls", &["connections"], "", None, NEAR)
+        },
+        Row { with: SERVICE, ..row("attempts", &["calls"], "1/s", None, DRAW) },
+        Row {
+            with: SERVICE,
+            ..row("probes for each call, a service of ten", &["probes-per-call"], "", None, PROBES)
+        },
+        Row {
+            with: POOL,
+            ..row(
+                "probes for each call, one pool, a twentieth of the calls",
+                &["probes-per-call"],
+                "",
+                None,
+                PROBES,
+            )
+        },
+        Row {
+            with: SERVICE,
+            ..row("messages in (attempts and probes)", &["messages-in"], "1/s", None, DRAW)
+        },
+        row("bytes in", &["bytes-in"], "B/s", None, DRAW),
+        row("bytes out", &["bytes-out"], "B/s", None, DRAW),
+        Row {
+            with: SERVICE,
+            ..row("the busiest over its fair share, a service of ten", &["busiest"], "", None, DRAW)
+        },
+        Row { with: POOL, ..row("the busiest over its fair share, one pool", &["busiest"], "", None, DRAW) },
     ],
 };
 
@@ -371,8 +388,20 @@
     title: "A client at the top of the deepest tree",
     state: &[("calls open at every hop below", "depth", HOPS)],
     rows: &[
-        row("added to the outer call, p99", &["added-p99"], "ms", None, HOPS),
-        row("added at each hop, p99 of all over the depth", &["added-p99-hop"], "ms", ADDED, HOPS),
+        Row {
+            with: Some(("connections", "warm")),
+            ..row(
+                "added to the outer call, p99, the budget being each hop's",
+                &["added-p99"],
+                "ms",
+                ADDED_EACH_HOP,
+                HOPS,
+            )
+        },
+        Row {
+            with: Some(("connections", "warm")),
+            ..row("the same, the budget being the whole tree's", &["added-p99"], "ms", ADDED, HOPS)
+        },
         row("inner calls for each outer one", &["messages-out"], "", None, HOPS),
         row("attempts at the leaf for each outer call, leaf fails", &["attempts-leaf"], "", None, HOPS),
     ],
--- a/crates/passroad-rig/src/capacity/slopes.rs
+++ b/crates/passroad-rig/src/capacity/slopes.rs
@@ -130,11 +130,13 @@
     Form::Linear
 }
 
+/// Sizes that differ by no more than this part of the target's are the target's.
+const NEAR: f64 = 0.03;
 /// What may grow by itself, those first that a figure is told by.
 const DRIVERS: [&str; 6] = ["sidecars", "endpoints", "services", "calls_per_second", "depth", "voters"];
 
 /// Six digits: more would make each run another file, and no run knows more.
-fn six(value: f64) -> f64 {
+pub fn six(value: f64) -> f64 {
     format!("{value:.5e}").parse().unwrap_or(value)
 }
 
@@ -269,13 +271,14 @@
         .copied()
         .filter(|name| distinct(name).len() > 1)
         .max_by_key(|name| (distinct(name).len(), usize::MAX - rank(name)));
+    // One that rises with what it grows by: of every size just one value, and more of a larger one.
     let follows = |name: &str| {
         let Some(by) = by else { return false };
-        let pairs: BTreeSet<(Option<u64>, Option<u64>)> = group
-            .iter()
-            .map(|(_, p)| (number(p, by).map(f64::to_bits), number(p, name).map(f64::to_bits)))
-            .collect();
-        pairs.len() == distinct(by).len()
+        let mut pairs: Vec<(f64, f64)> =
+            group.iter().filter_map(|(_, p)| Some((number(p, by)?, number(p, name)?))).collect();
+        pairs.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        pairs.dedup();
+        pairs.windows(2).all(|w| w[0].0 < w[1].0 && w[0].1 < w[1].1)
     };
     let parting: Vec<&str> = names
         .iter()
@@ -342,7 +345,7 @@
     /// Mean of the points at the target's own size, where it was played.
     pub fn played(&self, target: &Target) -> Option<f64> {
         let x = if self.by.is_empty() { None } else { size(&self.by, target, 1.0) };
-        let at_size = |dot: &&Dot| x.is_some_and(|x| (dot.x - x).abs() <= 0.01 * x);
+        let at_size = |dot: &&Dot| x.is_some_and(|x| (dot.x - x).abs() <= NEAR * x);
         let here: Vec<f64> = match &self.by[..] {
             // Of one size only, if that is the target's.
             "" if self.fixed_is_target(target) => self.points.iter().map(|d| d.value).collect(),
@@ -357,7 +360,7 @@
             let (Some(value), Some(wanted)) = (value.as_f64(), target.variable(name, 1.0)) else {
                 return true;
             };
-            (value - wanted).abs() <= 0.01 * wanted
+            (value - wanted).abs() <= NEAR * wanted
         };
         self.fixed.iter().all(same)
     }
@@ -368,7 +371,7 @@
             let (Some(value), Some(wanted)) = (value.as_f64(), target.variable(name, 1.0)) else {
                 return false;
             };
-            (value - wanted).abs() > 0.01 * wanted
+            (value - wanted).abs() > NEAR * wanted
         };
         self.fixed.iter().filter(|pair| differs(*pair)).count()
     }
