--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -610,6 +610,7 @@
         let told = slopes.laws.iter().find(same).and_then(|l| l.at(target, 1.0));
         match (told, law.error) {
             (Some(told), _) => format!("+- {} (two standard errors)", figure(told)),
+            (None, Some(_)) if law.points.len() == 1 => "one point".into(),
             (None, Some(error)) => figure(error),
             (None, None) => "-".into(),
         }
--- a/crates/passroad-rig/src/capacity/roles.rs
+++ b/crates/passroad-rig/src/capacity/roles.rs
@@ -106,6 +106,8 @@
 const WHOLE_LIST: Mechanism = none("each sidecar is sent the whole list; no subset, no cap on bytes");
 const ONE_WATCH: Mechanism = by("one watch, changes only, renewed at a quarter of `ask_every`", LIST);
 
+const WARM: Option<(&str, &str)> = Some(("connections", "warm"));
+const COLD: Option<(&str, &str)> = Some(("connections", "cold"));
 const CALL_PATH: Role = Role {
     key: "call-path",
     title: "A sidecar on a call's way",
@@ -120,7 +122,7 @@
     ],
     rows: &[
         Row {
-            with: Some(("connections", "warm")),
+            with: WARM,
             ..row(
                 "added to a call, p99, warm connections",
                 &["added-p99"],
@@ -130,11 +132,11 @@
             )
         },
         Row {
-            with: Some(("connections", "cold")),
+            with: COLD,
             ..row("the same, cold connections", &["added-p99"], "ms", ADDED, by("the connector", RELAY))
         },
         Row {
-            with: Some(("connections", "warm")),
+            with: WARM,
             ..row(
                 "added to a call, p50, warm connections",
                 &["added-p50"],
@@ -144,7 +146,7 @@
             )
         },
         Row {
-            with: Some(("connections", "warm")),
+            with: WARM,
             ..row(
                 "added to a call, p99.9, warm connections",
                 &["added-p999"],
@@ -154,9 +156,21 @@
             )
         },
         row("calls of one sidecar", &["calls"], "1/s", None, by("intake and desk", DESK)),
-        row("processor time of a call", &["cpu-per-call"], "us", None, by("desk and relay", DESK)),
-        row("processor", &["cpu"], "of a core", None, by("desk and relay", DESK)),
-        row("probes for each call", &["probes-per-call"], "", None, by("`trust`, `prices.probe`", CHOICE)),
+        Row {
+            with: WARM,
+            ..row("processor time of a call", &["cpu-per-call"], "us", None, by("desk and relay", DESK))
+        },
+        Row { with: WARM, ..row("processor", &["cpu"], "of a core", None, by("desk and relay", DESK)) },
+        Row {
+            with: WARM,
+            ..row(
+                "probes for each call",
+                &["probes-per-call"],
+                "",
+                None,
+                by("`trust`, `prices.probe`", CHOICE),
+            )
+        },
         row("messages in", &["messages-in"], "1/s", None, by("front", FRONT)),
         row("messages out", &["messages-out"], "1/s", None, by("relay and probe", RELAY)),
         row("bytes in", &["bytes-in"], "B/s", None, by("front", FRONT)),
@@ -389,7 +403,7 @@
     state: &[("calls open at every hop below", "depth", HOPS)],
     rows: &[
         Row {
-            with: Some(("connections", "warm")),
+            with: WARM,
             ..row(
                 "added to the outer call, p99, the budget being each hop's",
                 &["added-p99"],
@@ -399,7 +413,7 @@
             )
         },
         Row {
-            with: Some(("connections", "warm")),
+            with: WARM,
             ..row("the same, the budget being the whole tree's", &["added-p99"], "ms", ADDED, HOPS)
         },
         row("inner calls for each outer one", &["messages-out"], "", None, HOPS),
--- a/crates/passroad-rig/src/capacity/slopes.rs
+++ b/crates/passroad-rig/src/capacity/slopes.rs
@@ -338,8 +338,10 @@
     /// The figure at so many times the target's size; none where the target has no such size.
     pub fn at(&self, target: &Target, times: f64) -> Option<f64> {
         let x = if self.by.is_empty() { 0.0 } else { size(&self.by, target, times)? };
-        // Nothing that is counted here can be less than nothing.
-        Some((self.constant + self.slope * self.form.of(x)).max(0.0))
+        let value = self.constant + self.slope * self.form.of(x);
+        // What is counted can't be less than nothing; differences may be, and then some point is.
+        let difference = self.points.iter().any(|dot| dot.value < 0.0);
+        Some(if difference { value } else { value.max(0.0) })
     }
 
     /// Mean of the points at the target's own size, where it was played.
@@ -356,22 +358,18 @@
 
     /// Whether all that it was taken at is what the target says.
     fn fixed_is_target(&self, target: &Target) -> bool {
-        let same = |(name, value): (&String, &Value)| {
-            let (Some(value), Some(wanted)) = (value.as_f64(), target.variable(name, 1.0)) else {
-                return true;
-            };
-            (value - wanted).abs() <= NEAR * wanted
-        };
-        self.fixed.iter().all(same)
+        self.strangeness(target) == 0
     }
 
-    /// How far what it was taken at is from the target, in sizes that differ.
+    /// In how many sizes what it was taken at differs from the target. Endpoints and services are left out: where sidecars
+    /// don't grow with them they are what one sidecar sees.
     pub fn strangeness(&self, target: &Target) -> usize {
         let differs = |(name, value): (&String, &Value)| {
             let (Some(value), Some(wanted)) = (value.as_f64(), target.variable(name, 1.0)) else {
                 return false;
             };
-            (value - wanted).abs() > NEAR * wanted
+            let seen = name == "endpoints" || name == "services";
+            !seen && (value - wanted).abs() > NEAR * wanted
         };
         self.fixed.iter().filter(|pair| differs(*pair)).count()
     }
