--- a/crates/passroad-rig/src/lib.rs
+++ b/crates/passroad-rig/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod added_latency;
 pub mod baseline;
+pub mod capacity;
 pub mod chance;
 pub mod compare;
 pub mod experiment;
--- a/crates/passroad-rig/src/main.rs
+++ b/crates/passroad-rig/src/main.rs
@@ -91,6 +91,8 @@
     },
     /// Measure what a call gains in a sidecar: the same load straight to the endpoints and through it, by turns.
     AddedLatency(AddedLatency),
+    /// Write the tables of docs/CAPACITY.md: what each role needs at the target's size, and what breaks first.
+    Capacity(passroad_rig::capacity::Told),
     /// Run the sidecar itself, as the rig does on sockets; it reads LB_CONFIG and ends with its standard input.
     #[command(hide = true)]
     Sidecar,
@@ -260,6 +262,7 @@
     match what {
         What::Sidecar => Ok(true),
         What::AddedLatency(told) => added(told),
+        What::Capacity(told) => passroad_rig::capacity::act(&told, write),
         What::Histories { from, count, threads, no_fence } => {
             let sums = passroad_rig::fleet::histories::run(from, count, threads, !no_fence);
             println!(
