Hollow sidecars and scale runs: list, membership, leases and upkeep on real sockets

Cause: nothing played more than 240 sidecars on sockets, so what control needs at 610 was simulated only.

--- a/crates/passroad-rig/src/fleet/world.rs
+++ b/crates/passroad-rig/src/fleet/world.rs
@@ -295,8 +295,12 @@
                         self.calls[call].dropped = true;
                     }
                 }
-                Do::Say { .. } | Do::Unheard(_) | Do::Ban { .. } | Do::Answer { .. } | Do::Machine { .. } => {
-                }
+                Do::Say { .. }
+                | Do::Turned { .. }
+                | Do::Unheard(_)
+                | Do::Ban { .. }
+                | Do::Answer { .. }
+                | Do::Machine { .. } => {}
             }
         }
     }
--- a/crates/passroad-rig/src/lib.rs
+++ b/crates/passroad-rig/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod model;
 pub mod report;
 pub mod run;
+pub mod scale;
 pub mod sockets;
 pub mod spread;
 pub mod virtual_time;
--- a/crates/passroad-rig/src/main.rs
+++ b/crates/passroad-rig/src/main.rs
@@ -88,6 +88,27 @@
         #[arg(long)]
         no_fence: bool,
     },
+    /// Play scale runs: as many sidecars as a target has, hollow ones beside real ones, on loopback.
+    Scale {
+        /// Files, as experiments/scale-*.toml.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Play this size in place of the file's.
+        #[arg(long)]
+        sidecars: Option<usize>,
+        /// Play these seeds in place of the file's: 1,2,5 or 1..3.
+        #[arg(long, value_parser = seeds)]
+        seeds: Option<Seeds>,
+        /// Write the figures as points for the capacity page to this file; with {seed} in its name a file for each seed.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// What the figures are of: the short hash of the program's commit.
+        #[arg(long, default_value = "unknown")]
+        commit: String,
+    },
+    /// Be the process of some hundred hollow sidecars; it ends with its standard input.
+    #[command(hide = true)]
+    Hollow { folder: PathBuf },
     /// Run the sidecar itself, as the rig does on sockets; it reads LB_CONFIG and ends with its standard input.
     #[command(hide = true)]
     Sidecar,
@@ -179,6 +200,17 @@
         end_with_input();
         return passroad::main();
     }
+    if let What::Hollow { folder } = told.what {
+        let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+        return match passroad_rig::scale::host::run(folder) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(fault) => {
+                eprintln!("passroad-rig: {fault}");
+                ExitCode::from(2)
+            }
+        };
+    }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     match act(told.what) {
         Ok(true) => ExitCode::SUCCESS,
@@ -193,7 +225,11 @@
 /// Whether all held.
 fn act(what: What) -> Result<bool, String> {
     match what {
-        What::Sidecar => Ok(true),
+        What::Sidecar | What::Hollow { .. } => Ok(true),
+        What::Scale { files, sidecars, seeds, json, commit } => {
+            let seeds = seeds.map(|Seeds(seeds)| seeds);
+            passroad_rig::scale::command::run(&files, sidecars, seeds, json.as_deref(), &commit)
+        }
         What::Histories { from, count, threads, no_fence } => {
             let sums = passroad_rig::fleet::histories::run(from, count, threads, !no_fence);
             println!(
--- a/crates/passroad-rig/src/sockets/mod.rs
+++ b/crates/passroad-rig/src/sockets/mod.rs
@@ -5,7 +5,7 @@
 mod discovery;
 mod endpoint;
 mod ground;
-mod http;
+pub(crate) mod http;
 mod peers;
 mod resource;
 mod scene;
--- a/crates/passroad/src/fleet/part.rs
+++ b/crates/passroad/src/fleet/part.rs
@@ -50,6 +50,11 @@
         level: Level,
         line: String,
     },
+    /// A member is thought of otherwise from now on.
+    Turned {
+        member: u16,
+        standing: Standing,
+    },
     /// A datagram was not heard.
     Unheard(&'static str),
     /// Keep off a machine, or use it again.
@@ -362,8 +367,7 @@
             match out {
                 peers::Out::Say { to, body } => self.send(to, PEERS, &body, todo),
                 peers::Out::Turned { member, standing } => {
-                    let line = format!("member {member}: {standing:?}");
-                    todo.push(Do::Say { level: Level::Debug, line });
+                    todo.push(Do::Turned { member, standing });
                     turned = true;
                 }
                 peers::Out::Heard(note) => {
--- a/crates/passroad/src/fleet/talk.rs
+++ b/crates/passroad/src/fleet/talk.rs
@@ -1,6 +1,7 @@
 //! The one task that owns the socket: hears, keeps time, begins calls, answers operators. What is said and done is
 //! decided in `part`.
 
+use super::Turned;
 use super::calls::Calls;
 use super::drops::Drops;
 use super::kept::Kept;
@@ -15,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -45,6 +46,8 @@
     informed: Vec<oneshot::Sender<()>>,
     /// Bans on what was never listed here.
     unlisted: BTreeSet<Machine>,
+    /// Who else is told what is thought of members.
+    turns: Option<UnboundedSender<Turned>>,
 }
 
 fn wall() -> Duration {
@@ -88,9 +91,14 @@
             calls,
             came: Some(came),
             drops: Drops::default(),
+            turns: None,
         }
     }
 
+    pub fn telling(self, turns: Option<UnboundedSender<Turned>>) -> Talk {
+        Talk { turns, ..self }
+    }
+
     fn times(&self) -> Times {
         Times { steady: self.began.elapsed(), wall: wall() }
     }
@@ -238,6 +246,12 @@
                 }
                 Do::Drop { n } => self.calls.drop(n),
                 Do::Say { level, line } => log::log!(level, "fleet: {line}"),
+                Do::Turned { member, standing } => {
+                    log::debug!("fleet: member {member}: {standing:?}");
+                    if let Some(turns) = &self.turns {
+                        let _ = turns.send(Turned { member, standing });
+                    }
+                }
                 Do::Ban { machine, out } => {
                     // Guards against a ban on what was listed since the last look, which would wait for the next one.
                     let listed = self.machines.as_mut().is_some_and(|machines| {
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -9,6 +9,7 @@
 mod frame;
 mod front;
 mod handover;
+pub mod hollow;
 mod intake;
 mod list;
 mod logging;
