Uninformed sidecars look at the list once a second, not twenty times

Cause: at 610 that start together each was awake until informed, and went through 610 machines every 50 ms: four cores were full, and members doubted each other wrongly (617 false doubts in 25 s, CPU 0.60% of a core each).

--- a/crates/passroad-rig/src/scale/mod.rs
+++ b/crates/passroad-rig/src/scale/mod.rs
@@ -38,7 +38,7 @@
 const AFTERMATH: Duration = Duration::from_secs(30);
 /// Wrong doubts of one member within this are one.
 const EPISODE: Duration = Duration::from_secs(10);
-/// A drain in the ordinary rate of changes lasts so long.
+/// How often it is looked whether what is awaited has come.
 const BETWEEN_LOOKS: Duration = Duration::from_millis(100);
 
 /// A panic in one task must not end the others: what is held stays in use.
@@ -158,8 +158,12 @@
         cuts: Mutex::default(),
     });
     let all: Vec<usize> = (0..sidecars).collect();
-    for n in &all {
-        ground.processes.begin(*n)?;
+    // One after the other, and by turns in all hosts: that all start at once is an event of its own.
+    let mut order = all.clone();
+    order.sort_by_key(|n| (n * 7919) % sidecars);
+    for n in order {
+        ground.processes.begin(n)?;
+        sleep(plan.apart).await;
     }
     ground.processes.up(&all).await?;
     sleep(plan.settle).await;
--- a/crates/passroad-rig/src/scale/plan.rs
+++ b/crates/passroad-rig/src/scale/plan.rs
@@ -29,6 +29,8 @@
     load: Spanned<f64>,
     #[serde(default = "nothing")]
     changes_a_day: Spanned<f64>,
+    #[serde(default = "apart")]
+    apart: Time,
     #[serde(default = "settle")]
     settle: Time,
     length: Spanned<Time>,
@@ -54,6 +56,9 @@
 fn three() -> Spanned<usize> {
     Spanned::new(0..0, 3)
 }
+fn apart() -> Time {
+    Time(Duration::from_millis(15))
+}
 fn settle() -> Time {
     Time(Duration::from_secs(15))
 }
@@ -194,6 +199,8 @@
     /// Calls a second of each real sidecar.
     pub load: f64,
     pub changes_a_day: f64,
+    /// From one's start to the next one's.
+    pub apart: Duration,
     pub settle: Duration,
     pub length: Duration,
     pub delay: Delay,
@@ -313,6 +320,7 @@
         calls,
         load: told.load.into_inner(),
         changes_a_day: told.changes_a_day.into_inner(),
+        apart: told.apart.0,
         settle: told.settle.0,
         length,
         delay: told.delay,
--- a/crates/passroad/src/fleet/talk.rs
+++ b/crates/passroad/src/fleet/talk.rs
@@ -174,8 +174,10 @@
     fn work(&mut self) {
         let times = self.times();
         let Some(machines) = &mut self.machines else { return };
-        let awake = self.part.upkeep().is_some_and(Upkeep::awake);
-        let every = if awake { passroad_upkeep::TURN } else { LOOK };
+        // Guards against a fleet that starts together and has each sidecar go through the whole list twenty times a
+        // second: one that is not informed yet has nothing to do with machines.
+        let busy = |upkeep: &Upkeep| upkeep.awake() && (upkeep.informed() || upkeep.conducts());
+        let every = if self.part.upkeep().is_some_and(busy) { passroad_upkeep::TURN } else { LOOK };
         if self.looked.elapsed() >= every {
             self.looked = Instant::now();
             machines.look(times.wall);
