--- a/crates/passroad/tests/discovery.rs
+++ b/crates/passroad/tests/discovery.rs
@@ -184,6 +184,25 @@
     all_go_to(&sidecar, b"second");
 }
 
+// Row 44. An agent that says nothing answers no whole call, but a watch that is out once it is back: so a watch follows the whole
+// call at once, and not after a wait of the module's, which is half a second at least here.
+#[rstest]
+fn where_lists_are_pushed_a_watch_follows_a_whole_call_that_is_given_up_with_no_wait() {
+    let (_first, _second, known, _) = about_to_drain();
+    let agent = stand_in(|_, _| true);
+    let settings = asking_every(Duration::from_secs(3600), "pushed")
+        .replace("\"drain_grace\":60000000000", "\"drain_grace\":4000000000");
+    let _sidecar = sidecar_with(&known, agent.address, &settings);
+    until(|| agent.count() >= 7);
+    let seen = agent.seen.lock().unwrap();
+    let whole = |call: &Message| call.word() == "/v1/servers";
+    assert!(seen.iter().skip(1).step_by(2).all(whole), "{seen:?}");
+    // A whole call has half of the grace. A busy machine makes some of them longer, hardly each.
+    let gaps = seen.windows(2).filter(|pair| whole(&pair[0])).map(|pair| pair[1].at - pair[0].at);
+    let shortest = gaps.min().unwrap();
+    assert!(shortest < 2400 * MS, "{shortest:?}");
+}
+
 // A discovery with more calls than it can do in the time of one works through them in turn: by the time at which it comes to
 // the first of a sidecar's, several have been given up.
 #[rstest]
