--- a/crates/passroad-rig/src/added_latency/between.rs
+++ b/crates/passroad-rig/src/added_latency/between.rs
@@ -13,7 +13,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// How long a start, or an orderly end, may take.
+/// How long a start may take.
 const PATIENCE: Duration = Duration::from_secs(8);
 const TRIES: usize = 5;
 /// Endpoints have been up since this time of the Unix clock: long enough for none to be cold.
@@ -136,15 +136,7 @@
 
 impl Drop for Sidecar {
     fn drop(&mut self) {
-        let pid = rustix::process::Pid::from_raw(self.child.id() as i32);
-        let told = pid.map(|pid| rustix::process::kill_process(pid, rustix::process::Signal::TERM));
-        let began = Instant::now();
-        while matches!(told, Some(Ok(()))) && began.elapsed() < PATIENCE {
-            if !matches!(self.child.try_wait(), Ok(None)) {
-                return;
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        // Nothing is out any more; an orderly end would wait for nobody.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
--- a/crates/passroad-rig/src/added_latency/mod.rs
+++ b/crates/passroad-rig/src/added_latency/mod.rs
@@ -20,11 +20,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// An arm has the load for so long, then the next one.
-pub const SLICE: Duration = Duration::from_secs(1);
-/// The first part of a slice is played and not counted: calls of the arm before may still be out, and an arm that had
-/// no load for a while finds its way back.
-pub const SETTLE: Duration = Duration::from_millis(200);
+/// This part of a slice is played and not counted: calls of the arm before may still be out, and an arm that had no load
+/// for a while finds its way back.
+pub const SETTLE: f64 = 0.2;
 /// Calls that can be out at once; one more waits, which shows as lateness.
 const CALLERS: usize = 128;
 const LEAD: Duration = Duration::from_millis(500);
@@ -57,8 +55,9 @@
     /// Calls a second while an arm has the load.
     pub rates: Vec<u32>,
     pub connections: Vec<Connections>,
-    /// Counted rounds; in each, every arm has the load for one second.
+    /// Counted rounds; in each, every arm has the load for one slice.
     pub rounds: usize,
+    pub slice: Duration,
     /// Calls that a call is made of, one within the other, each with a sidecar of its own.
     pub depth: usize,
     /// Of each tier.
@@ -285,23 +284,23 @@
 }
 
 /// The calls of all rounds in the order of their times. Arrivals are Poisson; within a round all arms get the same.
-fn schedule(rate: u32, seed: u64, arms: usize, rounds: usize) -> Vec<Due> {
+fn schedule(rate: u32, seed: u64, arms: usize, rounds: usize, slice: Duration) -> Vec<Due> {
     let mut all = Vec::new();
     for round in 0..=rounds {
         let mut chance = Chance::stream(seed, "arrivals", round as u64);
         let mut arrivals = Vec::new();
         let mut at = chance.gap() / f64::from(rate);
-        while at < SLICE.as_secs_f64() {
+        while at < slice.as_secs_f64() {
             arrivals.push((Duration::from_secs_f64(at), chance.below(1 << 20)));
             at += chance.gap() / f64::from(rate);
         }
         for (slot, arm) in order(arms, round).into_iter().enumerate() {
-            let begins = SLICE * (round * arms + slot) as u32;
+            let begins = slice * (round * arms + slot) as u32;
             all.extend(arrivals.iter().map(|(at, pick)| Due {
                 at: begins + *at,
                 arm,
                 round,
-                counted: round > 0 && *at >= SETTLE,
+                counted: round > 0 && *at >= slice.mul_f64(SETTLE),
                 pick: *pick,
             }));
         }
@@ -335,7 +334,7 @@
     for (n, way) in ways.iter().enumerate() {
         built.push(Built::new(asked, connections, *way, n, program, folder)?);
     }
-    let due = schedule(rate, asked.seed, built.len(), asked.rounds);
+    let due = schedule(rate, asked.seed, built.len(), asked.rounds, asked.slice);
     let (next, made, begins) = (AtomicUsize::new(0), Mutex::new(Vec::new()), Instant::now() + LEAD);
     let before = clock();
     let mut sums = vec![(Seen::default(), Used::default(), Used::default()); built.len()];
@@ -348,16 +347,13 @@
             })?;
         }
         let look = || built.iter().map(|b| (b.seen(), b.used())).collect::<Vec<_>>();
+        sleep_until(begins);
+        let mut before = look();
         for round in 0..=asked.rounds {
             for (slot, arm) in order(built.len(), round).into_iter().enumerate() {
-                let slice = begins + SLICE * (round * built.len() + slot) as u32;
-                sleep_until(slice);
-                let before = look();
-                sleep_until(slice + SLICE - Duration::from_millis(2));
-                if round == 0 {
-                    continue;
-                }
-                for (n, (now, then)) in look().into_iter().zip(before).enumerate() {
+                sleep_until(begins + asked.slice * (round * built.len() + slot + 1) as u32);
+                let now = look();
+                for (n, (now, then)) in now.iter().zip(&before).enumerate().filter(|_| round > 0) {
                     let used = now.1.since(then.1);
                     if n == arm {
                         sums[n].0.add_since(now.0, then.0);
@@ -366,6 +362,7 @@
                         sums[n].2 = sums[n].2.and(used);
                     }
                 }
+                before = now;
             }
         }
         Ok(())
--- a/crates/passroad-rig/src/added_latency/report.rs
+++ b/crates/passroad-rig/src/added_latency/report.rs
@@ -10,7 +10,7 @@
 pub const BUDGET_MS: f64 = 0.53;
 const QUANTILES: [(&str, f64); 3] = [("p50", 0.5), ("p99", 0.99), ("p999", 0.999)];
 /// Rounds drawn anew to tell a figure's error.
-const REDRAWS: u64 = 200;
+const REDRAWS: u64 = 100;
 /// A connection rests for a millisecond behind a call's answer; what comes this long behind one may have waited for it.
 const RESTED: (u64, u64) = (900, 2_500);
 
@@ -112,14 +112,15 @@
 
 fn costs(arm: &Arm, asked: &Asked, arms: usize) -> Costs {
     let each = |n: f64| n / (arm.seen.calls.max(1) as f64);
-    let (sidecars, rounds) = (arm.sidecars.max(1) as f64, asked.rounds.max(1) as f64);
-    let resting = rounds * arms.saturating_sub(1).max(1) as f64;
+    let (sidecars, seconds) =
+        (arm.sidecars.max(1) as f64, asked.slice.as_secs_f64() * asked.rounds.max(1) as f64);
+    let resting = seconds * arms.saturating_sub(1).max(1) as f64;
     Costs {
         cpu_us: each(arm.used.running.as_secs_f64() * 1e6),
         wait_us: each(arm.used.waiting.as_secs_f64() * 1e6),
         wakes: each(arm.used.wakes as f64),
         probes: each(arm.seen.probes as f64),
-        cpu: arm.used.running.as_secs_f64() / rounds / sidecars,
+        cpu: arm.used.running.as_secs_f64() / seconds / sidecars,
         resting_cpu: arm.resting.running.as_secs_f64() / resting / sidecars,
     }
 }
@@ -148,7 +149,7 @@
 fn one(asked: &Asked, measured: &Measured, out: &mut String) -> std::fmt::Result {
     writeln!(
         out,
-        "{} calls a second, {} connections, {} deep, {} endpoints with {:.1} ms of work, seed {}, {} s each arm by \
+        "{} calls a second, {} connections, {} deep, {} endpoints with {:.1} ms of work, seed {}, {:.1} s each arm by \
          turns, real processes on loopback",
         measured.rate,
         measured.connections.name(),
@@ -156,7 +157,7 @@
         asked.endpoints,
         asked.work.as_secs_f64() * 1e3,
         asked.seed,
-        asked.rounds
+        asked.slice.as_secs_f64() * asked.rounds as f64
     )?;
     writeln!(
         out,
--- a/crates/passroad-rig/src/main.rs
+++ b/crates/passroad-rig/src/main.rs
@@ -104,9 +104,12 @@
     /// Whether connections outlive a call: warm, cold.
     #[arg(long, value_delimiter = ',', default_value = "warm,cold", value_parser = connections)]
     connections: Vec<Connections>,
-    /// How long each arm has the load, in turns of a second.
-    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u32).range(2..=600))]
+    /// How long each arm has the load, all its turns together.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u32).range(1..=600))]
     seconds: u32,
+    /// How long one turn is, in milliseconds; the first fifth of it is not counted.
+    #[arg(long, default_value_t = 1000, value_parser = clap::value_parser!(u32).range(50..=10_000))]
+    turn_ms: u32,
     /// Calls within calls, each with a sidecar of its own.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=9))]
     depth: u32,
@@ -142,7 +145,9 @@
     let asked = Asked {
         rates: told.rate,
         connections: told.connections,
-        rounds: told.seconds as usize,
+        // Two at least: of one there is no error.
+        rounds: (told.seconds * 1000).div_ceil(told.turn_ms).max(2) as usize,
+        slice: Duration::from_millis(u64::from(told.turn_ms)),
         depth: told.depth as usize,
         endpoints: told.endpoints as usize,
         work: Duration::from_millis(told.work_ms),
