--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -18,6 +18,16 @@
 pub struct Figure<'a> {
     laws: Vec<&'a Law>,
     target: &'a Target,
+    /// Two standard errors, where the run told them.
+    error: Option<f64>,
+}
+
+/// Two standard errors of a figure, where its run left them as points beside it.
+fn told_error(slopes: &Slopes, law: &Law, target: &Target) -> Option<f64> {
+    let name = format!("{}-error", law.quantity);
+    let key = |l: &Law| (l.role.clone(), l.condition.clone(), l.kind.clone(), l.source);
+    let same = |l: &&Law| l.quantity == name && key(l) == key(law) && l.fixed == law.fixed;
+    slopes.laws.iter().find(same).and_then(|l| l.at(target, 1.0))
 }
 
 impl<'a> Figure<'a> {
@@ -30,7 +40,12 @@
         condition: &str,
     ) -> Option<Figure<'a>> {
         let laws = row.parts.iter().map(|part| law(slopes, target, role, row, part, condition));
-        Some(Figure { laws: laws.collect::<Option<Vec<_>>>()?, target })
+        let laws = laws.collect::<Option<Vec<_>>>()?;
+        let error = match &laws[..] {
+            [law] => told_error(slopes, law, target),
+            _ => None,
+        };
+        Some(Figure { laws, target, error })
     }
 
     pub fn at(&self, times: f64) -> f64 {
@@ -137,9 +152,13 @@
     }
 }
 
+fn plus_minus(f: &Figure) -> String {
+    f.error.map_or(String::new(), |error| format!(" +- {}", figure(error)))
+}
+
 fn told(figure_of: Option<&Figure>, times: f64) -> String {
     match figure_of {
-        Some(f) => figure(f.at(times)) + mark(f.source()),
+        Some(f) => figure(f.at(times)) + &plus_minus(f) + mark(f.source()),
         None => "not measured".into(),
     }
 }
@@ -237,7 +256,12 @@
         (Some(_), None, _) => LARGEST * 2.0,
         (None, None, _) => LARGEST * 3.0,
     };
-    all.sort_by(|a, b| rank(a).total_cmp(&rank(b)).then_with(|| ratio(b).total_cmp(&ratio(a))));
+    // Of those that pass it at the same size what is measured comes before what is assumed.
+    let source = |b: &Breaking| b.figure.as_ref().map(Figure::source);
+    all.sort_by(|a, b| {
+        let by_size = rank(a).total_cmp(&rank(b)).then_with(|| source(a).cmp(&source(b)));
+        by_size.then_with(|| ratio(b).total_cmp(&ratio(a)))
+    });
     all
 }
 
@@ -296,7 +320,7 @@
         Source::Simulated => "simulated",
         Source::Assumed => "assumed",
     };
-    format!("{}{unit} ({from})", figure(f.at(1.0)))
+    format!("{}{}{unit} ({from})", figure(f.at(1.0)), plus_minus(f))
 }
 
 fn in_words(b: &Breaking, slopes: &Slopes, target: &Target) -> String {
@@ -329,7 +353,8 @@
 fn first_missing(slopes: &Slopes, target: &Target, out: &mut String) {
     let all = breaking(slopes, target);
     let _ = writeln!(out, "\n### The first missing mechanism, and the three rows after it\n");
-    let Some(at) = all.iter().position(|b| b.row.carried.file.is_none()) else {
+    let missing = |b: &Breaking| b.row.carried.file.is_none() && !b.row.otherwise;
+    let Some(at) = all.iter().position(missing) else {
         let _ = writeln!(out, "No row with a budget is without a mechanism.");
         return;
     };
@@ -339,7 +364,7 @@
     let mut seen = vec![(first.role.key, first.row.title)];
     for b in &all {
         let key = (b.role.key, b.row.title);
-        let passed = b.figure.is_some();
+        let passed = b.figure.is_some() && !b.row.otherwise;
         if seen.len() < 4 && passed && !seen.contains(&key) {
             seen.push(key);
             let _ = writeln!(out, "{}. {}.", seen.len(), in_words(b, slopes, target));
@@ -397,7 +422,7 @@
             "| {} | {}, {} | {} | {}{} | {} | {} | {} | {} | {} | {} |",
             b.role.key,
             b.row.title,
-            b.row.unit,
+            if b.row.otherwise { format!("{} (other reading)", b.row.unit) } else { b.row.unit.into() },
             b.condition,
             told(b.figure.as_ref(), 1.0),
             if unknown { " =" } else { "" },
@@ -600,20 +625,10 @@
          | role | quantity | condition | statistic | of | law | points: size: figure | error | at the target | played there | \
          run: seed |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
     );
-    let error_of = |law: &Law| {
-        // Where a run told the error of its own figure, that stands for it.
-        let name = format!("{}-error", law.quantity);
-        let same = |l: &&Law| {
-            let key = |l: &Law| (l.role.clone(), l.condition.clone(), l.kind.clone(), l.source);
-            l.quantity == name && key(l) == key(law) && l.fixed == law.fixed
-        };
-        let told = slopes.laws.iter().find(same).and_then(|l| l.at(target, 1.0));
-        match (told, law.error) {
-            (Some(told), _) => format!("+- {} (two standard errors)", figure(told)),
-            (None, Some(_)) if law.points.len() == 1 => "one point".into(),
-            (None, Some(error)) => figure(error),
-            (None, None) => "-".into(),
-        }
+    let error_of = |law: &Law| match (told_error(slopes, law, target), law.error) {
+        (Some(told), _) => format!("+- {} (two standard errors)", figure(told)),
+        (None, Some(_)) if law.points.len() == 1 => "one point".into(),
+        (None, error) => error.map_or("-".into(), figure),
     };
     let shown = |l: &&Law| l.source != Source::Assumed && !l.quantity.ends_with("-error");
     for law in slopes.laws.iter().filter(shown) {
--- a/crates/passroad-rig/src/capacity/roles.rs
+++ b/crates/passroad-rig/src/capacity/roles.rs
@@ -62,6 +62,8 @@
     pub with: Option<(&'static str, &'static str)>,
     pub budget: Option<Budget>,
     pub carried: Mechanism,
+    /// Of another reading of the target than the page goes by; it stands in the tables, and is not counted among the first.
+    pub otherwise: bool,
 }
 
 const fn row(
@@ -71,7 +73,7 @@
     budget: Option<Budget>,
     carried: Mechanism,
 ) -> Row {
-    Row { title, parts, unit, with: None, budget, carried }
+    Row { title, parts, unit, with: None, budget, carried, otherwise: false }
 }
 
 /// What is held: what, by what it grows, what bounds it.
@@ -133,7 +135,13 @@
         },
         Row {
             with: COLD,
-            ..row("the same, cold connections", &["added-p99"], "ms", ADDED, by("the connector", RELAY))
+            ..row(
+                "added to a call, p99, cold connections",
+                &["added-p99"],
+                "ms",
+                ADDED,
+                by("the connector", RELAY),
+            )
         },
         Row {
             with: WARM,
@@ -155,6 +163,26 @@
                 by("the request's life", RELAY),
             )
         },
+        Row {
+            with: WARM,
+            ..row(
+                "share of calls over the straight median and the budget, warm",
+                &["via-over-budget"],
+                "",
+                None,
+                by("the request's life", RELAY),
+            )
+        },
+        Row {
+            with: WARM,
+            ..row(
+                "the same share of straight calls, warm",
+                &["direct-over-budget"],
+                "",
+                None,
+                none("for comparison: no sidecar on the way"),
+            )
+        },
         row("calls of one sidecar", &["calls"], "1/s", None, by("intake and desk", DESK)),
         Row {
             with: WARM,
@@ -204,13 +232,16 @@
         row("bytes in, probes apart", &["bytes-in"], "B/s", CONTROL_BYTES, WHOLE_LIST),
         row("bytes out, probes apart", &["bytes-out"], "B/s", CONTROL_BYTES, GOSSIP),
         row("bytes in and out, probes apart", &["bytes-in", "bytes-out"], "B/s", CONTROL_BYTES, WHOLE_LIST),
-        row(
-            "bytes in and out, where a probe is control",
-            &["bytes-in", "bytes-out", "probe-bytes"],
-            "B/s",
-            CONTROL_BYTES,
-            none("probes go by calls; nothing holds them to a rate"),
-        ),
+        Row {
+            otherwise: true,
+            ..row(
+                "bytes in and out, where a probe is control",
+                &["bytes-in", "bytes-out", "probe-bytes"],
+                "B/s",
+                CONTROL_BYTES,
+                none("probes go by calls; nothing holds them to a rate"),
+            )
+        },
         row(
             "processor",
             &["cpu"],
@@ -414,7 +445,14 @@
         },
         Row {
             with: WARM,
-            ..row("the same, the budget being the whole tree's", &["added-p99"], "ms", ADDED, HOPS)
+            otherwise: true,
+            ..row(
+                "added to the outer call, p99, the budget being the whole tree's",
+                &["added-p99"],
+                "ms",
+                ADDED,
+                HOPS,
+            )
         },
         row("inner calls for each outer one", &["messages-out"], "", None, HOPS),
         row("attempts at the leaf for each outer call, leaf fails", &["attempts-leaf"], "", None, HOPS),
