--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -540,7 +540,7 @@
                 (_, None) => "-".into(),
             }
         };
-        let usual = ordinary.as_ref().or(rest.as_ref());
+        let played = [&ordinary, &rest].into_iter().flatten().find_map(Figure::played);
         let _ = writeln!(
             out,
             "| {}{} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
@@ -550,7 +550,7 @@
             told(ordinary.as_ref(), 1.0),
             named(&event),
             named(&back),
-            usual.and_then(Figure::played).map_or("-".into(), figure),
+            played.map_or("-".into(), figure),
             budget.map_or("none in the target".into(), figure),
             ratio(&[rest.as_ref(), ordinary.as_ref()]),
             ratio(&[event.as_ref().map(|e| &e.1), back.as_ref().map(|b| &b.1)]),
--- a/crates/passroad-rig/src/capacity/roles.rs
+++ b/crates/passroad-rig/src/capacity/roles.rs
@@ -212,7 +212,7 @@
     title: "A sidecar's control: list, probes, membership, leases, configuration, operators' door, log",
     state: &[
         ("the list", "endpoints of all services", WHOLE_LIST),
-        ("members: standing, incarnation, when", "sidecars", by("a table, 24 bytes each", PEERS)),
+        ("members: standing, incarnation, when", "sidecars", by("a table, 32 bytes each", PEERS)),
         (
             "what is still to be told on",
             "changes of the last seconds",
