--- a/crates/passroad-rig/src/capacity/roles.rs
+++ b/crates/passroad-rig/src/capacity/roles.rs
@@ -6,16 +6,17 @@
     ["mean", "busiest", "worst-second", "most", "p50", "p99", "p999", "twice-standard-error"];
 
 /// Events, as conditions name them after `event:` and `return:`, and as the page does.
-pub const EVENTS: [(&str, &str); 9] = [
-    ("machines", "2 machines gone"),
+pub const EVENTS: [(&str, &str); 10] = [
+    ("two-gone", "2 machines gone"),
     ("restarts-day", "55 restarts over a day"),
-    ("restarts-minute", "55 restarts in a minute"),
+    ("restarts-55", "55 restarts in a minute"),
     ("release", "release of one service"),
     ("rack", "a rack"),
     ("zone", "a zone"),
-    ("region-cut", "a region cut off for 5 min"),
-    ("start", "all start at once"),
-    ("discovery-down", "discovery down for 1 min"),
+    ("region-cut", "a region cut off"),
+    ("region-cut-out", "a region cut off one way"),
+    ("all-start", "all start at once"),
+    ("discovery-down", "discovery down"),
 ];
 
 /// A budget of the target: the product of the values of these keys, in the row's unit.
--- a/crates/passroad-rig/tests/capacity.rs
+++ b/crates/passroad-rig/tests/capacity.rs
@@ -34,7 +34,7 @@
         folder.put("capacity/target.toml", &target_text());
         folder.put(
             "capacity/assumed.toml",
-            "[[law]]\nrole = \"discovery\"\nquantity = \"bytes-out\"\nunit = \"B/s\"\ncondition = \"event:start\"\n\
+            "[[law]]\nrole = \"discovery\"\nquantity = \"bytes-out\"\nunit = \"B/s\"\ncondition = \"event:all-start\"\n\
              statistic = \"worst-second\"\nby = \"sidecars*endpoints\"\nslope = 150\nwhy = \"an entry is 150 bytes\"\n",
         );
         folder.put("capacity/points/one.json", &points("one", false, |n| 100.0 + 2.0 * n));
