--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -62,13 +62,19 @@
         self.laws.iter().map(|l| l.played(self.target)).sum()
     }
 
-    /// Whether all its parts were taken at one size only, so that nothing is known of growth.
+    /// Whether a part was taken at one number of sidecars only, so that nothing is known of growth. What was taken at one
+    /// sidecar alone has no such number, and doesn't grow: its own calls stay.
     fn one_size(&self) -> bool {
-        self.laws.iter().any(|l| l.source != Source::Assumed && l.by.is_empty())
+        let one =
+            |l: &&Law| l.source != Source::Assumed && l.by.is_empty() && l.fixed.contains_key("sidecars");
+        self.laws.iter().any(|l| one(&l))
     }
 
     /// The smallest multiple of the target at which it is above the budget; none if it is not up to a thousand times.
     pub fn passes(&self, budget: f64) -> Option<f64> {
+        if self.one_size() {
+            return (self.at(1.0) > budget).then_some(1.0);
+        }
         let over = |times: f64| self.at(times) > budget;
         let steps = 240;
         let step = |n: usize| SMALLEST * (LARGEST / SMALLEST).powf(n as f64 / steps as f64);
@@ -269,15 +275,16 @@
     b.figure.as_ref().map_or(0.0, |f| f.at(1.0) / b.budget)
 }
 
-fn size_of(passes: Option<f64>, target: &Target) -> String {
-    match passes {
-        Some(times) if times <= 0.0 => "at any size".into(),
-        Some(times) => format!(
-            "{} sidecars (x{})",
-            figure((target.variable("sidecars", times).unwrap_or_default()).round()),
-            figure(times)
-        ),
-        None => format!("not up to x{LARGEST:.0}"),
+/// At which size a budget is passed.
+fn size_of(b: &Breaking, target: &Target) -> String {
+    let sidecars = |times: f64| figure(target.variable("sidecars", times).unwrap_or_default().round());
+    match (&b.figure, b.passes) {
+        (None, _) => "not measured".into(),
+        (Some(f), Some(_)) if f.one_size() => format!("{} sidecars or fewer, of one size", sidecars(1.0)),
+        (Some(f), None) if f.one_size() => "not known, of one size".into(),
+        (_, Some(times)) if times <= 0.0 => "any size".into(),
+        (_, Some(times)) => format!("{} sidecars (x{})", sidecars(times), figure(times)),
+        (_, None) => format!("none up to x{LARGEST:.0}"),
     }
 }
 
@@ -336,11 +343,7 @@
             sent.map_or(String::new(), |(f, unit)| format!("; {} would have to go out", spoken(&f, unit)));
         return format!("{what}: {budget} allowed, no figure{load}; {}", carried(b.row.carried));
     };
-    let passes = match b.passes {
-        Some(times) if times > 0.0 => format!("passed at {}", size_of(b.passes, target)),
-        Some(_) => "passed at any size".into(),
-        None => format!("passed {}", size_of(None, target)),
-    };
+    let passes = format!("passed at {}", size_of(b, target));
     format!(
         "{what}, {}: {} for a budget of {budget}, x{}, {passes}; {}",
         b.condition,
@@ -412,6 +415,9 @@
     for b in &all {
         let at = |times: f64| {
             b.figure.as_ref().map_or("-".into(), |f| {
+                if times > 1.0 && f.one_size() {
+                    return "not known".into();
+                }
                 let value = figure(f.at(times) / b.budget);
                 if f.at(times) > b.budget { format!("**{value}**") } else { value }
             })
@@ -430,7 +436,7 @@
             at(1.0),
             at(2.0),
             at(5.0),
-            if b.figure.is_some() { size_of(b.passes, target) } else { "not measured".into() },
+            size_of(b, target),
             carried(b.row.carried)
         );
     }
--- a/crates/passroad-rig/tests/capacity.rs
+++ b/crates/passroad-rig/tests/capacity.rs
@@ -435,3 +435,21 @@
         }
     }
 }
+
+/// Of one size nothing is known of growth, and nothing is said of it.
+#[rstest]
+#[case(7000.0, "| **1.17** | not known | not known | 610 sidecars or fewer, of one size |")]
+#[case(600.0, "| 0.100 | not known | not known | not known, of one size |")]
+fn one_size_makes_no_growth(#[case] value: f64, #[case] shown: &str) {
+    let folder = Folder::new();
+    let point = serde_json::json!({
+        "role": "control", "quantity": "bytes-out", "unit": "B/s", "condition": "rest", "statistic": "busiest",
+        "kind": "hollow", "at": { "sidecars": 610 }, "value": value,
+    });
+    let file =
+        serde_json::json!({ "run": "r", "commit": "c", "seed": 1, "simulated": false, "points": [point] });
+    folder.put("capacity/points/one.json", &file.to_string());
+    let files = read_points(&folder.0.join("capacity/points")).expect("points");
+    let made = tables(&from_points(&files, Vec::new()), &target::read(&target_text()).expect("a target"));
+    assert!(made.contains(shown), "{made}");
+}
