--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -67,7 +67,7 @@
     fn one_size(&self) -> bool {
         let one =
             |l: &&Law| l.source != Source::Assumed && l.by.is_empty() && l.fixed.contains_key("sidecars");
-        self.laws.iter().any(|l| one(&l))
+        self.laws.iter().any(|l| one(l))
     }
 
     /// The smallest multiple of the target at which it is above the budget; none if it is not up to a thousand times.
@@ -458,16 +458,13 @@
         figure(calls * depth)
     );
     let call_path = &ROLES[0];
-    let cpu = call_path.rows.iter().find(|r| r.parts == ["cpu-per-call"]);
-    let cpu = cpu.and_then(|row| Figure::find(slopes, target, call_path, row, "ordinary"));
-    if let Some(cpu) = &cpu {
-        let core = |calls: f64| figure(cpu.at(1.0) * calls / 1e6) + mark(cpu.source());
-        let _ = writeln!(
-            out,
-            "| the same, in cores of a sidecar on the way | {} | {} |",
-            core(calls),
-            core(calls * depth)
-        );
+    let outer = target.with_calls_times(depth);
+    let cpu = |target| {
+        let row = call_path.rows.iter().find(|r| r.parts == ["cpu"])?;
+        Some(told(Figure::find(slopes, target, call_path, row, "ordinary").as_ref(), 1.0))
+    };
+    if let (Some(inner), Some(outer)) = (cpu(target), cpu(&outer)) {
+        let _ = writeln!(out, "| the same, in cores of a sidecar on the way | {inner} | {outer} |");
     }
     let control = &ROLES[1];
     let with = |part: &[&str]| control.rows.iter().find(|r| r.parts == part);
@@ -634,6 +631,9 @@
     let error_of = |law: &Law| match (told_error(slopes, law, target), law.error) {
         (Some(told), _) => format!("+- {} (two standard errors)", figure(told)),
         (None, Some(_)) if law.points.len() == 1 => "one point".into(),
+        (None, Some(_)) if law.points.len() == 2 && law.form != Form::Constant => {
+            "a line through both".into()
+        }
         (None, error) => error.map_or("-".into(), figure),
     };
     let shown = |l: &&Law| l.source != Source::Assumed && !l.quantity.ends_with("-error");
--- a/crates/passroad-rig/src/capacity/target.rs
+++ b/crates/passroad-rig/src/capacity/target.rs
@@ -144,6 +144,15 @@
         self.values.get(key).copied().unwrap_or(f64::NAN)
     }
 
+    /// The same with so many times the calls.
+    pub fn with_calls_times(&self, times: f64) -> Target {
+        let mut target = self.clone();
+        if let Some(calls) = target.values.get_mut("calls_per_second") {
+            *calls *= times;
+        }
+        target
+    }
+
     /// A budget or another value by its key; none where there is no such key.
     pub fn value(&self, key: &str) -> Option<f64> {
         self.values.get(key).copied()
