--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -67,7 +67,7 @@
     fn one_size(&self) -> bool {
         let one =
             |l: &&Law| l.source != Source::Assumed && l.by.is_empty() && l.fixed.contains_key("sidecars");
-        self.laws.iter().any(|l| one(l))
+        self.laws.iter().any(one)
     }
 
     /// The smallest multiple of the target at which it is above the budget; none if it is not up to a thousand times.
