--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -18,6 +18,16 @@
 pub struct Figure<'a> {
     laws: Vec<&'a Law>,
     target: &'a Target,
+    /// Two standard errors, where the run told them.
+    error: Option<f64>,
+}
+
+/// Two standard errors of a figure, where its run left them as points beside it.
+fn told_error(slopes: &Slopes, law: &Law, target: &Target) -> Option<f64> {
+    let name = format!("{}-error", law.quantity);
+    let key = |l: &Law| (l.role.clone(), l.condition.clone(), l.kind.clone(), l.source);
+    let same = |l: &&Law| l.quantity == name && key(l) == key(law) && l.fixed == law.fixed;
+    slopes.laws.iter().find(same).and_then(|l| l.at(target, 1.0))
 }
 
 impl<'a> Figure<'a> {
@@ -30,7 +40,12 @@
         condition: &str,
     ) -> Option<Figure<'a>> {
         let laws = row.parts.iter().map(|part| law(slopes, target, role, row, part, condition));
-        Some(Figure { laws: laws.collect::<Option<Vec<_>>>()?, target })
+        let laws = laws.collect::<Option<Vec<_>>>()?;
+        let error = match &laws[..] {
+            [law] => told_error(slopes, law, target),
+            _ => None,
+        };
+        Some(Figure { laws, target, error })
     }
 
     pub fn at(&self, times: f64) -> f64 {
@@ -47,13 +62,19 @@
         self.laws.iter().map(|l| l.played(self.target)).sum()
     }
 
-    /// Whether all its parts were taken at one size only, so that nothing is known of growth.
+    /// Whether a part was taken at one number of sidecars only, so that nothing is known of growth. What was taken at one
+    /// sidecar alone has no such number, and doesn't grow: its own calls stay.
     fn one_size(&self) -> bool {
-        self.laws.iter().any(|l| l.source != Source::Assumed && l.by.is_empty())
+        let one =
+            |l: &&Law| l.source != Source::Assumed && l.by.is_empty() && l.fixed.contains_key("sidecars");
+        self.laws.iter().any(one)
     }
 
     /// The smallest multiple of the target at which it is above the budget; none if it is not up to a thousand times.
     pub fn passes(&self, budget: f64) -> Option<f64> {
+        if self.one_size() {
+            return (self.at(1.0) > budget).then_some(1.0);
+        }
         let over = |times: f64| self.at(times) > budget;
         let steps = 240;
         let step = |n: usize| SMALLEST * (LARGEST / SMALLEST).powf(n as f64 / steps as f64);
@@ -137,9 +158,13 @@
     }
 }
 
+fn plus_minus(f: &Figure) -> String {
+    f.error.map_or(String::new(), |error| format!(" +- {}", figure(error)))
+}
+
 fn told(figure_of: Option<&Figure>, times: f64) -> String {
     match figure_of {
-        Some(f) => figure(f.at(times)) + mark(f.source()),
+        Some(f) => figure(f.at(times)) + &plus_minus(f) + mark(f.source()),
         None => "not measured".into(),
     }
 }
@@ -237,7 +262,12 @@
         (Some(_), None, _) => LARGEST * 2.0,
         (None, None, _) => LARGEST * 3.0,
     };
-    all.sort_by(|a, b| rank(a).total_cmp(&rank(b)).then_with(|| ratio(b).total_cmp(&ratio(a))));
+    // Of those that pass it at the same size what is measured comes before what is assumed.
+    let source = |b: &Breaking| b.figure.as_ref().map(Figure::source);
+    all.sort_by(|a, b| {
+        let by_size = rank(a).total_cmp(&rank(b)).then_with(|| source(a).cmp(&source(b)));
+        by_size.then_with(|| ratio(b).total_cmp(&ratio(a)))
+    });
     all
 }
 
@@ -245,15 +275,16 @@
     b.figure.as_ref().map_or(0.0, |f| f.at(1.0) / b.budget)
 }
 
-fn size_of(passes: Option<f64>, target: &Target) -> String {
-    match passes {
-        Some(times) if times <= 0.0 => "at any size".into(),
-        Some(times) => format!(
-            "{} sidecars (x{})",
-            figure((target.variable("sidecars", times).unwrap_or_default()).round()),
-            figure(times)
-        ),
-        None => format!("not up to x{LARGEST:.0}"),
+/// At which size a budget is passed.
+fn size_of(b: &Breaking, target: &Target) -> String {
+    let sidecars = |times: f64| figure(target.variable("sidecars", times).unwrap_or_default().round());
+    match (&b.figure, b.passes) {
+        (None, _) => "not measured".into(),
+        (Some(f), Some(_)) if f.one_size() => format!("{} sidecars or fewer, of one size", sidecars(1.0)),
+        (Some(f), None) if f.one_size() => "not known, of one size".into(),
+        (_, Some(times)) if times <= 0.0 => "any size".into(),
+        (_, Some(times)) => format!("{} sidecars (x{})", sidecars(times), figure(times)),
+        (_, None) => format!("none up to x{LARGEST:.0}"),
     }
 }
 
@@ -296,7 +327,7 @@
         Source::Simulated => "simulated",
         Source::Assumed => "assumed",
     };
-    format!("{}{unit} ({from})", figure(f.at(1.0)))
+    format!("{}{}{unit} ({from})", figure(f.at(1.0)), plus_minus(f))
 }
 
 fn in_words(b: &Breaking, slopes: &Slopes, target: &Target) -> String {
@@ -312,11 +343,7 @@
             sent.map_or(String::new(), |(f, unit)| format!("; {} would have to go out", spoken(&f, unit)));
         return format!("{what}: {budget} allowed, no figure{load}; {}", carried(b.row.carried));
     };
-    let passes = match b.passes {
-        Some(times) if times > 0.0 => format!("passed at {}", size_of(b.passes, target)),
-        Some(_) => "passed at any size".into(),
-        None => format!("passed {}", size_of(None, target)),
-    };
+    let passes = format!("passed at {}", size_of(b, target));
     format!(
         "{what}, {}: {} for a budget of {budget}, x{}, {passes}; {}",
         b.condition,
@@ -329,7 +356,8 @@
 fn first_missing(slopes: &Slopes, target: &Target, out: &mut String) {
     let all = breaking(slopes, target);
     let _ = writeln!(out, "\n### The first missing mechanism, and the three rows after it\n");
-    let Some(at) = all.iter().position(|b| b.row.carried.file.is_none()) else {
+    let missing = |b: &Breaking| b.row.carried.file.is_none() && !b.row.otherwise;
+    let Some(at) = all.iter().position(missing) else {
         let _ = writeln!(out, "No row with a budget is without a mechanism.");
         return;
     };
@@ -339,7 +367,7 @@
     let mut seen = vec![(first.role.key, first.row.title)];
     for b in &all {
         let key = (b.role.key, b.row.title);
-        let passed = b.figure.is_some();
+        let passed = b.figure.is_some() && !b.row.otherwise;
         if seen.len() < 4 && passed && !seen.contains(&key) {
             seen.push(key);
             let _ = writeln!(out, "{}. {}.", seen.len(), in_words(b, slopes, target));
@@ -387,6 +415,9 @@
     for b in &all {
         let at = |times: f64| {
             b.figure.as_ref().map_or("-".into(), |f| {
+                if times > 1.0 && f.one_size() {
+                    return "not known".into();
+                }
                 let value = figure(f.at(times) / b.budget);
                 if f.at(times) > b.budget { format!("**{value}**") } else { value }
             })
@@ -397,7 +428,7 @@
             "| {} | {}, {} | {} | {}{} | {} | {} | {} | {} | {} | {} |",
             b.role.key,
             b.row.title,
-            b.row.unit,
+            if b.row.otherwise { format!("{} (other reading)", b.row.unit) } else { b.row.unit.into() },
             b.condition,
             told(b.figure.as_ref(), 1.0),
             if unknown { " =" } else { "" },
@@ -405,7 +436,7 @@
             at(1.0),
             at(2.0),
             at(5.0),
-            if b.figure.is_some() { size_of(b.passes, target) } else { "not measured".into() },
+            size_of(b, target),
             carried(b.row.carried)
         );
     }
@@ -427,16 +458,13 @@
         figure(calls * depth)
     );
     let call_path = &ROLES[0];
-    let cpu = call_path.rows.iter().find(|r| r.parts == ["cpu-per-call"]);
-    let cpu = cpu.and_then(|row| Figure::find(slopes, target, call_path, row, "ordinary"));
-    if let Some(cpu) = &cpu {
-        let core = |calls: f64| figure(cpu.at(1.0) * calls / 1e6) + mark(cpu.source());
-        let _ = writeln!(
-            out,
-            "| the same, in cores of a sidecar on the way | {} | {} |",
-            core(calls),
-            core(calls * depth)
-        );
+    let outer = target.with_calls_times(depth);
+    let cpu = |target| {
+        let row = call_path.rows.iter().find(|r| r.parts == ["cpu"])?;
+        Some(told(Figure::find(slopes, target, call_path, row, "ordinary").as_ref(), 1.0))
+    };
+    if let (Some(inner), Some(outer)) = (cpu(target), cpu(&outer)) {
+        let _ = writeln!(out, "| the same, in cores of a sidecar on the way | {inner} | {outer} |");
     }
     let control = &ROLES[1];
     let with = |part: &[&str]| control.rows.iter().find(|r| r.parts == part);
@@ -515,7 +543,7 @@
                 (_, None) => "-".into(),
             }
         };
-        let usual = ordinary.as_ref().or(rest.as_ref());
+        let played = [&ordinary, &rest].into_iter().flatten().find_map(Figure::played);
         let _ = writeln!(
             out,
             "| {}{} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
@@ -525,7 +553,7 @@
             told(ordinary.as_ref(), 1.0),
             named(&event),
             named(&back),
-            usual.and_then(Figure::played).map_or("-".into(), figure),
+            played.map_or("-".into(), figure),
             budget.map_or("none in the target".into(), figure),
             ratio(&[rest.as_ref(), ordinary.as_ref()]),
             ratio(&[event.as_ref().map(|e| &e.1), back.as_ref().map(|b| &b.1)]),
@@ -600,20 +628,13 @@
          | role | quantity | condition | statistic | of | law | points: size: figure | error | at the target | played there | \
          run: seed |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
     );
-    let error_of = |law: &Law| {
-        // Where a run told the error of its own figure, that stands for it.
-        let name = format!("{}-error", law.quantity);
-        let same = |l: &&Law| {
-            let key = |l: &Law| (l.role.clone(), l.condition.clone(), l.kind.clone(), l.source);
-            l.quantity == name && key(l) == key(law) && l.fixed == law.fixed
-        };
-        let told = slopes.laws.iter().find(same).and_then(|l| l.at(target, 1.0));
-        match (told, law.error) {
-            (Some(told), _) => format!("+- {} (two standard errors)", figure(told)),
-            (None, Some(_)) if law.points.len() == 1 => "one point".into(),
-            (None, Some(error)) => figure(error),
-            (None, None) => "-".into(),
+    let error_of = |law: &Law| match (told_error(slopes, law, target), law.error) {
+        (Some(told), _) => format!("+- {} (two standard errors)", figure(told)),
+        (None, Some(_)) if law.points.len() == 1 => "one point".into(),
+        (None, Some(_)) if law.points.len() == 2 && law.form != Form::Constant => {
+            "a line through both".into()
         }
+        (None, error) => error.map_or("-".into(), figure),
     };
     let shown = |l: &&Law| l.source != Source::Assumed && !l.quantity.ends_with("-error");
     for law in slopes.laws.iter().filter(shown) {
