--- a/crates/passroad-rig/src/scale/mod.rs
+++ b/crates/passroad-rig/src/scale/mod.rs
@@ -161,8 +161,11 @@
     // One after the other, and by turns in all hosts: that all start at once is an event of its own.
     let mut order = all.clone();
     order.sort_by_key(|n| (n * 7919) % sidecars);
+    let first = unix();
     for n in order {
         ground.processes.begin(n)?;
+        // Until then it was rightly doubted.
+        held(&ground.troubles).push((n, first, Some(unix())));
         sleep(plan.apart).await;
     }
     ground.processes.up(&all).await?;
@@ -411,7 +414,7 @@
             owners: owners.iter().copied().collect(),
             at: BTreeMap::from([("sidecars", count), ("endpoints", count), ("services", plan.services)]),
         };
-        let (mut points, mut lines) = (Vec::new(), Vec::new());
+        let (mut points, mut lines, mut doubts) = (Vec::new(), Vec::new(), 0);
         let conditions = plan.conditions();
         let whole = looks.last().map_or(began, |look| look.at);
         for (n, (from, condition)) in conditions.iter().enumerate() {
@@ -427,7 +430,12 @@
                 continue;
             }
             let mut own = measure::points(&window, &roles, condition);
-            let wrong = self.false_doubts(&turns, unix_began + (from - began), unix_began + (to - began));
+            // Without events each sidecar's own doubts are wrong ones; with them it is gone by what members went through.
+            let wrong = match plan.events.is_empty() {
+                true => own_of("doubts", statuses).saturating_sub(own_of("doubts", before)) as usize,
+                false => self.false_doubts(&turns, unix_began + (from - began), unix_began + (to - began)),
+            };
+            doubts += wrong;
             own.push(self.point(&roles, "false-doubts", "count", condition, "mean", wrong as f64));
             for known in self.discovery.spread(from, to, &self.who_lived(from, to, began, unix_began, count))
             {
@@ -496,23 +504,19 @@
         let first: Vec<Look> = first.cloned().collect();
         let all: Vec<usize> = (0..count).collect();
         let talk = measure::spread(&first, &all, sent);
-        let whole_doubts = self.false_doubts(&turns, unix_began, Duration::MAX);
-        let own = |key: &str, of: &BTreeMap<usize, Value>| -> u64 {
-            of.values().filter_map(|said| said[key].as_u64()).sum()
-        };
         lines.push(format!(
             "{} of {count} answer, doubts of their own {} (in settling {}), refuted {}, datagrams held back {}; longest {} bytes",
             statuses.len(),
-            own("doubts", statuses),
-            own("doubts", before),
-            own("refuted", statuses),
-            own("held_back", statuses),
+            own_of("doubts", statuses),
+            own_of("doubts", before),
+            own_of("refuted", statuses),
+            own_of("held_back", statuses),
             self.wires.longest.load(Relaxed)
         ));
         let figures = BTreeMap::from([
             ("here", here as f64 / (alive.len() * alive.len()).max(1) as f64),
             ("listed", self.discovery.listed(&alive)),
-            ("false-doubts", whole_doubts as f64),
+            ("false-doubts", doubts as f64),
             ("longest", self.wires.longest.load(Relaxed) as f64),
             ("busiest-over-mean", talk.busiest / talk.mean.max(1e-9)),
             ("a-period", talk.mean * plan.fleet.period.0.as_secs_f64()),
@@ -568,6 +572,11 @@
     }
 }
 
+/// The sum of one count of all.
+fn own_of(key: &str, of: &BTreeMap<usize, Value>) -> u64 {
+    of.values().filter_map(|said| said[key].as_u64()).sum()
+}
+
 /// Rows of a window for people.
 fn lines_of(points: &[Point], condition: &str) -> Vec<String> {
     let mut rows: BTreeMap<(&str, &str, &str), BTreeMap<&str, f64>> = BTreeMap::new();
