--- a/crates/passroad-rig/src/scale/discovery.rs
+++ b/crates/passroad-rig/src/scale/discovery.rs
@@ -172,11 +172,13 @@
     /// How long each revision from this instant on took until all of these knew of it; none where one does not.
     pub fn spread(&self, from: Instant, to: Instant, these: &[usize]) -> Vec<Option<Duration>> {
         let list = held(&self.list);
+        if these.is_empty() {
+            return Vec::new();
+        }
         let told = list.set.iter().filter(|(_, at)| (from..to).contains(*at));
         told.map(|(revision, set)| {
             let mut first: BTreeMap<usize, Instant> = BTreeMap::new();
-            for (n, heard, at) in list.heard.iter().filter(|(_, heard, at)| heard >= revision && at >= set) {
-                let _ = heard;
+            for (n, _, at) in list.heard.iter().filter(|(_, heard, at)| heard >= revision && at >= set) {
                 first.entry(*n).or_insert(*at);
             }
             let all = these.iter().map(|n| first.get(n).map(|at| *at - *set));
--- a/crates/passroad-rig/src/scale/mod.rs
+++ b/crates/passroad-rig/src/scale/mod.rs
@@ -110,6 +110,8 @@
     troubles: Mutex<Vec<(usize, Duration, Option<Duration>)>>,
     /// Cuts: who was inside, from when to when.
     cuts: Mutex<Vec<(Vec<bool>, Duration, Option<Duration>)>>,
+    /// How long after its end all that were killed had the list that says that they are back.
+    listed: Mutex<Vec<(String, Duration)>>,
 }
 
 fn unix() -> Duration {
@@ -156,6 +158,7 @@
         alive: Mutex::new(vec![true; sidecars]),
         troubles: Mutex::default(),
         cuts: Mutex::default(),
+        listed: Mutex::default(),
     });
     let all: Vec<usize> = (0..sidecars).collect();
     // One after the other, and by turns in all hosts: that all start at once is an event of its own.
@@ -281,6 +284,10 @@
                 }
                 self.processes.up(&these).await?;
                 self.discovery.tell(&these, Mode::Running);
+                while self.discovery.listed(&these) < 1.0 && ends.elapsed() < AFTERMATH {
+                    sleep(BETWEEN_LOOKS).await;
+                }
+                held(&self.listed).push((event.name.clone(), ends.elapsed()));
             }
             Kind::Restart(whom) => {
                 let these = self.plan.find(whom, sidecars, self.seed);
@@ -345,6 +352,9 @@
         let hit: Vec<_> = troubles.iter().filter(|(_, began, _)| *began >= from && *began < to).collect();
         let whose: BTreeSet<usize> = hit.iter().map(|(n, ..)| *n).collect();
         let watch: Vec<usize> = hollow.iter().copied().filter(|n| !whose.contains(n)).collect();
+        if watch.is_empty() {
+            return [Vec::new(), Vec::new()];
+        }
         let mut by: BTreeMap<usize, Vec<&Turn>> = BTreeMap::new();
         turns
             .iter()
@@ -454,6 +464,12 @@
             lines.push(self.threads_line(&window, &roles));
             points.extend(own);
         }
+        for (name, time) in held(&self.listed).iter() {
+            lines.push(format!(
+                "{name}: {:.1} s after its end all that began have the newest list",
+                time.as_secs_f64()
+            ));
+        }
         let (mut known, mut due) = (0, 0);
         for event in &plan.events {
             let conditions = [format!("event:{}", event.name), format!("return:{}", event.name)];
--- a/crates/passroad-rig/src/scale/plan.rs
+++ b/crates/passroad-rig/src/scale/plan.rs
@@ -417,7 +417,7 @@
         let mut text = String::new();
         for (k, service) in self.called(n).into_iter().enumerate() {
             text += &format!(
-                "[[pool]]\nname = \"s{service}\"\nlabels = [\"s{service}-\"]\ntiers = [[\"own\"], [\"*\"]]\n\n"
+                "[[pool]]\nname = \"s{service}\"\nlabels = [\"s{service}-\"]\ntiers = [[\"*\"]]\n\n"
             );
             text += &format!("[[route]]\nverbs = [\"call-{k}\"]\npool = \"s{service}\"\n\n");
         }
