--- a/crates/passroad-rig/src/scale/mod.rs
+++ b/crates/passroad-rig/src/scale/mod.rs
@@ -110,6 +110,8 @@
     troubles: Mutex<Vec<(usize, Duration, Option<Duration>)>>,
     /// Cuts: who was inside, from when to when.
     cuts: Mutex<Vec<(Vec<bool>, Duration, Option<Duration>)>>,
+    /// How long after its end all that were killed had the list that says that they are back.
+    listed: Mutex<Vec<(String, Duration)>>,
 }
 
 fn unix() -> Duration {
@@ -156,13 +158,17 @@
         alive: Mutex::new(vec![true; sidecars]),
         troubles: Mutex::default(),
         cuts: Mutex::default(),
+        listed: Mutex::default(),
     });
     let all: Vec<usize> = (0..sidecars).collect();
     // One after the other, and by turns in all hosts: that all start at once is an event of its own.
     let mut order = all.clone();
     order.sort_by_key(|n| (n * 7919) % sidecars);
+    let first = unix();
     for n in order {
         ground.processes.begin(n)?;
+        // Until then it was rightly doubted.
+        held(&ground.troubles).push((n, first, Some(unix())));
         sleep(plan.apart).await;
     }
     ground.processes.up(&all).await?;
@@ -278,6 +284,10 @@
                 }
                 self.processes.up(&these).await?;
                 self.discovery.tell(&these, Mode::Running);
+                while self.discovery.listed(&these) < 1.0 && ends.elapsed() < AFTERMATH {
+                    sleep(BETWEEN_LOOKS).await;
+                }
+                held(&self.listed).push((event.name.clone(), ends.elapsed()));
             }
             Kind::Restart(whom) => {
                 let these = self.plan.find(whom, sidecars, self.seed);
@@ -342,6 +352,9 @@
         let hit: Vec<_> = troubles.iter().filter(|(_, began, _)| *began >= from && *began < to).collect();
         let whose: BTreeSet<usize> = hit.iter().map(|(n, ..)| *n).collect();
         let watch: Vec<usize> = hollow.iter().copied().filter(|n| !whose.contains(n)).collect();
+        if watch.is_empty() {
+            return [Vec::new(), Vec::new()];
+        }
         let mut by: BTreeMap<usize, Vec<&Turn>> = BTreeMap::new();
         turns
             .iter()
@@ -411,7 +424,7 @@
             owners: owners.iter().copied().collect(),
             at: BTreeMap::from([("sidecars", count), ("endpoints", count), ("services", plan.services)]),
         };
-        let (mut points, mut lines) = (Vec::new(), Vec::new());
+        let (mut points, mut lines, mut doubts) = (Vec::new(), Vec::new(), 0);
         let conditions = plan.conditions();
         let whole = looks.last().map_or(began, |look| look.at);
         for (n, (from, condition)) in conditions.iter().enumerate() {
@@ -427,7 +440,12 @@
                 continue;
             }
             let mut own = measure::points(&window, &roles, condition);
-            let wrong = self.false_doubts(&turns, unix_began + (from - began), unix_began + (to - began));
+            // Without events each sidecar's own doubts are wrong ones; with them it is gone by what members went through.
+            let wrong = match plan.events.is_empty() {
+                true => own_of("doubts", statuses).saturating_sub(own_of("doubts", before)) as usize,
+                false => self.false_doubts(&turns, unix_began + (from - began), unix_began + (to - began)),
+            };
+            doubts += wrong;
             own.push(self.point(&roles, "false-doubts", "count", condition, "mean", wrong as f64));
             for known in self.discovery.spread(from, to, &self.who_lived(from, to, began, unix_began, count))
             {
@@ -446,6 +464,12 @@
             lines.push(self.threads_line(&window, &roles));
             points.extend(own);
         }
+        for (name, time) in held(&self.listed).iter() {
+            lines.push(format!(
+                "{name}: {:.1} s after its end all that began have the newest list",
+                time.as_secs_f64()
+            ));
+        }
         let (mut known, mut due) = (0, 0);
         for event in &plan.events {
             let conditions = [format!("event:{}", event.name), format!("return:{}", event.name)];
@@ -496,23 +520,19 @@
         let first: Vec<Look> = first.cloned().collect();
         let all: Vec<usize> = (0..count).collect();
         let talk = measure::spread(&first, &all, sent);
-        let whole_doubts = self.false_doubts(&turns, unix_began, Duration::MAX);
-        let own = |key: &str, of: &BTreeMap<usize, Value>| -> u64 {
-            of.values().filter_map(|said| said[key].as_u64()).sum()
-        };
         lines.push(format!(
             "{} of {count} answer, doubts of their own {} (in settling {}), refuted {}, datagrams held back {}; longest {} bytes",
             statuses.len(),
-            own("doubts", statuses),
-            own("doubts", before),
-            own("refuted", statuses),
-            own("held_back", statuses),
+            own_of("doubts", statuses),
+            own_of("doubts", before),
+            own_of("refuted", statuses),
+            own_of("held_back", statuses),
             self.wires.longest.load(Relaxed)
         ));
         let figures = BTreeMap::from([
             ("here", here as f64 / (alive.len() * alive.len()).max(1) as f64),
             ("listed", self.discovery.listed(&alive)),
-            ("false-doubts", whole_doubts as f64),
+            ("false-doubts", doubts as f64),
             ("longest", self.wires.longest.load(Relaxed) as f64),
             ("busiest-over-mean", talk.busiest / talk.mean.max(1e-9)),
             ("a-period", talk.mean * plan.fleet.period.0.as_secs_f64()),
@@ -568,6 +588,11 @@
     }
 }
 
+/// The sum of one count of all.
+fn own_of(key: &str, of: &BTreeMap<usize, Value>) -> u64 {
+    of.values().filter_map(|said| said[key].as_u64()).sum()
+}
+
 /// Rows of a window for people.
 fn lines_of(points: &[Point], condition: &str) -> Vec<String> {
     let mut rows: BTreeMap<(&str, &str, &str), BTreeMap<&str, f64>> = BTreeMap::new();
