Rig: the metric ramp, what a cold endpoint gets in each window against N + 2 x root of N + 2

A cold endpoint now falls beyond its budget of N requests plus 2 x root of N + 2 for chance; push says nothing of that bound. ramp is the worst window of any cold endpoint against it, also in the first tip_after after a start, which push leaves out; it stands in the table and can be held.

--- a/crates/passroad-rig/src/experiment.rs
+++ b/crates/passroad-rig/src/experiment.rs
@@ -493,6 +493,9 @@
     Broken,
     /// The most that any cold endpoint was offered, in multiples of what it could do, over `tip_after`.
     Push,
+    /// The most requests that any cold endpoint got over `tip_after`, against the N that it can take then and
+    /// 2 x root of N + 2 for chance; 1 is the bound.
+    Ramp,
     /// Share of the relays that went to a zone.
     Share,
     /// Seconds from `from` until all but a twentieth of what was served before is served again, and stays so to `to`.
--- a/crates/passroad-rig/src/ledger.rs
+++ b/crates/passroad-rig/src/ledger.rs
@@ -168,6 +168,8 @@
 #[derive(Debug, Clone)]
 pub struct Facts {
     pub verbs: Vec<VerbFacts>,
+    /// Seconds of a core that a request is in the mean of the load.
+    pub mean_work: f64,
     pub endpoints: Vec<(Make, usize, usize)>, // zone and cell
     pub grace: Duration,
     /// How much later than its limit an answer may reach its client: what the machine adds, nothing in virtual time.
@@ -190,8 +192,10 @@
             window: v.window,
             work: v.work,
         };
+        let shares: f64 = plan.verbs.iter().map(|v| v.share).sum();
         Facts {
             verbs: plan.verbs.iter().map(verb).collect(),
+            mean_work: plan.verbs.iter().map(|v| v.work * v.share).sum::<f64>() / shares.max(1e-9),
             endpoints: plan.endpoints.iter().map(|e| (e.make.clone(), e.zone, e.cell)).collect(),
             grace: plan.grace,
             slack,
@@ -482,6 +486,43 @@
         }
         most
     }
+
+    /// The most requests that a cold endpoint got in any window of `tip_after`, against what doesn't push it over: the
+    /// N that its settings allow there, and 2 x root of N + 2 for chance; 1 is the bound. Requests count by their
+    /// class's work against the mean of the load.
+    pub fn ramp(&self, endpoint: usize, facts: &Facts) -> (f64, Duration) {
+        let make = &facts.endpoints[endpoint].0;
+        let mut most = (0.0, Duration::ZERO);
+        let starts = self.starts.get(&endpoint).map_or(&[][..], |starts| starts);
+        for (n, start) in starts.iter().copied().enumerate() {
+            let end = starts.get(n + 1).map_or(Duration::MAX, |next| *next).min(start + make.warm_within);
+            let sent = |r: &&Sent| r.endpoint == endpoint && r.at >= start && r.at < end;
+            let mut sends: Vec<(Duration, f64)> = self
+                .relays
+                .iter()
+                .filter(sent)
+                .map(|r| (r.at, facts.verbs[self.commands[r.cmd].verb].work / facts.mean_work.max(1e-9)))
+                .collect();
+            sends.sort_by_key(|(at, _)| *at);
+            let (mut first, mut count) = (0, 0.0);
+            for (at, work) in sends.iter().copied() {
+                count += work;
+                while sends[first].0 + make.tip_after <= at {
+                    count -= sends[first].1;
+                    first += 1;
+                }
+                // The ramp is straight: over the window it is in the mean as in the middle.
+                let middle = at.saturating_sub(make.tip_after / 2).max(start);
+                let can = make.cores as f64 * make.speed * ramp(make, Some(start), middle);
+                let n = make.tip_multiple * can * make.tip_after.as_secs_f64() / facts.mean_work.max(1e-9);
+                let share = count / (n + 2.0 * n.sqrt() + 2.0);
+                if share > most.0 {
+                    most = (share, at);
+                }
+            }
+        }
+        most
+    }
 }
 
 #[cfg(test)]
@@ -500,7 +541,7 @@
         ];
         let make = Make { cores: 2, warm_within: 8000 * MS, ..crate::model::tests::make() };
         let endpoints = vec![(make.clone(), 0, 0), (make.clone(), 0, 0), (make, 1, 0)];
-        Facts { verbs, endpoints, grace: 500 * MS, slack: Duration::ZERO }
+        Facts { verbs, mean_work: 0.01, endpoints, grace: 500 * MS, slack: Duration::ZERO }
     }
 
     fn asked(cmd: CmdNo, verb: usize) -> Entry {
--- a/crates/passroad-rig/src/report.rs
+++ b/crates/passroad-rig/src/report.rs
@@ -65,7 +65,7 @@
         let n = days.len().max(1) as f64;
         // Means over the seeds, of pushes the worst.
         let figure = |k: usize, name: &'static str| match name {
-            "push" => (name, days.iter().map(|d| d[k].1).fold(0.0, f64::max)),
+            "push" | "ramp" => (name, days.iter().map(|d| d[k].1).fold(0.0, f64::max)),
             _ => (name, days.iter().map(|d| d[k].1).sum::<f64>() / n),
         };
         let names = days.first().map(|d| d.iter().map(|(name, _)| *name).collect::<Vec<_>>());
@@ -93,6 +93,7 @@
         ("relays", t.share(t.relays)),
         ("probes", probes),
         ("push", run.push()),
+        ("ramp", run.ramp()),
     ]
 }
 
--- a/crates/passroad-rig/src/run.rs
+++ b/crates/passroad-rig/src/run.rs
@@ -60,6 +60,11 @@
     pub fn push(&self) -> f64 {
         (0..self.facts.endpoints.len()).map(|e| self.books.push(e, &self.facts).0).fold(0.0, f64::max)
     }
+
+    /// The most requests that any cold endpoint got over `tip_after`, against what doesn't push it over; 1 is the bound.
+    pub fn ramp(&self) -> f64 {
+        (0..self.facts.endpoints.len()).map(|e| self.books.ramp(e, &self.facts).0).fold(0.0, f64::max)
+    }
 }
 
 /// All days of an experiment in virtual time, by policy and seed, on as many threads as asked for.
@@ -230,6 +235,7 @@
         }
         Metric::Broken => run.breaches.len() as f64,
         Metric::Push => run.push(),
+        Metric::Ramp => run.ramp(),
         Metric::Share => share_of(run, plan, &hold.window, hold.zone),
         Metric::Recovers => {
             let quarter = Duration::from_millis(250);
@@ -360,6 +366,7 @@
         match hold.metric {
             Metric::Broken
             | Metric::Push
+            | Metric::Ramp
             | Metric::Recovers
             | Metric::Returns
             | Metric::OwnersAtOnce
