--- a/crates/passroad-rig/src/experiment.rs
+++ b/crates/passroad-rig/src/experiment.rs
@@ -97,6 +97,8 @@
     #[serde(default = "tip_after")]
     tip_after: Time,
     #[serde(default = "yes")]
+    tips: bool,
+    #[serde(default = "yes")]
     drops_recalled: bool,
     #[serde(default = "most_links")]
     most_links: usize,
@@ -595,6 +597,8 @@
     /// By operators, at all sidecars: out, or called back.
     Cordon(usize, bool),
     DiscoveryBy(Duration),
+    /// News come to one instance after the other, spread over so long.
+    DiscoveryTurns(Duration),
     DiscoveryDown(bool),
     DiscoveryMalformed(bool),
     SidecarKill(usize),
@@ -760,8 +764,7 @@
         let needs = changes.iter().any(|(_, c)| {
             matches!(
                 c,
-                Change::SidecarKill(_)
-                    | Change::SidecarStop(_)
+                Change::SidecarStop(_)
                     | Change::SidecarReload(_)
                     | Change::SidecarUpgrade(_)
                     | Change::SidecarRetune(..)
@@ -1015,6 +1018,7 @@
                     warm_within: told.warm_within.0,
                     tip_multiple: told.tip_multiple,
                     tip_after: told.tip_after.0,
+                    tips: told.tips,
                     drops_recalled: told.drops_recalled,
                     most_links: told.most_links,
                     link_work: told.link_work.0.as_secs_f64(),
@@ -1160,6 +1164,9 @@
                         return self.wrong(&place, "fault discovery-late: by is missing");
                     };
                     both(Change::DiscoveryBy(by.0), Change::DiscoveryBy(Duration::ZERO));
+                    if let Some(spread) = f.spread {
+                        both(Change::DiscoveryTurns(spread.0), Change::DiscoveryTurns(Duration::ZERO));
+                    }
                 }
                 Kinds::DiscoveryDown => both(Change::DiscoveryDown(true), Change::DiscoveryDown(false)),
                 Kinds::DiscoveryMalformed => {
@@ -1423,7 +1430,7 @@
         &format!("{SMALL}[[fault]]\nkind = \"silence\"\nat = \"1s\"\ninstances = [3]\n"), 38, "there is no 3"
     )]
     #[case::no_such_verb(&format!("{SMALL}[[fault]]\nkind = \"hang\"\nat = \"1s\"\nverb = \"buy\"\n"), 38, "unknown 'buy'")]
-    #[case::processes(&format!("{SMALL}[[fault]]\nkind = \"sidecar-kill\"\nat = \"1s\"\n"), 1, "sockets = \"needed\"")]
+    #[case::processes(&format!("{SMALL}[[fault]]\nkind = \"sidecar-stop\"\nat = \"1s\"\n"), 1, "sockets = \"needed\"")]
     #[case::upgrades(&format!("{SMALL}[[fault]]\nkind = \"sidecar-upgrade\"\nat = \"1s\"\n"), 1, "sockets = \"needed\"")]
     #[case::retuned_to_what(&format!("sockets = \"needed\"\n{SMALL}[[fault]]\nkind = \"sidecar-retune\"\nat = \"1s\"\n"), 39, "relays is missing")]
     #[case::no_policy(&SMALL.replace("instances = 3", "policies = [\"best\"]"), 5, "unknown 'best'")]
--- a/crates/passroad-rig/src/html.rs
+++ b/crates/passroad-rig/src/html.rs
@@ -153,7 +153,7 @@
         }
         Change::Cut { on, .. } => *on,
         Change::DiscoveryDown(on) | Change::DiscoveryMalformed(on) => *on,
-        Change::DiscoveryBy(by) => !by.is_zero(),
+        Change::DiscoveryBy(by) | Change::DiscoveryTurns(by) => !by.is_zero(),
         Change::Start(_) | Change::Leave(_) => false,
         _ => true,
     };
--- a/crates/passroad-rig/src/ledger.rs
+++ b/crates/passroad-rig/src/ledger.rs
@@ -487,13 +487,18 @@
         most
     }
 
+    /// When an endpoint started cold.
+    pub fn starts_of(&self, endpoint: usize) -> &[Duration] {
+        self.starts.get(&endpoint).map_or(&[], Vec::as_slice)
+    }
+
     /// The most requests that a cold endpoint got in any window of `tip_after`, against what doesn't push it over: the
     /// N that its settings allow there, and 2 x root of N + 2 for chance; 1 is the bound. Requests count by their
     /// class's work against the mean of the load.
     pub fn ramp(&self, endpoint: usize, facts: &Facts) -> (f64, Duration) {
         let make = &facts.endpoints[endpoint].0;
         let mut most = (0.0, Duration::ZERO);
-        let starts = self.starts.get(&endpoint).map_or(&[][..], |starts| starts);
+        let starts = self.starts_of(endpoint);
         for (n, start) in starts.iter().copied().enumerate() {
             let end = starts.get(n + 1).map_or(Duration::MAX, |next| *next).min(start + make.warm_within);
             let sent = |r: &&Sent| r.endpoint == endpoint && r.at >= start && r.at < end;
--- a/crates/passroad-rig/src/model.rs
+++ b/crates/passroad-rig/src/model.rs
@@ -20,6 +20,7 @@
     pub warm_within: Duration, // zero: never cold
     pub tip_multiple: f64,     // of what it can do now; offered more for `tip_after` a cold one falls over
     pub tip_after: Duration,
+    pub tips: bool, // false: it bears all, so that what comes to a cold one is seen whole
     pub drops_recalled: bool, // it stops what nobody waits for
     pub most_links: usize,
     pub link_work: f64, // seconds, of a new connection
@@ -255,7 +256,7 @@
         let sum: f64 = self.offered.iter().map(|(_, work)| work).sum();
         let young = self.now.saturating_sub(self.started.unwrap_or_default()) < self.make.tip_after;
         let can = self.make.cores as f64 * self.make.speed * self.ramp(self.now);
-        !young && sum > self.make.tip_multiple * can * self.make.tip_after.as_secs_f64()
+        !young && self.make.tips && sum > self.make.tip_multiple * can * self.make.tip_after.as_secs_f64()
     }
 
     /// Nobody waits for a job any more. Tells whether it was still here.
@@ -421,6 +422,7 @@
             warm_within: Duration::ZERO,
             tip_multiple: 2.0,
             tip_after: Duration::from_secs(2),
+            tips: true,
             drops_recalled: true,
             most_links: 2,
             link_work: 0.0,
--- a/crates/passroad-rig/src/sockets/discovery.rs
+++ b/crates/passroad-rig/src/sockets/discovery.rs
@@ -29,6 +29,7 @@
     entries: Vec<(Mode, u64)>, // and the revision that it has been so since
     revision: u64,
     by: Duration,
+    turns: Duration,
     down: bool,
     malformed: bool,
 }
@@ -47,6 +48,7 @@
                 entries: vec![(Mode::Running, 1); stands.len()],
                 revision: 1,
                 by: Duration::ZERO,
+                turns: Duration::ZERO,
                 down: false,
                 malformed: false,
             }),
@@ -78,6 +80,7 @@
     pub fn change(self: &Arc<Self>, change: &Change) {
         match change {
             Change::DiscoveryBy(by) => held(&self.list).by = *by,
+            Change::DiscoveryTurns(spread) => held(&self.list).turns = *spread,
             Change::DiscoveryMalformed(on) => held(&self.list).malformed = *on,
             Change::DiscoveryDown(on) => {
                 held(&self.list).down = *on;
@@ -155,7 +158,8 @@
             }
             let (by, down) = {
                 let list = held(&self.list);
-                (list.by, list.down)
+                let turn = list.turns.mul_f64(instance as f64 / self.addresses.len() as f64);
+                (list.by + turn, list.down)
             };
             if down {
                 let _ = talk.write(&answer("503 Down", "", "")).await;
--- a/crates/passroad-rig/src/virtual_time.rs
+++ b/crates/passroad-rig/src/virtual_time.rs
@@ -45,7 +45,7 @@
     Recalled { relay: RelayNo },
     ProbeReach { probe: usize, new: bool },
     ProbeBack { probe: usize, outcome: Outcome, load: Option<Load>, keeps: bool },
-    Due { instance: usize, token: u64 },
+    Due { instance: usize, token: u64, life: u32 },
     Wake { endpoint: usize, version: u64 },
     Restart { endpoint: usize },
     Guard { cmd: CmdNo },
@@ -84,6 +84,7 @@
     commands: Door<CmdNo>,
     idle: Vec<Vec<Duration>>, // connections, by endpoint, since when
     watch: Option<u64>,       // which one is open
+    life: u32,                // how often the process was killed
 }
 
 struct Command {
@@ -137,6 +138,8 @@
 
 struct Day<'a> {
     plan: &'a Plan,
+    seed: u64,
+    policy: &'a str,
     now: Duration,
     turn: u64,
     queue: BinaryHeap<Reverse<Later>>,
@@ -152,6 +155,7 @@
     asks: Asks,
     chance: Chance, // of the network and the list
     discovery_by: Duration,
+    discovery_turns: Duration,
     discovery_down: bool,
     malformed: bool,
     watches: u64,
@@ -159,6 +163,18 @@
     end: Duration,
 }
 
+/// Who decides at an instance; another process of it draws anew.
+fn decider(
+    plan: &Plan,
+    seed: u64,
+    policy: &str,
+    instance: usize,
+    life: u32,
+) -> Result<Box<dyn Policy>, String> {
+    let own = Chance::stream(seed, "instance", instance as u64 | u64::from(life) << 32).number();
+    baseline::policy(policy, plan, instance, own)
+}
+
 /// Plays a day to its end.
 pub fn play(plan: &Plan, seed: u64, policy: &str) -> Result<Played, String> {
     let endpoints: Vec<Endpoint> = plan
@@ -170,18 +186,20 @@
     let count = endpoints.len();
     let mut instances = Vec::with_capacity(plan.instances);
     for n in 0..plan.instances {
-        let own = Chance::stream(seed, "instance", n as u64).number();
-        let policy = baseline::policy(policy, plan, n, own)?;
+        let policy = decider(plan, seed, policy, n, 0)?;
         instances.push(Instance {
             policy,
             commands: Door::new(),
             idle: vec![Vec::new(); count],
             watch: None,
+            life: 0,
         });
     }
     let longest = plan.verbs.iter().map(|v| v.limit).max().unwrap_or_default();
     let mut day = Day {
         plan,
+        seed,
+        policy,
         now: Duration::ZERO,
         turn: 0,
         queue: BinaryHeap::new(),
@@ -203,6 +221,7 @@
         asks: Asks::new(plan, seed),
         chance: Chance::stream(seed, "network", 0),
         discovery_by: Duration::ZERO,
+        discovery_turns: Duration::ZERO,
         discovery_down: false,
         malformed: false,
         watches: 0,
@@ -275,7 +294,10 @@
             }
             Ev::ProbeReach { probe, new } => self.probe_reach(probe, new),
             Ev::ProbeBack { probe, outcome, load, keeps } => self.probed(probe, outcome, load, keeps),
-            Ev::Due { instance, token } => self.tell(instance, Event::Due { token }),
+            Ev::Due { instance, token, life } if self.instances[instance].life == life => {
+                self.tell(instance, Event::Due { token });
+            }
+            Ev::Due { .. } => {}
             Ev::Wake { endpoint, version } => {
                 if self.versions[endpoint] == version {
                     self.advance(endpoint);
@@ -300,7 +322,14 @@
                 }
             }
             Ev::Start { instance } => {
-                let entries = (0..self.modes.len()).map(|e| self.listing(e)).collect();
+                // What a process remembers at its own start says nothing of theirs.
+                let remembered = |e| Listing { started: Duration::ZERO, ..self.listing(e) };
+                let entries: Vec<Listing> = (0..self.modes.len()).map(remembered).collect();
+                // Another process has not heard what the one before it was told.
+                let again = self.instances[instance].life > 0;
+                for up in entries.iter().filter(|e| again && e.mode == Mode::Running) {
+                    self.note(Entry::ToldUp { instance, endpoint: up.endpoint });
+                }
                 self.tell(instance, Event::Listed { kind: ListKind::Remembered, entries });
             }
             Ev::Listed { instance, kind, of, watch } => self.listed(instance, kind, &of, watch),
@@ -364,7 +393,10 @@
             }
             Action::Listen { active } => self.listen(instance, active),
             Action::AskList => self.listen(instance, true),
-            Action::Alarm { after, token } => self.at(self.now + after, Ev::Due { instance, token }),
+            Action::Alarm { after, token } => {
+                let life = self.instances[instance].life;
+                self.at(self.now + after, Ev::Due { instance, token, life });
+            }
             Action::Log(line) if self.played.lines.len() < MOST_LINES => {
                 self.played.lines.push((self.now, instance, line));
             }
@@ -649,6 +681,7 @@
                 self.list_change(endpoint, Mode::Deleted);
             }
             Change::DiscoveryBy(by) => self.discovery_by = by,
+            Change::DiscoveryTurns(spread) => self.discovery_turns = spread,
             Change::DiscoveryMalformed(on) => self.malformed = on,
             Change::DiscoveryDown(on) => {
                 self.discovery_down = on;
@@ -659,15 +692,40 @@
                     }
                 }
             }
+            Change::SidecarKill(instance) => self.kill(instance),
             // Of processes, which there are none of here: the checker leaves them to days on sockets.
-            Change::SidecarKill(_)
-            | Change::SidecarStop(_)
+            Change::SidecarStop(_)
             | Change::SidecarReload(_)
             | Change::SidecarUpgrade(_)
             | Change::SidecarRetune(..) => {}
         }
     }
 
+    /// Killed, and another process in its place at once: what it held is lost, and what it had learnt.
+    fn kill(&mut self, instance: usize) {
+        self.note(Entry::Killed { instance });
+        for c in self.commands.iter_mut().filter(|c| c.ask.instance == instance) {
+            (c.gone, c.slot) = (c.gone || !c.answered, None);
+        }
+        for relay in
+            (0..self.relays.len()).filter(|r| self.relays[*r].instance == instance).collect::<Vec<_>>()
+        {
+            // The system closes its connections, which its endpoints see.
+            self.ended(relay, Outcome::TimedOut, None, false);
+        }
+        self.probes.iter_mut().filter(|p| p.instance == instance).for_each(|p| p.told = true);
+        for endpoint in 0..self.modes.len() {
+            let idle = std::mem::take(&mut self.instances[instance].idle[endpoint]);
+            idle.iter().for_each(|_| self.fleet.endpoints[endpoint].disconnect());
+        }
+        let life = self.instances[instance].life + 1;
+        let Ok(policy) = decider(self.plan, self.seed, self.policy, instance, life) else { return };
+        self.instances[instance].policy = policy;
+        (self.instances[instance].commands, self.instances[instance].watch) = (Door::new(), None);
+        self.instances[instance].life = life;
+        self.at(self.now, Ev::Start { instance });
+    }
+
     // ---- the list ----
 
     fn listing(&self, endpoint: usize) -> Listing {
@@ -693,15 +751,16 @@
         self.modes[endpoint] = mode;
         for instance in 0..self.instances.len() {
             if let Some(watch) = self.instances[instance].watch {
-                let at = self.now + self.news();
+                let at = self.now + self.news(instance);
                 self.at(at, Ev::Listed { instance, kind: ListKind::Changes, of: vec![endpoint], watch });
             }
         }
     }
 
     /// How long news take from discovery to an instance.
-    fn news(&mut self) -> Duration {
-        self.discovery_by + self.plan.round_trip + LOOK.mul_f64(self.chance.share() / 5.0)
+    fn news(&mut self, instance: usize) -> Duration {
+        let turn = self.discovery_turns.mul_f64(instance as f64 / self.instances.len() as f64);
+        self.discovery_by + turn + self.plan.round_trip + LOOK.mul_f64(self.chance.share() / 5.0)
     }
 
     fn listen(&mut self, instance: usize, active: bool) {
@@ -710,7 +769,7 @@
         self.instances[instance].watch = active.then_some(watch);
         if active {
             let kind = if self.discovery_down { ListKind::Refused } else { ListKind::All };
-            let at = self.now + self.news();
+            let at = self.now + self.news(instance);
             self.at(at, Ev::Listed { instance, kind, of: Vec::new(), watch });
         }
     }
--- a/crates/passroad-rig/tests/ramp.rs
+++ b/crates/passroad-rig/tests/ramp.rs
@@ -1,7 +1,9 @@
 //! `ramp`: what a cold endpoint gets from all sidecars together, in each window of its settings.
 
 use passroad_rig::experiment::{Plan, read};
-use passroad_rig::ledger::{Entry, Facts, Ledger};
+use passroad_rig::ledger::{Answer, Entry, Facts, Ledger, Sent, Told};
+use passroad_rig::run::{Run, play_all};
+use passroad_rig::virtual_time::play;
 use rstest::rstest;
 use std::time::Duration;
 
@@ -74,3 +76,90 @@
 fn requests_of_mean_work_in_a_window_against_n_and_chance(#[case] ramp: f64, #[case] count: f64) {
     assert!((ramp * BOUND - count).abs() < 0.01, "{ramp} x {BOUND} is not {count}");
 }
+
+/// Six sidecars, four endpoints of which one dies and is back cold, and what else goes wrong.
+fn day(more: &str) -> Plan {
+    let text = r#"
+        about = "one returns cold"
+        length = "16s"
+        instances = 6
+        policies = ["passroad"]
+        [fleet.kind.plain]
+        cores = 2
+        warm_within = "8s"
+        tip_after = "1s"
+        [[fleet.group]]
+        kind = "plain"
+        count = 4
+        [[verb]]
+        name = "look"
+        effect = "pure"
+        work = "20ms"
+        goal = "400ms"
+        limit = "1s"
+        share = 1
+        [load]
+        of_capacity = 0.4
+        [[fault]]
+        kind = "die"
+        at = "2s"
+        for = "3s"
+        endpoints = [0]
+    "#;
+    read(&format!("{text}{more}")).unwrap_or_else(|wrong| panic!("{wrong:?}"))
+}
+
+// What drains is sent to until it is told, which six sidecars are over six seconds.
+#[rstest]
+fn news_by_turns_come_to_one_sidecar_after_the_other() {
+    let drain = "[[fault]]\nkind = \"drain\"\nat = \"8s\"\nfor = \"8s\"\nendpoints = [2]\n";
+    let late =
+        "[[fault]]\nkind = \"discovery-late\"\nat = \"0s\"\nfor = \"16s\"\nby = \"0s\"\nspread = \"6s\"\n";
+    let last = |more: &str| {
+        let books = play(&day(more), 3, "random").expect("a day").ledger.books();
+        let of = |r: &&Sent, n: usize| r.endpoint == 2 && books.commands[r.cmd].instance == n;
+        let last = |n: usize| books.relays.iter().filter(|r| of(r, n)).map(|r| r.at).max();
+        (0..6).map(|n| last(n).unwrap_or_default()).collect::<Vec<_>>()
+    };
+    let (all, turns) = (last(drain), last(&format!("{drain}{late}")));
+    assert!(all.iter().all(|at| *at < 8050 * MS), "{all:?}");
+    for (n, at) in turns.iter().enumerate() {
+        let told = 8000 * MS + n as u32 * 1000 * MS;
+        assert!((told - 900 * MS..told + 50 * MS).contains(at), "{turns:?}");
+    }
+}
+
+#[rstest]
+fn a_sidecar_killed_in_virtual_time_loses_what_it_held_and_goes_on() {
+    let kill = "[[fault]]\nkind = \"sidecar-kill\"\nat = \"7s\"\ninstances = [0, 1, 2]\n";
+    let plan = day(kill);
+    let run = &play_all(&plan, 1).expect("a day")[0];
+    let lost = |c: &&Told| c.lost;
+    let lost: Vec<&Told> = run.books.commands.iter().filter(lost).collect();
+    assert!(!lost.is_empty() && lost.iter().all(|c| c.instance < 3 && c.asked <= 7000 * MS), "{lost:?}");
+    assert!(lost.iter().all(|c| c.relays.iter().all(|r| run.books.relays[*r].ended.is_some())), "{lost:?}");
+    let after = |n: usize| {
+        let own = run.books.commands.iter().filter(|c| c.instance == n && c.asked > 7000 * MS);
+        own.filter(|c| matches!(c.answers[..], [(_, Answer::Answered)])).count()
+    };
+    assert!((0..6).all(|n| after(n) > 20), "{:?}", (0..6).map(after).collect::<Vec<_>>());
+    assert!(run.breaches.is_empty(), "{:?}", run.breaches);
+    // The same day twice.
+    assert_eq!(play_all(&plan, 1).expect("a day")[0].books.commands, run.books.commands);
+}
+
+// What would have pushed it over is seen whole, at its first start.
+#[rstest]
+fn an_endpoint_that_does_not_tip_shows_the_whole_of_what_comes() {
+    let ramp = |tips: bool| {
+        let mut plan = day("");
+        plan.per_second *= 2.2;
+        plan.endpoints.iter_mut().for_each(|e| e.make.tips = tips);
+        let played = play(&plan, 3, "random").expect("a day");
+        let starts = played.ledger.books().starts_of(0).len();
+        let run = Run::of(&plan, "random", 3, played, Duration::ZERO);
+        (starts, run.ramp())
+    };
+    let ((often, _), (once, whole)) = (ramp(true), ramp(false));
+    assert!(often > 1 && once == 1 && whole > 1.0, "{often} {once} {whole}");
+}
