A cold endpoint is sent what warm ones of its kind answer, as each of them did

Cause: draw_pass divided the answers of eight seconds, of all kinds in one, by the size of those warm now: small ones got the rate of the large, and what twelve had answered was put down to the few still warm. Change: answers of warm endpoints are counted by kind, and when others are warm the count follows; with none warm it is what was answered last. The memory handed over keeps its form.

--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -510,20 +510,20 @@
     }
 
     /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends follows its ramp
-    /// and the own rate to warm ones of like size: each arrival draws whether there is a pass for one send,
+    /// and the own rate to warm ones of its kind: each arrival draws whether there is a pass for one send,
     /// and for which. Unused it is soon lost, so that hundreds of sidecars never hold a burst in hand.
     fn draw_pass(&mut self) {
         let since = self.now.saturating_sub(std::mem::replace(&mut self.pass_at, self.now));
-        // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
-        let arrivals = 0.3 * self.arrivals.fair_rate(self.now, 4 * CALM) / self.listed;
-        let sends = self.warm_served.fair_rate(self.now, 4 * CALM) / self.warm.max(0.1 * self.listed);
-        let gain = self.duty.cold_share * sends.max(arrivals) * since.min(self.duty.tip_after).as_secs_f64();
+        let since = since.min(self.duty.tip_after).as_secs_f64();
         let (count, nth, luck) = (self.colds.len() as f64, self.chance(), self.chance());
         let due = |at: &EndpointIx| self.endpoints[*at].owed.is_some_and(|from| self.now >= from);
         let drawn = self.colds.get((nth * count) as usize);
         let Some(at) = self.colds.iter().copied().find(due).or(drawn.copied()) else { return };
         let e = &self.endpoints[at];
-        if due(&at) || luck < gain * count * e.size * self.ramp(e) {
+        // Where nearly all are cold there is no warm rate to go by, but a share of what arrives.
+        let arrivals = 0.3 * self.arrivals.fair_rate(self.now, 4 * CALM) / self.listed;
+        let rate = (self.warm_rate(e.kind) * e.rating).max(arrivals * e.size);
+        if due(&at) || luck < self.duty.cold_share * rate * since * count * self.ramp(e) {
             self.endpoints[at].pass_until = self.now + self.duty.tip_after / 4;
             self.meet(at);
         }
@@ -836,7 +836,7 @@
         self.unbook(at, r.sent, coming);
         self.widen(at, verb, outcome, in_time, value);
         if outcome == Outcome::Answered && !self.cold(&self.endpoints[at]) {
-            self.warm_served.add(now, 4 * CALM);
+            self.note_warm(at);
         }
         let e = &mut self.endpoints[at];
         match outcome {
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -287,8 +287,9 @@
     b.endpoints[30..].iter_mut().for_each(|e| e.start_cold(NOW));
     b.survey();
     let long = |n: u32| NOW - n * Duration::from_millis(266);
-    (0..300).rev().for_each(|n| b.warm_served.add(long(n), 4 * CALM));
-    let (mut drawn, each) = (0.0, b.duty.cold_share * b.warm_served.rate(NOW, 4 * CALM) / 30.0 * 0.2);
+    (0..300).rev().for_each(|n| b.warm_kinds[0].served.add(long(n), 4 * CALM));
+    let (mut drawn, each) =
+        (0.0, b.duty.cold_share * b.warm_kinds[0].served.rate(NOW, 4 * CALM) / 30.0 * 0.2);
     for _ in 0..2000 {
         b.pass_at = NOW - Duration::from_millis(100);
         b.draw_pass();
@@ -299,6 +300,81 @@
     assert!((drawn / due - 1.0).abs() < 0.2, "{drawn} {due}");
 }
 
+/// Passes a second that are drawn for an endpoint.
+fn passes_a_second(b: &mut Balancer, at: EndpointIx) -> f64 {
+    let (mut drawn, gap, now) = (0, Duration::from_millis(10), b.now);
+    for _ in 0..20_000 {
+        b.pass_at = now - gap;
+        b.draw_pass();
+        drawn += u32::from(b.endpoints[at].pass_until > now);
+        b.endpoints.iter_mut().for_each(|e| e.pass_until = Duration::ZERO);
+    }
+    f64::from(drawn) / 20_000.0 / gap.as_secs_f64()
+}
+
+/// What these endpoints answer over the last seconds, each so many a second.
+fn answered(b: &mut Balancer, ats: std::ops::Range<EndpointIx>, each: u32) {
+    for n in 0..8 * each {
+        b.now = NOW - 4 * CALM + n * Duration::from_secs(1) / each;
+        ats.clone().for_each(|at| b.note_warm(at));
+    }
+    b.now = NOW;
+}
+
+// 26 uneven sidecars, all endpoints back cold: what twelve had answered was put down to the few that were warm still.
+#[rstest]
+#[case::all_stay(12, 20.0)]
+#[case::half_have_left(6, 20.0)]
+#[case::one_is_left(1, 20.0)]
+#[case::none_is_left(0, 20.0)]
+fn what_went_to_those_that_left_is_no_rate_of_those_that_stay(#[case] stay: usize, #[case] each: f64) {
+    let mut b = sidecar(Effect::Pure, 13);
+    b.endpoints[12].start_cold(NOW);
+    b.survey();
+    answered(&mut b, 0..12, 20);
+    b.endpoints[stay..12].iter_mut().for_each(|e| e.listed = false);
+    b.survey();
+    let passes = passes_a_second(&mut b, 12) / b.duty.cold_share / 0.2;
+    assert!((passes / each - 1.0).abs() < 0.25, "{passes}");
+    // Back cold, they are no rate either.
+    b.endpoints[stay..12].iter_mut().for_each(|e| (e.listed, e.up_since) = (true, Some(NOW)));
+    b.survey();
+    let passes = passes_a_second(&mut b, 12) / b.duty.cold_share / 0.2;
+    assert!((passes / each - 1.0).abs() < 0.25, "{passes}");
+}
+
+// With none warm the rate seen last faded to nothing, and cold ones with room were sent next to nothing.
+#[rstest]
+fn with_none_warm_passes_go_by_what_was_answered_last() {
+    let mut b = sidecar(Effect::Pure, 12);
+    answered(&mut b, 0..12, 20);
+    b.endpoints.iter_mut().for_each(|e| e.listed = false);
+    b.survey();
+    b.now = NOW + 10 * CALM;
+    b.endpoints.iter_mut().for_each(|e| (e.listed, e.up_since) = (true, Some(NOW + 10 * CALM)));
+    b.survey();
+    let passes = passes_a_second(&mut b, 3) / b.duty.cold_share / 0.2;
+    assert!((passes / 20.0 - 1.0).abs() < 0.25, "{passes}");
+}
+
+// A list that weighs endpoints of one core and of four alike: small ones got what the large answer and were pushed over.
+#[rstest]
+#[case::small(0, 20.0)]
+#[case::large(1, 80.0)]
+#[case::of_a_kind_with_none_warm(2, 20.0)]
+#[case::of_a_kind_never_seen(7, 20.0)]
+fn a_cold_endpoint_is_sent_what_warm_ones_of_its_kind_answer(#[case] kind: usize, #[case] each: f64) {
+    let mut b = sidecar(Effect::Pure, 9);
+    b.endpoints[4..8].iter_mut().for_each(|e| e.kind = 1);
+    b.endpoints[8].kind = kind;
+    b.endpoints[8].start_cold(NOW);
+    b.survey();
+    answered(&mut b, 0..4, 20);
+    answered(&mut b, 4..8, 80);
+    let passes = passes_a_second(&mut b, 8) / b.duty.cold_share / 0.2;
+    assert!((passes / each - 1.0).abs() < 0.25, "{passes}");
+}
+
 // Incident i4a6661: warm endpoints overfull beside half-idle cold ones, whose ramp is a lower bound.
 #[rstest]
 fn a_cold_endpoint_may_get_more_than_its_ramp_but_not_what_pushes_it_over() {
@@ -1006,7 +1082,7 @@
     (0..1600).for_each(|n| {
         let at = NOW - Duration::from_millis(5) * (1600 - n);
         old.arrivals.add(at, 4 * CALM);
-        old.warm_served.add(at, 4 * CALM);
+        old.warm_kinds[0].served.add(at, 4 * CALM);
     });
     let memory = Box::new(old.memory(|at| Some(at.to_string())));
     let mut new = sidecar(Effect::Pure, 4);
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -8,6 +8,7 @@
 
 const LATER: Duration = Duration::from_secs(86_400); // the time of a command whose body still comes
 const LONGEST_PAUSE: Duration = Duration::from_secs(60); // of an endpoint that can't be reached
+const OVER_WARM: Duration = Duration::from_secs(8); // answers of warm endpoints fade over this
 const SLOT_RESTS: Duration = Duration::from_secs(60); // a verb's, before another has it
 pub const ALARM_LIST: u64 = 0; // in an alarm's low bits; the command stands above them
 pub const ALARM_QUEUE: u64 = 1;
@@ -61,6 +62,20 @@
         *self = Faded { sum: self.sum * fade(now, self.at, over) + 1.0, at: now, from };
     }
 
+    /// Both counts in one.
+    fn with(&self, other: &Faded) -> Faded {
+        if self.sum <= 0.0 || other.sum <= 0.0 {
+            return if self.sum > 0.0 { *self } else { *other };
+        }
+        let at = self.at.max(other.at);
+        let faded = |f: &Faded| f.sum * fade(at, f.at, OVER_WARM);
+        Faded { sum: faded(self) + faded(other), at, from: self.from.min(other.from) }
+    }
+
+    fn part(&self, share: f64) -> Faded {
+        Faded { sum: self.sum * share, ..*self }
+    }
+
     /// One less, of those just added.
     pub fn take_back(&mut self) {
         self.sum = (self.sum - 1.0).max(0.0);
@@ -86,6 +101,32 @@
     }
 }
 
+/// What the warm endpoints of one kind answer, in place of what each of them could do.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WarmKind {
+    pub served: Faded,
+    size: f64, // by the list, of those that are warm, or were last
+    some: bool,
+    last: f64, // a second, for one of size 1, when the last of them left
+}
+
+impl WarmKind {
+    /// Other endpoints of it are warm now; what one of them answers stays as it was.
+    fn turn(&mut self, now: Duration, size: f64) {
+        self.last = if self.some && size <= 0.0 { self.rate(now) } else { self.last };
+        self.some = size > 0.0;
+        if self.some {
+            self.served.sum *= if self.size > 0.0 { size / self.size } else { 1.0 };
+            self.size = size;
+        }
+    }
+
+    /// Answers a second, for one of size 1.
+    fn rate(&self, now: Duration) -> f64 {
+        if self.size > 0.0 { self.served.fair_rate(now, OVER_WARM) / self.size } else { 0.0 }
+    }
+}
+
 /// For one verb: what was ordered, and what was seen of it.
 pub struct VerbDuty {
     pub name: String,
@@ -434,8 +475,8 @@
     pub(crate) rtt: Duration,
     pub(crate) sends: Faded,
     pub(crate) all_sends: Faded,
-    pub(crate) warm_served: Faded, // answers of warm endpoints
-    pub(crate) pass_at: Duration,  // when a pass was last drawn
+    pub(crate) warm_kinds: Vec<WarmKind>,
+    pub(crate) pass_at: Duration, // when a pass was last drawn
     pub(crate) arrivals: Faded,
     pub(crate) keys: Vec<Faded>, // arrivals by key, a few keys to a slot
     pub(crate) steered: bool,    // routes were told
@@ -606,7 +647,7 @@
             usual: self.usual,
             rtt: self.rtt,
             sends: [self.sends, self.all_sends],
-            warm_served: self.warm_served,
+            warm_served: self.warm_kinds.iter().fold(Faded::default(), |all, k| all.with(&k.served)),
             arrivals: self.arrivals,
             numbers: [self.limit, self.window, self.worth, self.well, self.faith, self.spare],
             marked: self.marked,
@@ -644,11 +685,34 @@
             self.mix = memory.mix;
         }
         (self.usual, self.rtt, self.marked) = (memory.usual, memory.rtt, memory.marked);
-        ([self.sends, self.all_sends], self.warm_served) = (memory.sends, memory.warm_served);
+        [self.sends, self.all_sends] = memory.sends;
         self.arrivals = memory.arrivals;
         [self.limit, self.window, self.worth, self.well, self.faith, self.spare] = memory.numbers;
         self.log(format!("what was learnt of {count} endpoints is taken over"));
         self.survey();
+        let all: f64 = self.warm_kinds.iter().map(|k| k.size).sum();
+        for kind in &mut self.warm_kinds {
+            kind.served = memory.warm_served.part(kind.size / all.max(1e-9));
+        }
+    }
+
+    /// Answers a second that a warm endpoint of this kind and size 1 gives to what is sent from here. Guards against
+    /// lists that weigh small and large ones alike: one kind's rate pushes another over. Where none of the kind is
+    /// warm it is what they gave when last some were; of a kind never seen warm the least of the others.
+    pub(crate) fn warm_rate(&self, kind: usize) -> f64 {
+        let rate = |k: &WarmKind| k.rate(self.now);
+        match self.warm_kinds.get(kind) {
+            Some(own) if own.some => rate(own),
+            Some(own) if own.last > 0.0 => own.last,
+            _ => self.warm_kinds.iter().filter(|k| k.some).map(rate).reduce(f64::min).unwrap_or_default(),
+        }
+    }
+
+    /// An answer of a warm endpoint.
+    pub(crate) fn note_warm(&mut self, at: EndpointIx) {
+        let kind = self.endpoints[at].kind;
+        self.warm_kinds.resize(self.warm_kinds.len().max(kind + 1), WarmKind::default());
+        self.warm_kinds[kind].served.add(self.now, OVER_WARM);
     }
 
     /// Multiply-with-carry; a number from 0 up to 1.
@@ -805,6 +869,7 @@
         (self.table, self.colds) = (Vec::new(), Vec::new());
         self.closed = count == 0.0 && self.endpoints.iter().any(|e| e.up);
         let mut mass = 0.0;
+        let mut kinds = vec![0.0; self.warm_kinds.len()];
         for (at, size) in sizes.into_iter().enumerate() {
             self.endpoints[at].size = size * if sum > 0.0 { count / sum } else { 1.0 };
             let e = &self.endpoints[at];
@@ -814,10 +879,14 @@
                 self.next_survey = self.next_survey.min(warm_at);
             } else if e.listed {
                 self.warm += e.size;
+                kinds.resize(kinds.len().max(e.kind + 1), 0.0);
+                kinds[e.kind] += e.rating;
                 mass += self.base(e, None);
             }
             self.table.push(mass);
         }
+        self.warm_kinds.resize(kinds.len(), WarmKind::default());
+        self.warm_kinds.iter_mut().zip(kinds).for_each(|(kind, size)| kind.turn(self.now, size));
         if self.duty.heartbeats == 0 {
             self.next_survey = self.next_survey.min(self.now + Duration::from_secs(1));
         }
