Cancellation: no further attempt, no second copy; a client that left ends its request

Cause: a request on a connection that had carried a long answer whose end was read here, but not yet by its slow client, was neither looked at before its first byte nor timed by itself: its answer was taken for a spoilt one (502 while the endpoint worked), and when the slow client left it was cut off. A request barred because its client had left waited for the connection's task to say so. Change: such a connection carries no further request (Meter::show); a request barred for its client ends at once.

--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -66,10 +66,11 @@
                     let within = if coming.is_some() { need.budget } else { within.min(left) };
                     let until = coming.is_none().then(|| (began + within.min(begin)).into());
                     let look = Look::new(seat.over.clone(), link.out.clone(), until, Arc::clone(&need.client));
+                    let look = Arc::new(look);
                     relays.push(async move {
-                        let ended = relay::run(*link, Arc::clone(&cargo), Arc::new(look), within, recalled).await;
+                        let ended = relay::run(*link, Arc::clone(&cargo), Arc::clone(&look), within, recalled).await;
                         let since = cargo.coming().and_then(|coming| coming.since());
-                        (n, ended, since.map_or(began, |since| began.max(since)).elapsed())
+                        (n, ended, since.map_or(began, |since| began.max(since)).elapsed(), look.left())
                     });
                 }
                 Some(Order::Recall { relay }) => {
@@ -83,7 +84,10 @@
                     seat.lapsed();
                 }
             },
-            Some((n, ended, spent)) = relays.next() => {
+            Some((n, ended, spent, left)) = relays.next() => {
+                if left && front.take().is_some() {
+                    seat.lapsed();
+                }
                 if cargo.coming().is_some_and(|coming| coming.spent()) {
                     seat.spent();
                 }
--- a/crates/passroad/src/intake.rs
+++ b/crates/passroad/src/intake.rs
@@ -96,7 +96,11 @@
     let answer = tokio::select! {
         biased;
         // Dropped with its connection, this tells the command that its client is gone.
-        answer = told => word(answer.unwrap_or(Answer::Terminated)),
+        answer = told => match answer {
+            // Given up, as something lay behind the request.
+            Err(_) if talk.frame.came_ahead() => StatusCode::BAD_REQUEST.into_response(),
+            answer => word(answer.unwrap_or(Answer::Terminated)),
+        },
         // Guards against a request hidden behind another: clients send one at a time.
         () = talk.frame.ahead() => StatusCode::BAD_REQUEST.into_response(),
         ill = ill(&coming) => status(ill).into_response(),
--- a/crates/passroad/src/look.rs
+++ b/crates/passroad/src/look.rs
@@ -16,7 +16,8 @@
     Out,
     /// The time is up in which it may begin.
     Late,
-    /// The client has left; its connection's task is about to say so.
+    /// The client has left. Its connection's task need not know: it reads nothing while bytes of a next request, or of a
+    /// long body, wait to be taken.
     Left,
 }
 
@@ -27,6 +28,7 @@
     until: Option<Instant>,
     client: Arc<Talk>,
     begun: AtomicBool,
+    left: AtomicBool,
 }
 
 impl Look {
@@ -37,7 +39,7 @@
         until: Option<Instant>,
         client: Arc<Talk>,
     ) -> Self {
-        Look { over, out, until, client, begun: AtomicBool::new(false) }
+        Look { over, out, until, client, begun: AtomicBool::new(false), left: AtomicBool::new(false) }
     }
 
     /// None if the first byte may go out now. What bars once does so for good.
@@ -49,10 +51,17 @@
         } else if self.until.is_some_and(|until| until <= Instant::now()) {
             Some(Barred::Late)
         } else {
-            (!self.client.waits()).then_some(Barred::Left)
+            let left = !self.client.waits();
+            self.left.fetch_or(left, Relaxed);
+            left.then_some(Barred::Left)
         }
     }
 
+    /// Whether it was the client's leaving that barred it.
+    pub fn left(&self) -> bool {
+        self.left.load(Relaxed)
+    }
+
     /// Whether the first byte goes out now.
     pub fn begins(&self) -> bool {
         let begins = self.barred().is_none();
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -205,11 +205,8 @@
     let exchanged = async {
         // A kept connection that turns out to be of no use has taken nothing: the next one, or a new one, does.
         loop {
-            match look.barred() {
-                None => {}
-                // That is told by the connection's own task, and with it the command is over.
-                Some(Barred::Left) => return std::future::pending().await,
-                Some(barred) => return barred.into(),
+            if let Some(barred) = look.barred() {
+                return barred.into();
             }
             let Some(request) = cargo.request(link.address, within) else { return Outcome::Moot.into() };
             let mut ended = exchange(&client, request, &|| cargo.least(), Some(&look)).await;
@@ -591,7 +588,12 @@
         self.done.store(false, Relaxed);
     }
 
+    /// Guards against a long answer whose end has been read here but not by its client, who is slow: its connection is given
+    /// the next request, which nothing on it is ready for. It carries none.
     fn show(&self, look: Option<Arc<Look>>) {
+        if self.written.load(Relaxed) > 0 && !self.done.load(Relaxed) {
+            self.worn.store(true, Relaxed);
+        }
         let mut shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
         shown.look = Some(look);
         shown.waits.take().into_iter().for_each(Waker::wake);
