--- a/crates/passroad/tests/cancellation.rs
+++ b/crates/passroad/tests/cancellation.rs
@@ -292,6 +292,85 @@
     drop(rest);
 }
 
+// ---- waiting in the module ----
+
+/// Settings under which what finds no room waits for ten seconds.
+fn waits_long(may_cancel: bool) -> String {
+    let settings = that(may_cancel).replace("\"response_goal\":5000000000", "\"response_goal\":40000000000");
+    let settings = settings.replace("\"time_limit\":8000000000", "\"time_limit\":60000000000");
+    settings.replace("\"probes\":false", "\"probes\":true")
+}
+
+// There is room at the endpoint, and then the client of what waits for it leaves.
+#[rstest]
+fn what_waited_in_the_module_is_not_sent_once_its_client_left(
+    #[values(Leaves::Closes, Leaves::Resets, Leaves::ShutsSending, Leaves::BehindNext)] how: Leaves,
+    #[values(false, true)] may_cancel: bool,
+) {
+    let gate = Gate::default();
+    let own = gate.clone();
+    let endpoint = stand_in(move |_, to| {
+        own.pass();
+        answer(to, "200 OK", "", b"ok");
+        true
+    });
+    let known = member("s-1", endpoint.address, "up");
+    let sidecar = sidecar_with(&known, nowhere(), &waits_long(may_cancel));
+    let send = |id: &str| sends(&sidecar, &book(id).replace("Ms: 900", "Ms: 59000"));
+    let mut out = Vec::new();
+    // The first that is not sent at once waits for room.
+    let waits = loop {
+        let client = send(&out.len().to_string());
+        sleep(300 * MS);
+        if endpoint.count() == out.len() {
+            break client;
+        }
+        out.push(client);
+        assert!(out.len() < 8, "nothing waits");
+    };
+    let rest = cross(&sidecar, waits, how, || gate.open());
+    let id = out.len().to_string();
+    for client in &mut out {
+        assert_eq!(Message::read(client).unwrap().word(), "200");
+    }
+    assert_eq!(sidecar.ask(&look("next-one").replace("Ms: 900", "Ms: 59000")).word(), "200");
+    assert_eq!(sent(&endpoint, &id), 0);
+    drop(rest);
+}
+
+// ---- during a stop ----
+
+// Half of the body was read before, or the connection waits in the backlog; an endpoint's connection is kept, so that nothing
+// but the last look is in the way.
+#[rstest]
+fn what_a_client_left_behind_during_a_stop_does_not_begin(
+    #[values(false, true)] half_read: bool,
+    #[values(Leaves::Closes, Leaves::Resets, Leaves::ShutsSending, Leaves::BehindNext)] how: Leaves,
+    #[values(false, true)] may_cancel: bool,
+) {
+    let endpoint = willing("ok");
+    let known = member("s-1", endpoint.address, "up");
+    let mut sidecar = sidecar_with(&known, nowhere(), &that(may_cancel));
+    let mut warm: Vec<_> = (0..4).map(|n| sends(&sidecar, &patiently(&look(&format!("warm{n}"))))).collect();
+    warm.iter_mut().for_each(|client| assert_eq!(Message::read(client).unwrap().word(), "200"));
+    let request = patiently(&book("left"));
+    let (first, rest) = request.split_at(request.len() - 2);
+    let early = half_read.then(|| sends(&sidecar, first));
+    sleep(50 * MS);
+    sidecar.signal("STOP");
+    sidecar.signal("TERM");
+    let mut client = early.unwrap_or_else(|| sends(&sidecar, first));
+    client.get_mut().write_all(rest.as_bytes()).unwrap();
+    let kept = leave(client, how);
+    let mut stays = sends(&sidecar, &patiently(&book("stays")));
+    sleep(STANDSTILL);
+    sidecar.signal("CONT");
+    assert_eq!(Message::read(&mut stays).unwrap().word(), "200");
+    drop(kept);
+    assert_eq!(sidecar.child.wait().unwrap().code(), Some(0));
+    assert_eq!((sent(&endpoint, "left"), sent(&endpoint, "stays")), (0, 1));
+}
+
 // ---- a connection that still belongs to another request ----
 
 // The end of a long answer is read from its endpoint before its slow client has taken the rest: the connection was given the
