A start waits out the process before, and its clients don't wait for the operators' door

Cause: who found its address held for over 3 s ended with code 2, while a process that hangs at its end is killed only 3.7 s after SIGTERM; who found the operators' door held ended at once. Change: the address is waited for for 25 s; clients are taken without the operators' door, which opens once it is free. In an upgrade, where each process has a door of its own, a held door still ends the start.

--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -22,6 +22,7 @@
 mod stop;
 
 use clap::{Parser, Subcommand};
+use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
@@ -30,6 +31,11 @@
 /// A sidecar that starts waits so long to hear what is out for work, where that is settled among the sidecars.
 const INFORMED_WITHIN: Duration = Duration::from_secs(1);
 
+/// A process before this one may hold an address for so long: it is killed 3.7 s after SIGTERM, and later where the machine is
+/// busy. PROTOCOL: a start may take half a minute.
+const HELD_WITHIN: Duration = Duration::from_secs(25);
+const TRIES_APART: Duration = Duration::from_millis(20);
+
 /// passroad: a load balancer of which every client process runs its own copy.
 ///
 /// Without a command it is the sidecar, as `run` without options. SIGHUP has the configuration read again, SIGTERM ends it
@@ -232,6 +238,24 @@
     }
 }
 
+/// Whether an address could not be taken as somebody else listens there.
+fn is_held(fault: &str) -> bool {
+    fault.ends_with(&std::io::Error::from(rustix::io::Errno::ADDRINUSE).to_string())
+}
+
+/// Takes an address, as soon as whoever holds it lets go of it.
+async fn once_free<T, F: Future<Output = Result<T, String>>>(take: impl Fn() -> F) -> Result<T, String> {
+    let began = std::time::Instant::now();
+    loop {
+        match take().await {
+            Err(fault) if is_held(&fault) && began.elapsed() < HELD_WITHIN => {
+                tokio::time::sleep(TRIES_APART).await
+            }
+            taken => return taken,
+        }
+    }
+}
+
 async fn run(mut start: start::Start, files: Files) -> Result<(), String> {
     let hangups = start::sighup()?;
     let place = start.management.and_then(|_| handover::place(start.listen, start.folder.clone()));
@@ -240,9 +264,18 @@
     let (most_in, most_out) = (limits.now.clients, limits.now.endpoints);
     let listener = match before.as_mut().map(|before| before.listener.try_clone()) {
         Some(Ok(listener)) => front::adopt(listener)?,
-        _ => front::listen(start.listen, start.management.is_some()).await?,
+        _ => once_free(|| front::listen(start.listen, start.management.is_some())).await?,
+    };
+    // Clients don't wait for the operators' door: it opens once the process before has given it up. In an upgrade each process
+    // has a door of its own.
+    let door = match start.management.map(|at| (at, management::listen(at))) {
+        Some((at, Err(fault))) if before.is_none() && is_held(&fault) => {
+            log::warn!("{fault}; it opens once that is free");
+            Some((at, None))
+        }
+        Some((at, listener)) => Some((at, Some(listener?))),
+        None => None,
     };
-    let door = start.management.map(management::listen).transpose()?;
     let stages = stop::Stage::on_sigterm()?;
     log::info!(
         name = start.name.as_str(), listen:% = start.listen, most_in = most_in, most_out = most_out;
@@ -311,7 +344,7 @@
         );
     }
     let front = front::Front::new(most_in, start.sockets / 6, stages.clone());
-    if let Some(door) = door {
+    if let Some((at, door)) = door {
         if before.is_some() {
             intake.share(true);
         }
@@ -319,7 +352,15 @@
         let (front, intake) = (Arc::clone(&front), Arc::clone(&intake));
         let room = Box::new(room::Room { limits, front, dialer, intake, held_back });
         let handover = handover::Handover::new(Arc::clone(&desk), claims, stages.clone(), socket, room)?;
-        management::open(door, handover, place.map(|place| (before, place)), fleet, stages)?;
+        let open =
+            move |door| management::open(door, handover, place.map(|place| (before, place)), fleet, stages);
+        match door {
+            Some(door) => open(door)?,
+            None => drop(tokio::spawn(async move {
+                let opened = once_free(|| std::future::ready(management::listen(at))).await.and_then(open);
+                opened.unwrap_or_else(|fault| log::error!("operators are not answered: {fault}"));
+            })),
+        }
     }
     front::serve(listener, front, intake, paces).await;
     desk.say_watch();
