--- a/crates/passroad-rig/src/sockets/mod.rs
+++ b/crates/passroad-rig/src/sockets/mod.rs
@@ -195,6 +195,15 @@
             scene.note(Entry::Crashed { instance: n });
         }
     }
+    let (mut first, mut again) = (Vec::new(), Vec::new());
+    for sidecar in sidecars.iter() {
+        let mut times = sidecar.lock().await.ready_after.clone().into_iter();
+        first.extend(times.next());
+        again.extend(times);
+    }
+    for (what, times) in [("first", first), ("again", again)] {
+        remarks.extend(sidecar::by_share(times).map(|said| format!("started {what}: {said}")));
+    }
     for (n, sidecar) in sidecars.iter().enumerate() {
         let sidecar = sidecar.lock().await;
         let said = std::fs::read_to_string(sidecar.log()).unwrap_or_default();
--- a/crates/passroad-rig/src/sockets/sidecar.rs
+++ b/crates/passroad-rig/src/sockets/sidecar.rs
@@ -38,6 +38,8 @@
     told: Value, // its configuration
     child: Option<Child>,
     starts: usize,
+    /// Of each start that came up, from its process's start until it took requests: the first, and then those again.
+    pub ready_after: Vec<Duration>,
 }
 
 /// What a process has used up.
@@ -66,7 +68,16 @@
             "settings": plan.settings(plan.zone_of(n)),
         });
         let (program, folder) = (program.clone(), folder.to_path_buf());
-        Ok(Sidecar { address: listen, program, folder, n, told, child: None, starts: 0 })
+        Ok(Sidecar {
+            address: listen,
+            program,
+            folder,
+            n,
+            told,
+            child: None,
+            starts: 0,
+            ready_after: Vec::new(),
+        })
     }
 
     pub fn log(&self) -> PathBuf {
@@ -180,6 +191,7 @@
             }
             sleep(Duration::from_millis(10)).await;
         }
+        self.ready_after.push(began.elapsed());
         Ok(())
     }
 
@@ -240,6 +252,15 @@
     }
 }
 
+/// Times to ready by share: half, nine in ten, and all were ready within; none where there are no starts.
+pub fn by_share(mut times: Vec<Duration>) -> Option<String> {
+    times.sort();
+    let last = times.len().checked_sub(1)?;
+    let within = |share: f64| times[((times.len() as f64 * share).ceil() as usize).clamp(1, last + 1) - 1];
+    let ms = |share| format!("{:.0} ms", within(share).as_secs_f64() * 1e3);
+    Some(format!("{} ready, p50 {}, p90 {}, max {}", times.len(), ms(0.5), ms(0.9), ms(1.0)))
+}
+
 /// An operator's call at a door: the status and what was said.
 pub async fn operate(door: &str, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
     let call = async {
@@ -277,3 +298,6 @@
         Err(e) => Err(format!("--sidecar {}: {e}", path.display())),
     }
 }
+
+#[cfg(test)]
+mod tests;
