Who has left behind unread bytes has left

Cause: the look before an attempt peeks at the client's connection; where bytes are due (a body in chunks, a long one) it took any that lay there for its rest, and the end behind them could not be seen. While a next request lies in the HTTP library's buffer, or a long body is not taken, nobody else reads either: the attempt went out after the client had gone. Change: there poll(2) is asked for POLLRDHUP, which tells the end whatever lies before it (look::hung_up). Tests: the_leaving_behind_a_pipelined_next_request_is_seen (4), the_leaving_behind_a_part_of_a_long_body_is_seen (3): all seven fail without it (seen).

--- a/crates/passroad/src/front.rs
+++ b/crates/passroad/src/front.rs
@@ -3,6 +3,7 @@
 use crate::body::Passing;
 use crate::frame::{Frame, LONGEST_HEAD, Shared, Watched};
 use crate::intake::{Intake, ready, take};
+use crate::look::hung_up;
 use crate::start::Pace;
 use crate::stop::{Stage, Stages, reached};
 use axum::Router;
@@ -260,11 +261,17 @@
     pub fn waits(&self) -> bool {
         match self.lies() {
             Some(Lies::Nothing) => !self.frame.came_ahead(),
-            Some(Lies::Bytes) => self.frame.unread(),
+            Some(Lies::Bytes) => self.frame.unread() && !self.hung_up(),
             Some(Lies::Ended) | None => false,
         }
     }
 
+    /// Whether the client has gone, behind bytes that nobody has read.
+    fn hung_up(&self) -> bool {
+        let stream = self.stream.upgrade();
+        stream.is_none_or(|stream| hung_up(&stream.lock().unwrap_or_else(PoisonError::into_inner)))
+    }
+
     /// Whether something lies there that nobody has read.
     fn unread(&self) -> bool {
         self.lies() == Some(Lies::Bytes)
--- a/crates/passroad/src/look.rs
+++ b/crates/passroad/src/look.rs
@@ -2,11 +2,21 @@
 //! longer: it waited for a place among the connections, for one to come up, for a kept one to rest, or for its turn.
 
 use crate::front::Talk;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Instant;
+use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
+/// Whether a connection's other side has closed, reset, or shut it, though bytes may lie there that nobody has read: the end
+/// behind them can't be peeked at.
+pub fn hung_up(stream: &TcpStream) -> bool {
+    let mut asked = [PollFd::new(stream, PollFlags::RDHUP)];
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut asked, Some(&now)).is_ok_and(|_| asked[0].revents().contains(PollFlags::RDHUP))
+}
+
 /// Why nothing may go out any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Barred {
--- a/crates/passroad/tests/cancellation.rs
+++ b/crates/passroad/tests/cancellation.rs
@@ -371,6 +371,67 @@
     assert_eq!((sent(&endpoint, "left"), sent(&endpoint, "stays")), (0, 1));
 }
 
+// ---- behind bytes that nobody reads ----
+
+/// What is written in one go with a first request.
+const NEXT: &str = "GET /look HTTP/1.1\r\nHost: b\r\nX-More: ";
+
+fn in_chunks(id: &str) -> String {
+    patiently(&book(id))
+        .replace("Content-Length: 4\r\n\r\nseat", "Transfer-Encoding: chunked\r\n\r\n4\r\nseat\r\n0\r\n\r\n")
+}
+
+// Where a body comes in chunks only the HTTP library knows its end, and while a next request lies in its buffer it reads
+// nothing more: neither does it see the client leave.
+#[rstest]
+fn the_leaving_behind_a_pipelined_next_request_is_seen(
+    #[values(false, true)] further: bool,
+    #[values(Leaves::Closes, Leaves::Resets)] how: Leaves,
+) {
+    let request = format!("{}{NEXT}", in_chunks("left"));
+    let (sidecar, mut client, late) = if further {
+        second_waits(&request, true)
+    } else {
+        let late = Late::new();
+        let sidecar = sidecar_with(&member("s-1", late.address, "up"), nowhere(), &unhurried());
+        let client = sends(&sidecar, &request);
+        until(|| dials(late.address));
+        (sidecar, client, late)
+    };
+    client.get_mut().write_all(b"more\r\n").unwrap();
+    sleep(20 * MS);
+    let rest = leave(client, how);
+    sleep(STANDSTILL);
+    let came = late.lets_in().join().unwrap();
+    assert!(!says(&came, "left"), "{}", String::from_utf8_lossy(&came));
+    // Its request is over: the same id is taken again.
+    assert_ne!(sidecar.ask(&patiently(&look("left"))).word(), "409");
+    drop(rest);
+}
+
+// A long body is read as it is passed on. Its client leaves halfway, behind bytes that wait for the connection to come up.
+#[rstest]
+#[case::closes(Leaves::Closes)]
+#[case::resets(Leaves::Resets)]
+#[case::shuts_sending(Leaves::ShutsSending)]
+fn the_leaving_behind_a_part_of_a_long_body_is_seen(#[case] how: Leaves) {
+    let late = Late::new();
+    let sidecar = sidecar_with(&member("s-1", late.address, "up"), nowhere(), &unhurried());
+    let head =
+        patiently(&book("left")).replace("Content-Length: 4\r\n\r\nseat", "Content-Length: 2000000\r\n\r\n");
+    let mut client = sends(&sidecar, &head);
+    until(|| dials(late.address));
+    client.get_mut().write_all(&[b'x'; 40_000]).unwrap();
+    sleep(20 * MS);
+    let rest = leave(client, how);
+    sleep(STANDSTILL);
+    let came = late.lets_in().join().unwrap();
+    assert!(!says(&came, "left"), "{}", String::from_utf8_lossy(&came));
+    // Its request is over: the same id is taken again.
+    assert_ne!(sidecar.ask(&patiently(&look("left"))).word(), "409");
+    drop(rest);
+}
+
 // ---- a connection that still belongs to another request ----
 
 // The end of a long answer is read from its endpoint before its slow client has taken the rest: the connection was given the
