--- a/crates/passroad/tests/crossings.rs
+++ b/crates/passroad/tests/crossings.rs
@@ -422,6 +422,7 @@
     let settings = paced(4_000_000).replace("on_request", "pushed");
     let sidecar = sidecar_with(&both, agent.address, &settings);
     all_go_to(&sidecar, b"second");
+    until(|| agent.count() > 2);
     let targets: Vec<_> = agent.seen.lock().unwrap().iter().map(|m| m.word().to_string()).collect();
     assert_eq!(targets[1], "/v1/servers");
     assert!(targets[0].contains("from=1&") && targets[2].contains("from=1&"), "{targets:?}");
