--- a/crates/passroad-rig/src/scale/mod.rs
+++ b/crates/passroad-rig/src/scale/mod.rs
@@ -98,6 +98,9 @@
     played.map_err(|e| e.to_string())
 }
 
+/// Who was inside a cut, from when to when, since 1970.
+type Parted = (Vec<bool>, Duration, Option<Duration>);
+
 /// The state of a run that its events change.
 struct Ground {
     plan: ScalePlan,
@@ -108,8 +111,7 @@
     alive: Mutex<Vec<bool>>,
     /// Each member's own troubles: from when to when, since 1970.
     troubles: Mutex<Vec<(usize, Duration, Option<Duration>)>>,
-    /// Cuts: who was inside, from when to when.
-    cuts: Mutex<Vec<(Vec<bool>, Duration, Option<Duration>)>>,
+    cuts: Mutex<Vec<Parted>>,
     /// How long after its end all that were killed had the list that says that they are back.
     listed: Mutex<Vec<(String, Duration)>>,
 }
@@ -201,7 +203,7 @@
     if let Some(crashed) = ground.processes.crashed().first() {
         return Err(std::io::Error::other(crashed.clone()));
     }
-    let mut played = ground.figures(&looks, &hollow, &real, began, unix_began, &before, &statuses);
+    let mut played = ground.figures(&looks, &hollow, &real, (began, unix_began), &before, &statuses);
     if let Some(load) = load {
         let (asked, served) = (load.asked.load(Relaxed), load.served.load(Relaxed));
         played.lines.push(format!(
@@ -395,14 +397,13 @@
         away.is_empty().then(|| last.saturating_sub(end))
     }
 
-    #[allow(clippy::too_many_arguments)]
+    /// What came of a run that began then, by both clocks.
     fn figures(
         &self,
         looks: &[Look],
         hollow: &[usize],
         real: &[usize],
-        began: Instant,
-        unix_began: Duration,
+        (began, unix_began): (Instant, Duration),
         before: &BTreeMap<usize, Value>,
         statuses: &BTreeMap<usize, Value>,
     ) -> Played {
