--- a/crates/passroad-rig/src/added_latency/report.rs
+++ b/crates/passroad-rig/src/added_latency/report.rs
@@ -106,6 +106,8 @@
     wait_us: f64,
     wakes: f64,
     probes: f64,
+    /// At the first tier, for each outer call.
+    attempts: f64,
     cpu: f64,
     resting_cpu: f64,
 }
@@ -120,6 +122,7 @@
         wait_us: each(arm.used.waiting.as_secs_f64() * 1e6),
         wakes: each(arm.used.wakes as f64),
         probes: each(arm.seen.probes as f64),
+        attempts: arm.seen.first_calls as f64 / arm.calls.max(1) as f64,
         cpu: arm.used.running.as_secs_f64() / seconds / sidecars,
         resting_cpu: arm.resting.running.as_secs_f64() / resting / sidecars,
     }
@@ -205,7 +208,7 @@
         let (share, median) = rested(arm);
         writeln!(
             out,
-            "  {}: {:.0} us CPU a call, {:.0} us ready without a core, {:.2} wakes, {:.3} probes, {} connections, \
+            "  {}: {:.0} us CPU a call, {:.0} us ready without a core, {:.2} wakes, {:.3} probes, {:.4} attempts, {} connections, \
              {:.3} of a core ({:.4} while others have the load); {:.1}% of requests 0.9 to 2.5 ms behind an answer, \
              median {:.2} ms",
             name(arm.way, asked),
@@ -213,6 +216,7 @@
             costs.wait_us,
             costs.wakes,
             costs.probes,
+            costs.attempts,
             arm.seen.open,
             costs.cpu,
             costs.resting_cpu,
@@ -289,6 +293,7 @@
         put("cpu-per-call".into(), "us", "mean", costs.cpu_us);
         put("cpu".into(), "core", "mean", costs.cpu);
         put("probes-per-call".into(), "count", "mean", costs.probes);
+        put("attempts-per-call".into(), "count", "mean", costs.attempts);
         put("connections".into(), "count", "most", via.seen.open as f64);
         put("wakes-per-call".into(), "count", "mean", costs.wakes);
         put("ready-without-core-per-call".into(), "us", "mean", costs.wait_us);
@@ -302,13 +307,21 @@
     points
 }
 
-/// The command as it was given, without the folder of the program and of the file.
+/// The command as it was given, but for where the points go.
 pub fn command() -> String {
-    let words: Vec<String> = std::env::args().skip(1).collect();
-    format!("passroad-rig {}", words.join(" "))
+    let mut words = vec!["passroad-rig".to_string()];
+    let mut given = std::env::args().skip(1);
+    while let Some(word) = given.next() {
+        match word.as_str() {
+            "--json" => drop(given.next()),
+            other if other.starts_with("--json=") => {}
+            _ => words.push(word),
+        }
+    }
+    words.join(" ")
 }
 
-/// The commit of the folder that it is run in, marked where files differ from it.
+/// The commit of the folder that it is run in, marked where files differ from it; right where the program was built there.
 pub fn commit() -> String {
     let words = ["describe", "--always", "--dirty", "--exclude", "*"];
     let said = std::process::Command::new("git").args(words).output().ok().filter(|o| o.status.success());
--- a/crates/passroad-rig/tests/added_latency.rs
+++ b/crates/passroad-rig/tests/added_latency.rs
@@ -20,6 +20,8 @@
     fn points(&self) -> Vec<Value> {
         let told: Value = serde_json::from_str(&std::fs::read_to_string(&self.0).unwrap()).unwrap();
         assert_eq!(told["simulated"], false);
+        let run = told["run"].as_str().unwrap();
+        assert!(run.starts_with("passroad-rig added-latency --rate") && !run.contains("json"), "{run}");
         told["points"].as_array().unwrap().clone()
     }
 }
