--- a/crates/passroad-rig/src/capacity/roles.rs
+++ b/crates/passroad-rig/src/capacity/roles.rs
@@ -240,7 +240,10 @@
                 &["bytes-in", "bytes-out", "probe-bytes"],
                 "B/s",
                 CONTROL_BYTES,
-                none("probes go by calls; nothing holds them to a rate"),
+                by(
+                    "what is heard of an endpoint stands for a while, so probes grow less than calls; no cap on bytes",
+                    CHOICE,
+                ),
             )
         },
         row(
