--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -310,6 +310,7 @@
     for role in &ROLES {
         role_table(role, slopes, target, &mut out);
     }
+    honest(slopes, &mut out);
     event_table(slopes, target, &mut out);
     law_table(slopes, target, &mut out);
     out
@@ -562,6 +563,62 @@
     }
 }
 
+/// Mean of a law's points at so many sidecars.
+fn mean_at(law: &Law, sidecars: f64) -> Option<f64> {
+    let fixed = law.fixed.get("sidecars").and_then(Value::as_f64);
+    let here = |x: f64| if law.by == "sidecars" { x == sidecars } else { fixed == Some(sidecars) };
+    let values: Vec<f64> = law.points.iter().filter(|dot| here(dot.x)).map(|dot| dot.value).collect();
+    (!values.is_empty()).then(|| values.iter().sum::<f64>() / values.len() as f64)
+}
+
+/// Hollow sidecars beside real ones, wherever both were played at one size; nothing where none were.
+fn honest(slopes: &Slopes, out: &mut String) {
+    let mut rows = String::new();
+    let of = |kind: &'static str| slopes.laws.iter().filter(move |l| l.kind == kind && l.statistic == "mean");
+    for real in of("real") {
+        let key = |l: &Law| (l.role.clone(), l.quantity.clone(), l.condition.clone());
+        for hollow in of("hollow").filter(|hollow| key(hollow) == key(real)) {
+            let mut sizes: Vec<f64> = real.points.iter().map(|dot| dot.x).collect();
+            sizes.extend(real.fixed.get("sidecars").and_then(Value::as_f64));
+            sizes.sort_by(f64::total_cmp);
+            sizes.dedup();
+            for size in sizes {
+                let (Some(a), Some(b)) = (mean_at(real, size), mean_at(hollow, size)) else { continue };
+                let off = 100.0 * (b / a - 1.0);
+                let word = match off {
+                    _ if !off.is_finite() => "no telling".into(),
+                    off if off.abs() <= 10.0 => format!("within a tenth ({off:+.1}%)"),
+                    off => {
+                        format!("**{}% too {}**", figure(off.abs()), if off < 0.0 { "low" } else { "high" })
+                    }
+                };
+                let _ = writeln!(
+                    rows,
+                    "| {} | {}, {} | {} | {} | {} | {} | {word} |",
+                    real.role,
+                    real.quantity,
+                    real.unit,
+                    real.condition,
+                    figure(size),
+                    figure(a),
+                    figure(b)
+                );
+            }
+        }
+    }
+    let _ = writeln!(out, "\n### Is hollow honest?\n");
+    if rows.is_empty() {
+        let _ = writeln!(out, "Hollow and real sidecars were not played at one size.");
+    } else {
+        let _ = writeln!(
+            out,
+            "Means of all hollow against all real, at one size.\n\n| role | figure | condition | sidecars | real | hollow | \
+             hollow is |\n| --- | --- | --- | --- | --- | --- | --- |\n{}",
+            rows.trim_end()
+        );
+    }
+}
+
 fn event_table(slopes: &Slopes, target: &Target, out: &mut String) {
     let events = events(slopes);
     let _ = write!(
--- a/crates/passroad-rig/tests/capacity.rs
+++ b/crates/passroad-rig/tests/capacity.rs
@@ -453,3 +453,25 @@
     let made = tables(&from_points(&files, Vec::new()), &target::read(&target_text()).expect("a target"));
     assert!(made.contains(shown), "{made}");
 }
+
+/// Hollow beside real at one size: by how much and which way.
+#[rstest]
+#[case(100.0, 95.0, "| 60 | 100 | 95 | within a tenth (-5.0%) |")]
+#[case(100.0, 56.0, "| 60 | 100 | 56 | **44.0% too low** |")]
+#[case(0.0, 1.0, "| 60 | 0 | 1 | no telling |")]
+fn hollow_is_told_beside_real(#[case] real: f64, #[case] hollow: f64, #[case] shown: &str) {
+    let folder = Folder::new();
+    let point = |kind: &str, sidecars: usize, value: f64| {
+        serde_json::json!({
+            "role": "control", "quantity": "cpu", "unit": "core", "condition": "rest", "statistic": "mean",
+            "kind": kind, "at": { "sidecars": sidecars }, "value": value,
+        })
+    };
+    // Hollow ones were played at another size as well, so that theirs is a law.
+    let all = [point("real", 60, real), point("hollow", 60, hollow), point("hollow", 610, 10.0 * hollow)];
+    let file = serde_json::json!({ "run": "r", "commit": "c", "seed": 1, "simulated": false, "points": all });
+    folder.put("capacity/points/one.json", &file.to_string());
+    let files = read_points(&folder.0.join("capacity/points")).expect("points");
+    let made = tables(&from_points(&files, Vec::new()), &target::read(&target_text()).expect("a target"));
+    assert!(made.contains(shown), "{made}");
+}
