--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -262,10 +262,12 @@
         (Some(_), None, _) => LARGEST * 2.0,
         (None, None, _) => LARGEST * 3.0,
     };
-    // Of those that pass it at the same size what is measured comes before what is assumed.
-    let source = |b: &Breaking| b.figure.as_ref().map(Figure::source);
+    // Of those over it at the target's size what is measured comes before what is assumed.
+    let over = |b: &Breaking| rank(b) >= 0.0 && ratio(b) > 1.0;
+    let source = |b: &Breaking| b.figure.as_ref().filter(|_| over(b)).map(Figure::source);
+    let first = |b: &Breaking| (rank(b) >= 0.0, !over(b), source(b));
     all.sort_by(|a, b| {
-        let by_size = rank(a).total_cmp(&rank(b)).then_with(|| source(a).cmp(&source(b)));
+        let by_size = first(a).cmp(&first(b)).then_with(|| rank(a).total_cmp(&rank(b)));
         by_size.then_with(|| ratio(b).total_cmp(&ratio(a)))
     });
     all
@@ -364,10 +366,10 @@
     };
     let first = &all[at];
     let _ = writeln!(out, "1. **Missing first.** {}.", in_words(first, slopes, target));
-    // Each row once, though it may pass in two conditions.
-    let mut seen = vec![(first.role.key, first.row.title)];
+    // One row of a role: others of it stand in the table below.
+    let mut seen = vec![first.role.key];
     for b in &all {
-        let key = (b.role.key, b.row.title);
+        let key = b.role.key;
         let passed = b.figure.is_some() && !b.row.otherwise;
         if seen.len() < 4 && passed && !seen.contains(&key) {
             seen.push(key);
@@ -407,7 +409,7 @@
     );
     let _ = writeln!(
         out,
-        "\nRows with a budget, ordered by the size at which each passes it; at twice and five times \
+        "\nRows with a budget: those over it now, what is measured first, then by the size at which each passes it; at twice and five times \
          the size each sidecar's own calls stay, all else grows. `=` behind a figure: taken at one size, growth is not \
          known.\n\n\
          | role | figure | condition | now | budget | ratio | x2 | x5 | passes its budget at | carried by |\n\
