--- a/crates/passroad-rig/src/capacity/page.rs
+++ b/crates/passroad-rig/src/capacity/page.rs
@@ -262,10 +262,12 @@
         (Some(_), None, _) => LARGEST * 2.0,
         (None, None, _) => LARGEST * 3.0,
     };
-    // Of those that pass it at the same size what is measured comes before what is assumed.
-    let source = |b: &Breaking| b.figure.as_ref().map(Figure::source);
+    // Of those over it at the target's size what is measured comes before what is assumed.
+    let over = |b: &Breaking| rank(b) >= 0.0 && ratio(b) > 1.0;
+    let source = |b: &Breaking| b.figure.as_ref().filter(|_| over(b)).map(Figure::source);
+    let first = |b: &Breaking| (rank(b) >= 0.0, !over(b), source(b));
     all.sort_by(|a, b| {
-        let by_size = rank(a).total_cmp(&rank(b)).then_with(|| source(a).cmp(&source(b)));
+        let by_size = first(a).cmp(&first(b)).then_with(|| rank(a).total_cmp(&rank(b)));
         by_size.then_with(|| ratio(b).total_cmp(&ratio(a)))
     });
     all
@@ -310,6 +312,7 @@
     for role in &ROLES {
         role_table(role, slopes, target, &mut out);
     }
+    honest(slopes, &mut out);
     event_table(slopes, target, &mut out);
     law_table(slopes, target, &mut out);
     out
@@ -363,10 +366,10 @@
     };
     let first = &all[at];
     let _ = writeln!(out, "1. **Missing first.** {}.", in_words(first, slopes, target));
-    // Each row once, though it may pass in two conditions.
-    let mut seen = vec![(first.role.key, first.row.title)];
+    // One row of a role: others of it stand in the table below.
+    let mut seen = vec![first.role.key];
     for b in &all {
-        let key = (b.role.key, b.row.title);
+        let key = b.role.key;
         let passed = b.figure.is_some() && !b.row.otherwise;
         if seen.len() < 4 && passed && !seen.contains(&key) {
             seen.push(key);
@@ -406,7 +409,7 @@
     );
     let _ = writeln!(
         out,
-        "\nRows with a budget, ordered by the size at which each passes it; at twice and five times \
+        "\nRows with a budget: those over it now, what is measured first, then by the size at which each passes it; at twice and five times \
          the size each sidecar's own calls stay, all else grows. `=` behind a figure: taken at one size, growth is not \
          known.\n\n\
          | role | figure | condition | now | budget | ratio | x2 | x5 | passes its budget at | carried by |\n\
@@ -562,6 +565,62 @@
     }
 }
 
+/// Mean of a law's points at so many sidecars.
+fn mean_at(law: &Law, sidecars: f64) -> Option<f64> {
+    let fixed = law.fixed.get("sidecars").and_then(Value::as_f64);
+    let here = |x: f64| if law.by == "sidecars" { x == sidecars } else { fixed == Some(sidecars) };
+    let values: Vec<f64> = law.points.iter().filter(|dot| here(dot.x)).map(|dot| dot.value).collect();
+    (!values.is_empty()).then(|| values.iter().sum::<f64>() / values.len() as f64)
+}
+
+/// Hollow sidecars beside real ones, wherever both were played at one size; nothing where none were.
+fn honest(slopes: &Slopes, out: &mut String) {
+    let mut rows = String::new();
+    let of = |kind: &'static str| slopes.laws.iter().filter(move |l| l.kind == kind && l.statistic == "mean");
+    for real in of("real") {
+        let key = |l: &Law| (l.role.clone(), l.quantity.clone(), l.condition.clone());
+        for hollow in of("hollow").filter(|hollow| key(hollow) == key(real)) {
+            let mut sizes: Vec<f64> = real.points.iter().map(|dot| dot.x).collect();
+            sizes.extend(real.fixed.get("sidecars").and_then(Value::as_f64));
+            sizes.sort_by(f64::total_cmp);
+            sizes.dedup();
+            for size in sizes {
+                let (Some(a), Some(b)) = (mean_at(real, size), mean_at(hollow, size)) else { continue };
+                let off = 100.0 * (b / a - 1.0);
+                let word = match off {
+                    _ if !off.is_finite() => "no telling".into(),
+                    off if off.abs() <= 10.0 => format!("within a tenth ({off:+.1}%)"),
+                    off => {
+                        format!("**{}% too {}**", figure(off.abs()), if off < 0.0 { "low" } else { "high" })
+                    }
+                };
+                let _ = writeln!(
+                    rows,
+                    "| {} | {}, {} | {} | {} | {} | {} | {word} |",
+                    real.role,
+                    real.quantity,
+                    real.unit,
+                    real.condition,
+                    figure(size),
+                    figure(a),
+                    figure(b)
+                );
+            }
+        }
+    }
+    let _ = writeln!(out, "\n### Is hollow honest?\n");
+    if rows.is_empty() {
+        let _ = writeln!(out, "Hollow and real sidecars were not played at one size.");
+    } else {
+        let _ = writeln!(
+            out,
+            "Means of all hollow against all real, at one size.\n\n| role | figure | condition | sidecars | real | hollow | \
+             hollow is |\n| --- | --- | --- | --- | --- | --- | --- |\n{}",
+            rows.trim_end()
+        );
+    }
+}
+
 fn event_table(slopes: &Slopes, target: &Target, out: &mut String) {
     let events = events(slopes);
     let _ = write!(
