--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -14,8 +14,8 @@
 
 pub use crate::state::Balancer;
 use crate::state::{
-    ALARM_COPY, ALARM_GOAL, ALARM_LIST, ALARM_QUEUE, Command, DutySheet, Endpoint, Faded, Few, May, Pace,
-    Relay, VerbDuty, fade, luck,
+    ALARM_COPY, ALARM_GOAL, ALARM_LIST, ALARM_QUEUE, Command, DutySheet, Endpoint, Faded, Few, May, Need,
+    Pace, Relay, VerbDuty, fade, luck,
 };
 use crate::*;
 use std::time::Duration;
@@ -68,14 +68,17 @@
     fn duty(orders: StandingOrders) -> DutySheet {
         let goals = orders.verbs.iter().map(|v| v.goal).min().unwrap_or_default();
         let goal = goals.clamp(Duration::from_millis(1), Duration::from_secs(60));
-        // Heartbeats may cost most of a hundredth of the service: none where each costs more, and alone reports.
+        // Heartbeats may cost most of a hundredth of the service: none where one costs more and alone tells.
         let dear = orders.probe_price > 0.007;
         let told = orders.reports == ReportsHow::Piggyback || orders.reports == ReportsHow::Pull && !dear;
         let asks = orders.probes && told;
         let heartbeats = (0.007 / orders.probe_price.max(1e-4)).clamp(1.0, 4.0) as usize;
-        let relays = orders.max_relays.max(1);
         DutySheet {
-            verbs: orders.verbs.iter().map(|v| VerbDuty::of(v, v.goal / 4, relays)).collect(),
+            verbs: orders
+                .verbs
+                .iter()
+                .map(|v| VerbDuty::of(v, v.goal / 4, orders.max_relays.max(1)))
+                .collect(),
             goal_whole: orders.goal_whole,
             goal_verb: orders.goal_worst_verb,
             portions: orders.companies.iter().map(|c| c.portion).collect(),
@@ -128,9 +131,7 @@
             Event::Arrived(arrival) => self.take(arrival),
             Event::Whole { cmd } => self.whole(cmd),
             Event::Spent { cmd } => self.spent(cmd),
-            Event::StreamStarted { cmd, .. } => {
-                self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.streams = true);
-            }
+            Event::StreamStarted { cmd, .. } => self.streams(cmd),
             Event::Finished { cmd, relay, outcome, spent, concluded, report } => {
                 if let Some(at) = self.finish(cmd, relay, outcome, spent) {
                     self.hear(at, report);
@@ -138,8 +139,8 @@
                 }
             }
             Event::Lapsed { cmd } => self.conclude(cmd, None),
-            Event::Checked { endpoint, outcome, spent, report } => {
-                self.checked(endpoint, outcome, spent, report)
+            Event::Checked { endpoint: at, outcome, spent, report } => {
+                self.checked(at, outcome, spent, report)
             }
             Event::PeerSaid { .. } => {}
             Event::Due { token } => self.due(token),
@@ -172,8 +173,8 @@
     fn read_list(&mut self, kind: ListKind, entries: Vec<Listing>) {
         let jitter = self.chance();
         match kind {
-            // Guards against a crowd at a list service that is down: never in step, later each time, but 1.5 s at
-            // most, as its news counts as told soon. Lists pushed: the agent beside is down; its news counts at once.
+            // Guards against a crowd at a list service that is down: later each time, never in step; 1.5 s at
+            // most, as news soon counts as told. Where lists are pushed the agent's news counts at once.
             ListKind::Refused => {
                 self.listening = false;
                 self.list_fails += 1;
@@ -396,13 +397,7 @@
     }
 
     /// Weights for a command, zero where it may not go. Without `need` (value, risk) limits do not count.
-    fn weigh(
-        &self,
-        ats: &[usize],
-        of: Option<(usize, usize)>,
-        need: Option<(f64, f64)>,
-        may: May,
-    ) -> Vec<f64> {
+    fn weigh(&self, ats: &[usize], of: Option<(usize, usize)>, need: Need, may: May) -> Vec<f64> {
         let (verb, play) = (of.map(|(verb, _)| verb), of.map(|(_, play)| play));
         let (usual, risk) = (self.usual_load(), need.map_or(RISK, |(_, risk)| risk));
         let ready = |e: &Endpoint| e.listed && self.now >= e.try_at && may(e) && self.base(e, play) > 0.0;
@@ -511,6 +506,16 @@
         !self.cold(e) || self.now < e.pass_until
     }
 
+    /// What a warm endpoint of this kind answers a second at size 1: lists may weigh unlike kinds alike. With
+    /// none warm it is as when last some were; of a kind never seen warm, the least of the others.
+    fn warm_rate(&self, kind: usize) -> f64 {
+        let all = self.warm_kinds.iter().filter(|k| k.some).map(|k| k.rate(self.now));
+        let own = self.warm_kinds.get(kind).filter(|k| k.some || k.last > 0.0);
+        own.map(|k| if k.some { k.rate(self.now) } else { k.last })
+            .or(all.reduce(f64::min))
+            .unwrap_or_default()
+    }
+
     /// Guards against pushing over a cold endpoint. Sidecars can't agree, so what each sends follows its ramp
     /// and the own rate to warm ones of its kind: each arrival draws whether there is a pass for one send,
     /// and for which. Unused it is soon lost, so that hundreds of sidecars never hold a burst in hand.
--- a/crates/passroad-choice/src/state.rs
+++ b/crates/passroad-choice/src/state.rs
@@ -106,8 +106,8 @@
 pub struct WarmKind {
     pub served: Faded,
     size: f64, // by the list, of those that are warm, or were last
-    some: bool,
-    last: f64, // a second, for one of size 1, when the last of them left
+    pub some: bool,
+    pub last: f64, // a second, for one of size 1, when the last of them left
 }
 
 impl WarmKind {
@@ -122,7 +122,7 @@
     }
 
     /// Answers a second, for one of size 1.
-    fn rate(&self, now: Duration) -> f64 {
+    pub fn rate(&self, now: Duration) -> f64 {
         if self.size > 0.0 { self.served.fair_rate(now, OVER_WARM) / self.size } else { 0.0 }
     }
 }
@@ -454,6 +454,8 @@
 
 /// Where a command may go.
 pub type May<'a> = &'a dyn Fn(&Endpoint) -> bool;
+/// What a command is worth against the best, and what a failure of it costs.
+pub type Need = Option<(f64, f64)>;
 
 /// For the life of the instance: one sidecar's decisions, which stand in `choice.rs`.
 #[derive(Default)]
@@ -696,18 +698,6 @@
         }
     }
 
-    /// Answers a second that a warm endpoint of this kind and size 1 gives to what is sent from here. Guards against
-    /// lists that weigh small and large ones alike: one kind's rate pushes another over. Where none of the kind is
-    /// warm it is what they gave when last some were; of a kind never seen warm the least of the others.
-    pub(crate) fn warm_rate(&self, kind: usize) -> f64 {
-        let rate = |k: &WarmKind| k.rate(self.now);
-        match self.warm_kinds.get(kind) {
-            Some(own) if own.some => rate(own),
-            Some(own) if own.last > 0.0 => own.last,
-            _ => self.warm_kinds.iter().filter(|k| k.some).map(rate).reduce(f64::min).unwrap_or_default(),
-        }
-    }
-
     /// An answer of a warm endpoint.
     pub(crate) fn note_warm(&mut self, at: EndpointIx) {
         let kind = self.endpoints[at].kind;
@@ -725,6 +715,10 @@
         self.out.push(Action::Log(line));
     }
 
+    pub(crate) fn streams(&mut self, cmd: CmdIx) {
+        self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.streams = true);
+    }
+
     pub(crate) fn spent(&mut self, cmd: CmdIx) {
         self.commands.get_mut(cmd).into_iter().flatten().for_each(|c| c.once = true);
     }
