Calls given up within a cut are not answered behind it

Cause: the scale run's discovery answered, once a cut was healed, also calls whose caller had gone, and counted them.

--- a/crates/passroad-rig/src/scale/discovery.rs
+++ b/crates/passroad-rig/src/scale/discovery.rs
@@ -225,8 +225,11 @@
     async fn serve(&self, n: usize, mut talk: Talk) {
         let way = self.plan.way(0, n);
         while let Ok(Some(message)) = talk.request().await {
-            // What is sent into a cut is not here before it is over.
-            self.crosses(n).await;
+            // What is sent into a cut is not here before it is over, and not at all if it was given up by then.
+            tokio::select! {
+                () = self.crosses(n) => {}
+                () = talk.closed() => return,
+            }
             sleep(way).await;
             let bytes = size(&message);
             self.calls.fetch_add(1, Relaxed);
@@ -254,7 +257,10 @@
                 }
                 self.open.fetch_sub(1, Relaxed);
             }
-            self.crosses(n).await;
+            tokio::select! {
+                () = self.crosses(n) => {}
+                () = talk.closed() => return,
+            }
             let said = {
                 let mut list = held(&self.list);
                 match list.down {
