--- a/crates/passroad-choice/src/choice.rs
+++ b/crates/passroad-choice/src/choice.rs
@@ -73,12 +73,9 @@
         let told = orders.reports == ReportsHow::Piggyback || orders.reports == ReportsHow::Pull && !dear;
         let asks = orders.probes && told;
         let heartbeats = (0.007 / orders.probe_price.max(1e-4)).clamp(1.0, 4.0) as usize;
+        let verb = |v: &VerbOrder| VerbDuty::of(v, v.goal / 4, orders.max_relays.max(1));
         DutySheet {
-            verbs: orders
-                .verbs
-                .iter()
-                .map(|v| VerbDuty::of(v, v.goal / 4, orders.max_relays.max(1)))
-                .collect(),
+            verbs: orders.verbs.iter().map(verb).collect(),
             goal_whole: orders.goal_whole,
             goal_verb: orders.goal_worst_verb,
             portions: orders.companies.iter().map(|c| c.portion).collect(),
@@ -506,8 +503,7 @@
         !self.cold(e) || self.now < e.pass_until
     }
 
-    /// What a warm endpoint of this kind answers a second at size 1: lists may weigh unlike kinds alike. With
-    /// none warm it is as when last some were; of a kind never seen warm, the least of the others.
+    /// Answers a second of a warm one of this kind at size 1, or as last seen; of a new one the least of all.
     fn warm_rate(&self, kind: usize) -> f64 {
         let all = self.warm_kinds.iter().filter(|k| k.some).map(|k| k.rate(self.now));
         let own = self.warm_kinds.get(kind).filter(|k| k.some || k.last > 0.0);
