--- /dev/null
+++ b/crates/passroad-rig/src/html/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+use crate::experiment::{read, tests::SMALL};
+use crate::run::play_all;
+use rstest::rstest;
+
+#[rstest]
+#[case(0.0, 1.0)]
+#[case(0.7, 1.0)]
+#[case(1.0, 1.0)]
+#[case(37.0, 50.0)]
+#[case(501.0, 1000.0)]
+fn axes_end_at_round_figures(#[case] top: f64, #[case] end: f64) {
+    assert!((round_up(top) - end).abs() < 1e-9, "{}", round_up(top));
+}
+
+#[rstest]
+fn a_page_needs_nothing_else_and_keeps_its_markup_whole() {
+    let text = SMALL.replace("about = \"small\"", "about = \"a <b> & \\\"c\\\"\"");
+    let mut plan = read(&text).expect("a plan");
+    plan.policies = vec!["passroad".into(), "random".into()];
+    let runs = play_all(&plan, 2).expect("days");
+    let page = page(&plan, &runs, true);
+    assert!(page.contains("a &lt;b&gt; &amp; &quot;c&quot;") && page.contains("Simulated"));
+    for outside in ["http://", "https://", "<script", "<link", "NaN", "inf\""] {
+        assert!(!page.contains(outside), "{outside}");
+    }
+    // Seven plots: two zones are drawn apart.
+    assert_eq!((page.matches("<svg").count(), page.matches("</svg>").count()), (7, 7));
+}
