--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -242,6 +242,8 @@
 class Sidecar:
     """The project's sidecar, started as the deploy file says."""
 
+    started = []
+
     def __init__(self, discovery, config_settings, known, record, management=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="passroad-review-"))
         (self.folder / "tmp").mkdir()
@@ -254,7 +256,7 @@
                   "seed": f"{random.getrandbits(64):016x}",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                   "known": known, "settings": config_settings}
-        if management:
+        if management:  # the operators' door
             config["management"] = f"{HOST}:{self.management}"
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
@@ -263,6 +265,7 @@
         self.log = open(self.folder / "log.txt", "wb")
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=self.log,
                                         stderr=self.log)
+        Sidecar.started.append(self)
         self.wait_ready()
 
     def wait_ready(self):
@@ -361,10 +364,15 @@
         record.line(f"could not run: {error}")
         print(f"could not run: {error}")
         code = 2
-    except Exception as error:  # a fault of the case itself
+    except BaseException as error:  # a fault of the case itself, or SIGTERM
         record.line(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         code = 2
+    for sidecar in Sidecar.started:  # none is left behind, whatever happened
+        if sidecar.process.poll() is None:
+            sidecar.process.kill()
+            sidecar.process.wait()
+        shutil.rmtree(sidecar.folder, ignore_errors=True)
     record.close()
     sys.stdout.flush()
     os._exit(code)
