--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -22,6 +22,9 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# What is drawn follows the seed; which thread draws when does not.
+SEED = int(os.environ.get("SEED") or random.SystemRandom().getrandbits(32))
+random.seed(SEED)
 
 
 class CannotRun(Exception):
@@ -49,7 +52,7 @@
         self.file = open(pathlib.Path(folder) / "record.txt", "w")
         self.started = time.monotonic()
         self.lock = threading.Lock()
-        self.line(f"trouble={int(TROUBLE)}")
+        self.line(f"trouble={int(TROUBLE)} seed={SEED}")
 
     def line(self, text):
         with self.lock:
@@ -359,7 +362,7 @@
             record.line(f"BREAK {text}")
             print(f"rule broken: {text}")
         record.line(f"summary: {summary}; breaks={len(breaks)}; exit={code}")
-        print(f"trouble={int(TROUBLE)}: {summary}; breaks={len(breaks)}")
+        print(f"trouble={int(TROUBLE)} seed={SEED}: {summary}; breaks={len(breaks)}")
     except CannotRun as error:
         record.line(f"could not run: {error}")
         print(f"could not run: {error}")
