--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -248,13 +248,13 @@
     started = []
 
     def __init__(self, discovery, config_settings, known, record, management=False):
+        if not (ROOT / "target/release/passroad").exists():
+            raise CannotRun("target/release/passroad is not there: build first")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="passroad-review-"))
         (self.folder / "tmp").mkdir()
         self.port, self.record = free_port(), record
         self.management = free_port() if management else None
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        if not (ROOT / "target/release/passroad").exists():
-            raise CannotRun("target/release/passroad is not there: build first")
         config = {"name": "n0", "listen": f"{HOST}:{self.port}", "discovery": discovery.address,
                   "seed": f"{random.getrandbits(64):016x}",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
