Each exchange has a state of its own: no command runs twice behind a slow reader

Cause: all exchanges on a connection shared one record. The guard of a long response that a slow client still read was dropped after the next command had begun on the connection, saw that command's "incomplete" for its own, and marked the connection as retired; a reset of a retired connection counted as "not sent".

Change: relay/exchange_state.rs. An exchange has its own state, which its guard, its reader and the connection share; a connection knows the exchange last started and the one assigned next, and can refuse only the latter. So the late end of an older exchange reaches nothing but its own state, and "not sent" can't be said of a request of which a byte was written. The stall timer and the count of bytes written go by the exchange as well. The assignment happens in the turn in which the pool chooses the connection, before the connection's task runs.

--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a command to an endpoint. The submodules hold the HTTP exchange and the connection pools, which probes use as well.
 
 mod exchange;
+mod exchange_state;
 mod pool;
 mod stream;
 
--- a/crates/passroad/src/relay/exchange.rs
+++ b/crates/passroad/src/relay/exchange.rs
@@ -1,7 +1,8 @@
 //! One HTTP request to an endpoint and its response: what is buffered, what is streamed, and what a failure proves.
 
+use super::exchange_state::{ConnectionExchanges, ExchangeState};
 use super::pool::PooledClient;
-use super::stream::{ExchangeMeter, MAX_BYTES_BEFORE_BODY};
+use super::stream::MAX_BYTES_BEFORE_BODY;
 use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES, RelayBody, StreamedResponse};
 use crate::send_guard::{SendBlocked, SendGuard};
 use bytes::{Bytes, BytesMut};
@@ -12,9 +13,8 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
 use passroad_choice::{LoadReport, Outcome};
-use std::convert::Infallible;
 use std::error::Error;
-use std::sync::atomic::Ordering::Relaxed;
+use std::future::Future;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -57,8 +57,7 @@
 }
 
 /// Sends one request and reads its response; a long response is returned as a stream. `guard` is checked right before the
-/// first byte is written; a probe has none. After a probe there is no reuse hold-off, since the command that the probe was
-/// made for is sent next, and most commands go to an endpoint that has just been probed.
+/// first byte is written; a probe has none.
 pub async fn exchange(
     client: &PooledClient,
     mut request: Request<RelayBody>,
@@ -66,6 +65,7 @@
     guard: Option<&Arc<SendGuard>>,
 ) -> ExchangeResult {
     let connection = capture_connection(&mut request);
+    let state = Arc::new(ExchangeState::new(guard.cloned()));
     let last_informational = Arc::new(Mutex::new(None));
     let informational = Arc::clone(&last_informational);
     // An informational (1xx) response is not the beginning of the final one.
@@ -75,13 +75,12 @@
             .iter_mut()
             .for_each(|last| **last = Some(Instant::now()));
     });
-    let (assigned, hold_off) = (connection.clone(), guard.is_some());
-    let connection = ExchangeGuard(connection);
+    let exchange_guard = ExchangeGuard(Arc::clone(&state));
+    let request_and_response = send_and_read(client, request, &state, min_wire_len);
     let (mut result, rest) = tokio::select! {
         biased;
-        result = send_and_read(client, request, &connection, min_wire_len, hold_off) => result,
-        never = set_guard(assigned, guard) => match never {},
-        () = response_stalled(&connection, &last_informational) => (malformed("it stalled midway"), None),
+        result = run_assigned(request_and_response, &connection, &state) => result,
+        () = response_stalled(&state, &last_informational) => (malformed("it stalled midway"), None),
     };
     if let Some(rest) = rest {
         result.response = result.response.map(|response| {
@@ -91,7 +90,7 @@
                 RelayBody::Streamed(Box::new(StreamedResponse {
                     first: Some(first),
                     rest,
-                    guard: connection,
+                    guard: exchange_guard,
                     left,
                     stall: None,
                     pool: None,
@@ -102,47 +101,62 @@
     result
 }
 
-/// The connection of a request until its response is complete. Dropped earlier, it retires the connection, which then writes
-/// nothing more: bytes still buffered there must not be sent after the command has its final response.
-pub struct ExchangeGuard(CaptureConnection);
+/// An exchange until its response is complete. Dropped earlier, it abandons the exchange: the connection then writes nothing more,
+/// since bytes still buffered there must not be sent after the command has its final response.
+pub struct ExchangeGuard(Arc<ExchangeState>);
 
 impl ExchangeGuard {
     /// Marks the response as read completely, so that the connection may be reused.
     pub fn response_complete(&self) {
-        if let Some(meter) = meter(self) {
-            meter.end_response(true);
-        }
-    }
-}
-
-impl std::ops::Deref for ExchangeGuard {
-    type Target = CaptureConnection;
-
-    fn deref(&self) -> &CaptureConnection {
-        &self.0
+        self.0.complete();
     }
 }
 
 impl Drop for ExchangeGuard {
     fn drop(&mut self) {
-        meter(self)
-            .iter()
-            .filter(|meter| !meter.complete.load(Relaxed))
-            .for_each(|meter| meter.retired.store(true, Relaxed));
+        self.0.abandon();
     }
 }
 
+/// Runs an exchange, and assigns its connection to it in the same turn in which the pool has chosen one, before the connection's
+/// own task can write.
+async fn run_assigned<F: Future>(
+    exchange: F,
+    connection: &CaptureConnection,
+    state: &Arc<ExchangeState>,
+) -> F::Output {
+    let (mut exchange, mut assigned) = (std::pin::pin!(exchange), false);
+    std::future::poll_fn(|cx| {
+        let result = exchange.as_mut().poll(cx);
+        if !assigned && let Some(exchanges) = exchanges_of(connection) {
+            exchanges.assign(Arc::clone(state));
+            assigned = true;
+        }
+        result
+    })
+    .await
+}
+
+/// The exchanges of a request's connection, once the pool has chosen one.
+fn exchanges_of(connection: &CaptureConnection) -> Option<Arc<ConnectionExchanges>> {
+    let mut extras = hyper::http::Extensions::new();
+    connection
+        .connection_metadata()
+        .as_ref()?
+        .get_extras(&mut extras);
+    extras.get::<Arc<ConnectionExchanges>>().cloned()
+}
+
 /// Sends the request and reads the response, or its first part and the stream with the rest.
 async fn send_and_read(
     client: &PooledClient,
     request: Request<RelayBody>,
-    connection: &CaptureConnection,
+    state: &ExchangeState,
     min_wire_len: MinWireLen<'_>,
-    hold_off: bool,
 ) -> (ExchangeResult, Option<Incoming>) {
     let (parts, body) = match client.request(request).await {
         Ok(response) => response.into_parts(),
-        Err(error) => return (failure_outcome(&error, connection, min_wire_len()), None),
+        Err(error) => return (failure_outcome(&error, state, min_wire_len()), None),
     };
     let report = parts
         .headers
@@ -158,11 +172,7 @@
             None,
         );
     }
-    if let Some(meter) = meter(connection) {
-        meter
-            .read_limit
-            .store(MAX_BODY_BYTES + MAX_BYTES_BEFORE_BODY, Relaxed);
-    }
+    state.set_read_limit(MAX_BODY_BYTES + MAX_BYTES_BEFORE_BODY);
     let (buffered, rest) = match read_prefix(body).await {
         Ok(read) => read,
         Err(error) if !error.is_parse() => {
@@ -185,8 +195,8 @@
         }
     };
     // In time: the pool can't assign the next request before the connection's own task has run again.
-    if let Some(meter) = meter(connection).filter(|_| rest.is_none()) {
-        meter.end_response(hold_off);
+    if rest.is_none() {
+        state.complete();
     }
     let declined = parts
         .headers
@@ -288,33 +298,21 @@
 /// Derives the outcome from a failed request: what the failure proves about whether the command ran.
 fn failure_outcome(
     error: &legacy::Error,
-    connection: &CaptureConnection,
+    state: &ExchangeState,
     min_wire_len: Option<usize>,
 ) -> ExchangeResult {
     let cause = error
         .source()
         .and_then(|s| s.downcast_ref::<hyper::Error>());
-    let (meter, unsent) = (
-        meter(connection),
-        cause.is_some_and(hyper::Error::is_canceled),
-    );
-    if meter
-        .as_ref()
-        .is_some_and(|meter| meter.retired.load(Relaxed))
-    {
+    let unsent = cause.is_some_and(hyper::Error::is_canceled);
+    if state.is_refused() {
         return Outcome::NotSent.into();
     }
     // No connection came up, hyper returned the request unsent, or the kernel took fewer bytes than the request has.
-    if error.is_connect()
-        || unsent
-        || meter
-            .as_ref()
-            .is_some_and(|meter| meter.wrote_less_than(min_wire_len))
-    {
+    if error.is_connect() || unsent || state.wrote_less_than(min_wire_len) {
         return Outcome::ConnectFailed.into();
     }
-    let over_limit =
-        meter.is_some_and(|meter| meter.bytes_read.load(Relaxed) > MAX_BYTES_BEFORE_BODY);
+    let over_limit = state.bytes_read() > MAX_BYTES_BEFORE_BODY;
     if over_limit || cause.is_some_and(hyper::Error::is_parse) {
         return malformed(error);
     }
@@ -322,23 +320,11 @@
     Outcome::ConnectionLost.into()
 }
 
-/// Hands the send guard to the connection as soon as the pool has assigned one. Until then the connection writes nothing.
-async fn set_guard(mut assigned: CaptureConnection, guard: Option<&Arc<SendGuard>>) -> Infallible {
-    drop(assigned.wait_for_connection_metadata().await);
-    if let Some(meter) = meter(&assigned) {
-        meter.set_guard(guard.cloned());
-    }
-    std::future::pending().await
-}
-
 /// Completes when a response has begun and stalled midway.
-async fn response_stalled(
-    connection: &CaptureConnection,
-    last_informational: &Mutex<Option<Instant>>,
-) {
+async fn response_stalled(state: &ExchangeState, last_informational: &Mutex<Option<Instant>>) {
     loop {
         tokio::time::sleep(RESPONSE_STALL_TIMEOUT / 4).await;
-        let last = meter(connection).and_then(|meter| meter.last_response_read());
+        let last = state.last_read();
         let informational = last_informational.lock().ok().and_then(|last| *last);
         if last.is_some_and(|last| {
             last.elapsed() > RESPONSE_STALL_TIMEOUT
@@ -349,16 +335,6 @@
     }
 }
 
-/// The meter of a request's connection, once it has one.
-fn meter(connection: &CaptureConnection) -> Option<Arc<ExchangeMeter>> {
-    let mut extras = hyper::http::Extensions::new();
-    connection
-        .connection_metadata()
-        .iter()
-        .for_each(|info| info.get_extras(&mut extras));
-    extras.get::<Arc<ExchangeMeter>>().cloned()
-}
-
 /// Parses a load report, `TEXT name=value, name=value`; none if any part of it is malformed. Unknown names are ignored.
 pub fn parse_load_report(text: &str) -> Option<LoadReport> {
     let mut report = LoadReport::default();
--- a/crates/passroad/src/relay/pool.rs
+++ b/crates/passroad/src/relay/pool.rs
@@ -170,10 +170,9 @@
         Box::pin(async move {
             let permit = tokio::time::timeout(connect_timeout, permits.acquire_owned()).await??;
             let stream = http.call(to).await?.into_inner();
-            let meter = Arc::default();
             Ok(TokioIo::new(MeteredStream {
                 stream,
-                meter,
+                exchanges: Arc::default(),
                 size_limited,
                 last_malformed,
                 hold_off: None,
--- a/crates/passroad/tests/harness/mod.rs
+++ b/crates/passroad/tests/harness/mod.rs
@@ -285,8 +285,12 @@
         self.0.store(true, SeqCst);
     }
 
+    pub fn is_open(&self) -> bool {
+        self.0.load(SeqCst)
+    }
+
     pub fn wait_until_open(&self) {
-        wait_until(|| self.0.load(SeqCst));
+        wait_until(|| self.is_open());
     }
 }
 
@@ -582,6 +586,15 @@
     Message::read(client)
 }
 
+/// Whether a client has received anything that it hasn't read, or the end of its connection.
+pub fn has_unread_input(client: &BufReader<TcpStream>) -> bool {
+    let stream = client.get_ref();
+    stream.set_nonblocking(true).unwrap();
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).unwrap();
+    !peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
 /// Whether the connection closes or is reset with nothing more to read. A read timeout does not
 /// count as a close.
 pub fn closes_without_data(client: &mut BufReader<TcpStream>) -> bool {
--- a/crates/passroad/tests/long_bodies.rs
+++ b/crates/passroad/tests/long_bodies.rs
@@ -6,8 +6,8 @@
 use rstest::rstest;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -535,3 +535,111 @@
     assert!(rest.len() > 19_999_000, "{}", rest.len());
     drop(idle_clients);
 }
+
+/// A client connection with a small receive buffer and segments as on an Ethernet, so that the sidecar's system buffers little.
+fn connect_with_small_buffer(sidecar: &Sidecar) -> BufReader<TcpStream> {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(16_384).unwrap();
+    socket.set_tcp_mss(1448).unwrap();
+    socket.connect(&sidecar.address.into()).unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_secs(9)))
+        .unwrap();
+    BufReader::with_capacity(1000, TcpStream::from(socket))
+}
+
+/// Sends a command whose response is long, and reads no more than the head of the response.
+fn start_long_response(sidecar: &Sidecar, length: usize) -> BufReader<TcpStream> {
+    let mut client = connect_with_small_buffer(sidecar);
+    let command = with_long_deadline(&get_look(&format!("long{length}")));
+    client.get_mut().write_all(command.as_bytes()).unwrap();
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        assert!(client.read_line(&mut line).unwrap() > 0, "no long response");
+    }
+    client
+}
+
+/// One long response in `command_behind_a_slowly_read_response_runs_once_despite_a_reset`.
+#[derive(Default)]
+struct SlowReaderRound {
+    long_response_port: AtomicUsize,
+    /// A command has arrived over the connection of the long response.
+    connection_reused: Gate,
+    /// The client has read the whole long response.
+    response_read: Gate,
+}
+
+// Guards against an unsafe command that runs twice: the late end of the previous, slowly read response on its connection made
+// the reset of that connection count as proof that the command had not been sent.
+#[rstest]
+fn command_behind_a_slowly_read_response_runs_once_despite_a_reset() {
+    let round = Arc::new(Mutex::new(Arc::new(SlowReaderRound::default())));
+    let current_round = Arc::clone(&round);
+    let endpoint = fake_server(move |message, to| {
+        let round = Arc::clone(&current_round.lock().unwrap());
+        let port = usize::from(to.peer_addr().unwrap().port());
+        let id = message.header("req-id").unwrap();
+        if let Some(length) = id.strip_prefix("long") {
+            round.long_response_port.store(port, SeqCst);
+            respond(to, "200 OK", "", &random_body(length.parse().unwrap()));
+            return true;
+        }
+        if port != round.long_response_port.load(SeqCst) {
+            // The next command finds no idle connection but that of the long response.
+            respond(to, "200 OK", "Connection: close\r\n", b"booked");
+            return false;
+        }
+        round.connection_reused.open();
+        round.response_read.wait_until_open();
+        let _ = socket2::SockRef::from(&*to).set_linger(Some(Duration::ZERO));
+        false
+    });
+    let settings = long_deadline_settings().replace("\"probes\":true", "\"probes\":false");
+    let sidecar = start_sidecar_with(
+        &member("s-1", endpoint.address, "up"),
+        unused_address(),
+        &settings,
+    );
+    let runs = |id: &str| {
+        let requests = endpoint.requests.lock().unwrap();
+        let has_id = |request: &&Message| request.header("req-id").as_deref() == Some(id);
+        requests.iter().filter(has_id).count()
+    };
+    let mut results = Vec::new();
+    for length in (150_000..300_000).step_by(5_000) {
+        let this_round = Arc::new(SlowReaderRound::default());
+        *round.lock().unwrap() = Arc::clone(&this_round);
+        let (mut slow, mut left) = (start_long_response(&sidecar, length), length);
+        for step in 0.. {
+            let id = format!("next{length}-{step}");
+            let mut client = sidecar.connect();
+            let command = with_long_deadline(&post_book(&id));
+            client.get_mut().write_all(command.as_bytes()).unwrap();
+            wait_until(|| this_round.connection_reused.is_open() || has_unread_input(&client));
+            if this_round.connection_reused.is_open() {
+                slow.read_exact(&mut vec![0; left]).unwrap();
+                this_round.response_read.open();
+                let response = Message::read(&mut client).unwrap();
+                results.push((length, left, response.status().to_string(), runs(&id)));
+                break;
+            }
+            let read = left.min(16_000);
+            slow.read_exact(&mut vec![0; read]).unwrap();
+            left -= read;
+            if left == 0 {
+                break;
+            }
+        }
+    }
+    println!("{results:?}");
+    let reused_while_unread = results.iter().any(|(_, left, ..)| *left > 0);
+    assert!(reused_while_unread, "no connection was reused: {results:?}");
+    assert!(
+        results
+            .iter()
+            .all(|(_, _, status, runs)| status == "502" && *runs == 1),
+        "{results:?}"
+    );
+}
