A long response that breaks off early no longer ends its client's connection in silence

Cause: a response of stated length over 64 KiB went to the client's connection at its first body bytes. hyper keeps head and first bytes in its write buffer, and drops them with the connection when the body fails before they are flushed.

Evidence: in a scratch copy that logged writes to clients and failures of bodies, 339 connections ended because a body had failed; at 47 of them nothing had been written since the request, and 47 clients got no byte. Their responses had broken off after 180 to 16,130 bytes.

Change: the beginning of a streamed response is returned once 16 kB of it have arrived, or all that the connection's socket has, its end included; a response that breaks off before is a failed attempt (read_prefix). What has been passed on reaches the client: a failure of a body is held back until everything before it is written, 6 s at most (listener/response_body.rs, which takes the place of NotifyOnDrop). New debug line for client connections that end with an error.

--- a/crates/passroad/src/body.rs
+++ b/crates/passroad/src/body.rs
@@ -25,8 +25,9 @@
 const MIN_BYTES_PER_SECOND: f64 = 0.8 * 64_000.0;
 /// Time for a body on top of what the minimum rate gives.
 const BODY_GRACE: Duration = Duration::from_secs(1);
-/// An endpoint that sends, or reads, nothing of a streamed body for this long is given up.
-const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(6);
+/// An endpoint that sends, or reads, nothing of a streamed body for this long is given up. So is a client that reads nothing of a
+/// response that has failed.
+pub const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(6);
 
 type BoxError = Box<dyn Error + Send + Sync>;
 
@@ -400,37 +401,3 @@
         }
     }
 }
-
-/// A response body to a client that calls `on_drop` once hyper has taken all of it or dropped it.
-pub struct NotifyOnDrop<F: FnOnce()> {
-    pub body: Body,
-    pub on_drop: Option<F>,
-}
-
-impl<F: FnOnce() + Unpin> hyper::body::Body for NotifyOnDrop<F> {
-    type Data = Bytes;
-    type Error = axum::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl<F: FnOnce()> Drop for NotifyOnDrop<F> {
-    fn drop(&mut self) {
-        if let Some(on_drop) = self.on_drop.take() {
-            on_drop();
-        }
-    }
-}
--- a/crates/passroad/src/framing.rs
+++ b/crates/passroad/src/framing.rs
@@ -227,7 +227,12 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream()).poll_flush(cx)
+        let flushed = Pin::new(&mut *self.stream()).poll_flush(cx);
+        // hyper calls this only once it has written everything that it had buffered.
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.connection.flushes.record();
+        }
+        flushed
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/passroad/src/listener.rs
+++ b/crates/passroad/src/listener.rs
@@ -2,6 +2,7 @@
 //! `request_handler`.
 
 mod connection;
+mod response_body;
 
 use self::connection::serve_connection;
 pub use self::connection::{ClientConnection, SocketInput, peek_socket};
--- a/crates/passroad/src/listener/connection.rs
+++ b/crates/passroad/src/listener/connection.rs
@@ -1,7 +1,7 @@
 //! One client connection: HTTP/1 served by hyper, its idle timeouts, eviction and close.
 
+use super::response_body::{ClientResponseBody, FlushCounter};
 use super::{ClientConnections, KeptSlot, OpenSlot};
-use crate::body::NotifyOnDrop;
 use crate::framing::{FramedStream, MAX_HEAD_BYTES, RequestFraming, SharedStream};
 use crate::send_guard::peer_closed;
 use crate::shutdown::{ShutdownStage, stage_reached};
@@ -49,6 +49,7 @@
 /// State of one client's connection.
 pub struct ClientConnection {
     pub framing: RequestFraming,
+    pub flushes: FlushCounter,
     stream: Weak<Mutex<TcpStream>>,
     accepted_at: Instant,
     max_backlog_wait: Duration, // longest possible wait in the backlog
@@ -62,6 +63,7 @@
     pub fn new(stream: &SharedStream, accepted_at: Instant, max_backlog_wait: Duration) -> Self {
         ClientConnection {
             framing: RequestFraming::default(),
+            flushes: FlushCounter::default(),
             stream: Arc::downgrade(stream),
             accepted_at,
             max_backlog_wait,
@@ -240,18 +242,8 @@
                     kept.lock().iter_mut().for_each(|kept| **kept = slot.take());
                     client.served.fetch_or(usable, Relaxed);
                     let client = Arc::clone(client);
-                    // Prevents a client that reads its response slowly from counting as idle.
-                    let on_drop = move || {
-                        client.framing.response_sent();
-                        client.set_idle_since(Some(Instant::now()));
-                    };
-                    let notifying = |body| {
-                        Body::new(NotifyOnDrop {
-                            body,
-                            on_drop: Some(on_drop),
-                        })
-                    };
-                    Ok::<_, std::convert::Infallible>(response.map(notifying))
+                    let with_connection = |body| Body::new(ClientResponseBody::new(body, client));
+                    Ok::<_, std::convert::Infallible>(response.map(with_connection))
                 }
             });
         let mut http_connection = http1::Builder::new()
@@ -291,6 +283,9 @@
                 }
             }
         };
+        if let Some(Err(error)) = &ended {
+            log::debug!("client connection ended: {error:?}");
+        }
         let head_overdue = ended.is_none()
             && client.framing.has_partial_head()
             && client
--- a/crates/passroad/src/relay/exchange.rs
+++ b/crates/passroad/src/relay/exchange.rs
@@ -17,12 +17,16 @@
 use std::future::Future;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// Endpoints write a response in one go: one that pauses midway for this long counts as malformed.
 const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(100);
 /// A response without a stated length that takes longer than this is streamed: only its end would tell how long it is.
 const UNSIZED_BUFFERING_TIME: Duration = Duration::from_millis(10);
+/// A streamed response is returned once this much of it has arrived, or all that the endpoint has sent so far: as long as nothing is
+/// passed on, a command whose response breaks off can be sent elsewhere, or answered as failed.
+const MIN_STREAMED_PREFIX_BYTES: usize = 16 << 10;
 const LOAD_REPORT: &str = "srv-load";
 const DECLINED: &str = "srv-declined";
 
@@ -233,23 +237,24 @@
     )
 }
 
-/// Reads as much of a response as is buffered, and returns the stream with the rest if there is more. A response with a long
-/// stated length is streamed from its first bytes; one without a length is if it
-/// hasn't ended after `UNSIZED_BUFFERING_TIME`.
+/// Reads a response, or its beginning and the stream with the rest. A response with a long stated length is streamed; one without
+/// a length is if it is long or hasn't ended after `UNSIZED_BUFFERING_TIME`.
 async fn read_prefix(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
     let mut buffered = BytesMut::new();
     let stated = body.size_hint().exact();
-    let max = if stated.is_some_and(|length| length > MAX_BUFFERED_RESPONSE_BYTES as u64) {
-        0
-    } else {
-        MAX_BUFFERED_RESPONSE_BYTES
-    };
+    let mut streamed = stated.is_some_and(|length| length > MAX_BUFFERED_RESPONSE_BYTES as u64);
     let mut timeout = std::pin::pin!(tokio::time::sleep(UNSIZED_BUFFERING_TIME));
     loop {
+        let has_begun = !buffered.is_empty();
         let frame = tokio::select! {
             biased;
             frame = body.frame() => frame,
-            () = &mut timeout, if stated.is_none() && !buffered.is_empty() => return Ok((buffered.freeze(), Some(body))),
+            () = &mut timeout, if has_begun && stated.is_none() && !streamed => {
+                streamed = true;
+                continue;
+            }
+            // The connection's task has read by then what its socket has, the end of the connection included.
+            () = yield_now(), if has_begun && streamed => return Ok((buffered.freeze(), Some(body))),
         };
         let Some(frame) = frame else {
             return Ok((buffered.freeze(), None));
@@ -258,6 +263,11 @@
             continue;
         };
         buffered.extend_from_slice(&data);
+        let max = if streamed {
+            MIN_STREAMED_PREFIX_BYTES
+        } else {
+            MAX_BUFFERED_RESPONSE_BYTES
+        };
         if buffered.len() > max {
             return Ok((buffered.freeze(), Some(body)));
         }
--- a/crates/passroad/tests/long_bodies.rs
+++ b/crates/passroad/tests/long_bodies.rs
@@ -326,6 +326,81 @@
     );
 }
 
+/// An endpoint whose responses break off: what it writes of them and the end of the connection leave together.
+fn truncating_endpoint(framing: &'static str, body_bytes: usize) -> FakeServer {
+    fake_server(move |_, to| {
+        socket2::SockRef::from(&*to).set_tcp_cork(true).unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\n{framing}");
+        let _ = to.write_all(&[head.as_bytes(), &vec![b'x'; body_bytes]].concat());
+        let _ = to.shutdown(std::net::Shutdown::Both);
+        false
+    })
+}
+
+// Guards against a connection that ends without a response: a long response broke off before its first bytes had been sent on.
+#[rstest]
+fn command_whose_long_response_breaks_off_early_is_answered(
+    #[values(
+        "Content-Length: 150000\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n249f0\r\n"
+    )]
+    framing: &'static str,
+    #[values(0, 1, 5_000, 15_000)] body_bytes: usize,
+    #[values(true, false)] safe: bool,
+) {
+    let truncating = truncating_endpoint(framing, body_bytes);
+    let healthy = ok_endpoint("whole");
+    let list = [truncating.address, healthy.address];
+    let sidecar = start_with_little_memory_and(&list, &long_deadline_settings());
+    let mut n = 0;
+    while truncating.request_count() == 0 {
+        n += 1;
+        assert!(n < 1000, "no command was sent to the truncating endpoint");
+        let id = n.to_string();
+        let command = if safe { get_look(&id) } else { post_book(&id) };
+        let response = round_trip(&mut sidecar.connect(), &with_long_deadline(&command));
+        // A safe command is sent elsewhere; an unsafe one may have run.
+        let lost = !safe && truncating.request_count() > 0;
+        let status = response.as_ref().map(Message::status);
+        assert_eq!(status, Some(if lost { "502" } else { "200" }));
+    }
+}
+
+// The same where the end comes while the first bytes are on their way: the client gets them, and can tell that more is missing.
+#[rstest]
+#[case::with_length("Content-Length: 150000\r\n\r\n", 0)]
+#[case::chunked("Transfer-Encoding: chunked\r\n\r\n249f0\r\n", 9_000)]
+fn command_is_answered_whenever_its_long_response_breaks_off(
+    #[case] framing: &'static str,
+    #[case] first_delay_us: u64,
+) {
+    let endpoint = fake_server(move |message, to| {
+        let _ = to.write_all(format!("HTTP/1.1 200 OK\r\n{framing}").as_bytes());
+        let _ = to.write_all(&[b'x'; 5_000]);
+        let delay_us = message.header("req-id").unwrap().parse().unwrap();
+        sleep(Duration::from_micros(delay_us));
+        let _ = to.shutdown(std::net::Shutdown::Both);
+        false
+    });
+    let sidecar = start_with_little_memory(&[endpoint.address]);
+    for delay_us in (first_delay_us..first_delay_us + 3_000).step_by(20) {
+        let mut client = sidecar.connect();
+        let command = post_book(&delay_us.to_string());
+        client.get_mut().write_all(command.as_bytes()).unwrap();
+        let mut start_line = String::new();
+        let _ = client.read_line(&mut start_line);
+        match start_line.trim_end() {
+            "HTTP/1.1 502 Bad Gateway" => {}
+            "HTTP/1.1 200 OK" => {
+                let mut rest = Vec::new();
+                let _ = client.read_to_end(&mut rest);
+                assert!(!rest.ends_with(b"0\r\n\r\n"), "{delay_us}: taken for whole");
+            }
+            other => panic!("after {delay_us} us: {other:?}"),
+        }
+    }
+}
+
 // The part of the body that was streamed can't be sent again, so the command can't go elsewhere;
 // but it did not run.
 #[rstest]
