Split the reading of a response and the end of a client's request into short functions

Cause: send_and_read had three ways out that built the same result by hand, and the closure that serves a client's connection decided inline whether the connection stays open.

Change: read_response, response_outcome and finish_response; no behaviour changes.

--- a/crates/passroad/src/listener/connection.rs
+++ b/crates/passroad/src/listener/connection.rs
@@ -8,6 +8,7 @@
 use axum::Router;
 use axum::body::Body;
 use axum::http::{HeaderValue, header};
+use axum::response::Response;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::io::ErrorKind;
@@ -223,27 +224,10 @@
                 let kept = &kept;
                 let (response, client) = (router.clone().call(request), &client);
                 async move {
-                    let mut response = response.await?;
-                    // Prevents request smuggling behind an invalid request, or by sending before the response: the
-                    // connection closes after this response, and nothing more is read from it. During shutdown
-                    // connections close after their response as well.
-                    let usable = !response.status().is_client_error();
-                    let keeps_serving = connections.stage() == ShutdownStage::Serving
-                        && *connections.accepting.borrow();
-                    let reusable = usable && !client.framing.must_close() && keeps_serving;
-                    // Prevents clients that send one command and stay connected from using up all slots with idle
-                    // connections: past the limit, a connection closes after its response.
-                    let mut slot = reusable.then(|| KeptSlot::try_take(connections)).flatten();
-                    if slot.is_none() {
-                        response
-                            .headers_mut()
-                            .insert(header::CONNECTION, HeaderValue::from_static("close"));
-                    }
+                    let (response, mut slot) =
+                        finish_response(response.await?, connections, client);
                     kept.lock().iter_mut().for_each(|kept| **kept = slot.take());
-                    client.served.fetch_or(usable, Relaxed);
-                    let client = Arc::clone(client);
-                    let with_connection = |body| Body::new(ClientResponseBody::new(body, client));
-                    Ok::<_, std::convert::Infallible>(response.map(with_connection))
+                    Ok::<_, std::convert::Infallible>(response)
                 }
             });
         let mut http_connection = http1::Builder::new()
@@ -316,6 +300,34 @@
     });
 }
 
+/// Decides whether the connection stays open after a response, and ties the response's body to the connection. Returns the slot of
+/// a connection that stays open.
+///
+/// Prevents request smuggling behind an invalid request, or by sending before the response: the connection closes after this
+/// response, and nothing more is read from it. During shutdown connections close after their response as well.
+fn finish_response(
+    mut response: Response,
+    connections: &Arc<ClientConnections>,
+    client: &Arc<ClientConnection>,
+) -> (Response, Option<KeptSlot>) {
+    let usable = !response.status().is_client_error();
+    let keeps_serving =
+        connections.stage() == ShutdownStage::Serving && *connections.accepting.borrow();
+    let reusable = usable && !client.framing.must_close() && keeps_serving;
+    // Prevents clients that send one command and stay connected from using up all slots with idle connections: past the limit, a
+    // connection closes after its response.
+    let slot = reusable.then(|| KeptSlot::try_take(connections)).flatten();
+    if slot.is_none() {
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    client.served.fetch_or(usable, Relaxed);
+    let client = Arc::clone(client);
+    let response = response.map(|body| Body::new(ClientResponseBody::new(body, client)));
+    (response, slot)
+}
+
 /// Completes when a connection is to be evicted. Prevents slow or abandoned clients from holding all slots: when slots run short,
 /// connections that have been idle for a while are evicted, and sooner when none is left. One that never carried a usable request
 /// goes before one that did.
--- a/crates/passroad/src/relay/exchange.rs
+++ b/crates/passroad/src/relay/exchange.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
@@ -158,83 +159,67 @@
     state: &ExchangeState,
     min_wire_len: MinWireLen<'_>,
 ) -> (ExchangeResult, Option<Incoming>) {
-    let (parts, body) = match client.request(request).await {
-        Ok(response) => response.into_parts(),
-        Err(error) => return (failure_outcome(&error, state, min_wire_len()), None),
-    };
+    match client.request(request).await {
+        Ok(response) => read_response(response, state).await,
+        Err(error) => (failure_outcome(&error, state, min_wire_len()), None),
+    }
+}
+
+/// Reads a response whose head has arrived, or its first part and the stream with the rest.
+async fn read_response(
+    response: Response<Incoming>,
+    state: &ExchangeState,
+) -> (ExchangeResult, Option<Incoming>) {
+    let (parts, body) = response.into_parts();
     let report = parts
         .headers
         .get(LOAD_REPORT)
         .and_then(|value| value.to_str().ok())
         .and_then(parse_load_report);
+    let without_response = |result: ExchangeResult| (ExchangeResult { report, ..result }, None);
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return (
-            ExchangeResult {
-                report,
-                ..malformed("its stated length is over the limit")
-            },
-            None,
-        );
+        return without_response(malformed("its stated length is over the limit"));
     }
     state.set_read_limit(MAX_BODY_BYTES + MAX_BYTES_BEFORE_BODY);
     let (buffered, rest) = match read_prefix(body).await {
         Ok(read) => read,
-        Err(error) if !error.is_parse() => {
-            return (
-                ExchangeResult {
-                    report,
-                    ..Outcome::ConnectionLost.into()
-                },
-                None,
-            );
-        }
-        Err(error) => {
-            return (
-                ExchangeResult {
-                    report,
-                    ..malformed(&error)
-                },
-                None,
-            );
-        }
+        Err(error) if error.is_parse() => return without_response(malformed(&error)),
+        Err(_) => return without_response(Outcome::ConnectionLost.into()),
     };
     // In time: the pool can't assign the next request before the connection's own task has run again.
     if rest.is_none() {
         state.complete();
     }
+    let outcome = response_outcome(&parts);
+    // Only successful responses are streamed.
+    if rest.is_some() && outcome != Outcome::Answered {
+        return without_response(outcome.into());
+    }
+    let mut response = Response::new(buffered.into());
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = end_to_end(parts.headers);
+    let result = ExchangeResult {
+        outcome,
+        report,
+        response: Some(response),
+    };
+    (result, rest)
+}
+
+/// What the head of a response says about the command.
+fn response_outcome(parts: &Parts) -> Outcome {
     let declined = parts
         .headers
         .get(DECLINED)
         .is_some_and(|value| value.as_bytes() == b"1");
-    let outcome = match parts.status {
+    match parts.status {
         StatusCode::OK => Outcome::Answered,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
             Outcome::Overloaded
         }
         status if status.is_client_error() => Outcome::Rejected,
         _ => Outcome::Error,
-    };
-    // Only successful responses are streamed.
-    if rest.is_some() && outcome != Outcome::Answered {
-        return (
-            ExchangeResult {
-                report,
-                ..outcome.into()
-            },
-            None,
-        );
     }
-    let mut response = Response::new(buffered.into());
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = end_to_end(parts.headers);
-    (
-        ExchangeResult {
-            outcome,
-            report,
-            response: Some(response),
-        },
-        rest,
-    )
 }
 
 /// Reads a response, or its beginning and the stream with the rest. A response with a long stated length is streamed; one without
