Review: a machine counts as empty once it has left the list

Cause: whether a sidecar has something out on a machine is asked of its pool, which goes with its entry in the list. Change: none to the program.

--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -250,10 +250,25 @@
 
     def __init__(self, record):
         self.record = record
-        self.condition = threading.Condition()
+        self.condition = threading.Condition(threading.RLock())
         self.revision, self.members, self.changes = 1, {}, []
+        self.whole_from = None  # calls from before this revision get the whole list, without those that drain
         super().__init__()
 
+    def end_watches_and_change(self, *entries):
+        """Open watches end instead of telling a change, and the next answer is the whole list, which leaves out
+        endpoints that drain."""
+        with self.condition:
+            self.whole_from = self.revision + 1
+            watches = list(self.open)
+            self.put(*entries)
+        for sock in watches:
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def put(self, *entries):
         """Changes entries, all in one revision. A phase `removed` takes one out."""
         with self.condition:
@@ -267,7 +282,9 @@
             self.condition.notify_all()
 
     def whole(self):
-        return {"revision": self.revision, "complete": True, "members": list(self.members.values())}
+        drains = lambda member: self.whole_from is not None and member["phase"] == "draining"
+        members = [member for member in self.members.values() if not drains(member)]
+        return {"revision": self.revision, "complete": True, "members": members}
 
     def serve(self, sock):
         reader = Reader(sock)
@@ -286,6 +303,8 @@
                         if revision > since:
                             latest[entry["id"]] = entry
                     reply = {"revision": self.revision, "complete": False, "members": list(latest.values())}
+                    if self.whole_from is not None and since < self.whole_from:
+                        reply = self.whole()
             sock.sendall(answer(200, json.dumps(reply).encode(), Content_Type="application/json"))
 
 
