--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A machine is told to be at work while sidecars still have commands out on it, as it has left the list meanwhile."""
+"""Two sidecars own a duty at once, after voters with a new state file were killed before they had waited."""
 
 import os
 import sys
@@ -6,79 +6,90 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 from lab import *
 
-FILE = 'lease = "3s"\nperiod = "1s"\nvoters = 3\n[upkeep]\n'
-LONG = 3.0  # seconds of work of a long command, of a verb whose time limit is 4 s
+LEASE = 30.0
 
 
-class Slow(Endpoint):
-    """Takes long for the one verb."""
+class Resource(Server):
+    """What a duty calls: it keeps the highest epoch and refuses a lower one."""
 
-    def __init__(self, *arguments, **more):
-        self.begun = []
-        super().__init__(*arguments, **more)
+    def __init__(self, record):
+        self.record, self.lock, self.calls, self.highest = record, threading.Lock(), [], (0, -1)
+        super().__init__()
 
-    def run_command(self, headers):
-        began = time.monotonic()
-        self.begun.append(headers["req-id"])
-        self.record(f"{self.name}: begins {headers['req-id']}")
-        time.sleep(LONG if headers["req-id"].startswith("long") else self.work)
-        self.record(f"{self.name}: ends {headers['req-id']}")
-        self.ran.append((began, time.monotonic(), headers["req-id"]))
+    def serve(self, sock):
+        reader = Reader(sock)
+        while True:
+            _, headers, _ = reader.message()
+            with self.lock:
+                epoch, owner = int(headers["epoch"]), int(headers["owner"])
+                stale = epoch < self.highest[0] or epoch == self.highest[0] and owner != self.highest[1]
+                if not stale:
+                    self.highest = (epoch, owner)
+                self.calls.append((time.monotonic(), epoch, owner, stale))
+            self.record(f"resource: call of sidecar {owner} by epoch {epoch}: {'refused' if stale else 'done'}")
+            sock.sendall(answer(409, Epoch=self.highest[0]) if stale else answer(200))
 
 
-def case(lab):
-    discovery = Discovery(lab.record)
-    endpoints = [Slow(f"s-{n}", lab.record, work=0.010) for n in range(6)]
-    discovery.put(*[entry(e.name, e.address, zone=("north", "south")[n % 2]) for n, e in enumerate(endpoints)])
-    verbs = [verb("check-slot", "read_like"), verb("trip-history", "non_idempotent", goal_ms=3800, limit_ms=4000)]
-    fleet = Fleet(lab, 3, FILE, discovery, settings(prices__cross_zone=0.0, verbs=verbs))
-    [wait_for("a sidecar that is ready", lambda at=at: ready(at)) for at in fleet.listen]
-    wait_for(
-        "a conductor of the order of work, known everywhere",
-        lambda: all(json.loads(ask(door, "GET", "/admin/work")[1])["informed"] for door in fleet.doors)
-        and any(json.loads(ask(door, "GET", "/admin/work")[1])["conducts"] for door in fleet.doors),
-        30,
-    )
-    loads = [Load(lab, at, f"c{n}", rate=20) for n, at in enumerate(fleet.listen)]
-    time.sleep(2)
-    answered = {}
-
-    def long_command(at, ident):
+def owners(fleet, count):
+    """The sidecars that take themselves for the owner, each with its epoch."""
+    found = {}
+    for n in range(count):
         try:
-            status, _, body = Client(at).call("/trip-history", ident, 4000, "POST", b"x")
-        except (OSError, ConnectionError) as error:
-            status, body = f"none ({error})", b""
-        answered[ident] = (time.monotonic(), status, body)
-        lab.record(f"client: {ident} answered {status}")
+            duty = fleet.status(n)["duties"][0]
+            if duty["here"]:
+                found[n] = duty["epoch"]
+        except (OSError, ConnectionError, ValueError):
+            pass
+    return found
+
 
-    threads = [threading.Thread(target=long_command, args=(at, f"long-{n}")) for n, at in enumerate(fleet.listen)]
-    [thread.start() for thread in threads]
-    # The machine is the one that got the long command of n0.
-    machine = wait_for("a long command", lambda: next((e for e in endpoints if "long-0" in e.begun), None))
-    name = machine.name
-    code, _ = operator(lab, "work", "request", name, "--door", fleet.doors[1])
-    if code != 0:
-        raise Unable("the request for work was not taken")
-    wait_for("the machine to leave", lambda: work_state(fleet.doors[1], name) in ("leaving", "at work"))
+def case(lab):
+    discovery, resource = Discovery(lab.record), Resource(lab.record)
+    endpoint = Endpoint("s-0", lab.record)
+    discovery.put(entry("s-0", endpoint.address))
+
+    plain = (
+        f'lease = "{LEASE:.0f}s"\nperiod = "1s"\nvoters = 3\n%s[[duty]]\nname = "sweep"\nevery = "1s"\n'
+        f'call = "http://{resource.address}/sweep"\nwithin = "1s"\n'
+    )
+    fleet = Fleet(lab, 3, plain % "", discovery, settings())
+    [wait_for("a sidecar that is ready", lambda at=at: ready(at)) for at in fleet.listen]
+    first = wait_for("an owner", lambda: owners(fleet, 3), 60)
+    owner, others = next(iter(first)), [n for n in range(3) if n not in first]
+    lab.record(f"owner: {first}")
+    # The restarts begin soon after a renewal.
+    wait_for("a renewal", lambda: fleet.status(owner)["duties"][0]["left_ms"] > 940 * LEASE, 20)
+    # Planned restarts, one after the other, bring a file with `state`; the owner's turn would be the last.
+    for n in others:
+        lab.signal(f"n{n}", fleet.processes[n], signal.SIGTERM)
+        fleet.processes[n].wait()
+        with open(fleet.files[n], "w") as out:
+            out.write(plain % f'state = "{os.path.join(lab.folder, f"votes-{n}.state")}"\n')
+        fleet.processes[n] = fleet.start(n)
+        wait_for("a sidecar that is ready", lambda: ready(fleet.listen[n]))
     if TROUBLE:
-        discovery.end_watches_and_change(dict(discovery.members[name], phase="draining"))
-        lab.record(f"discovery: {name} drains; watches end, and the whole list leaves it out")
-    wait_for("the machine to be at work", lambda: work_state(fleet.doors[1], name) == "at work", 20)
-    at_work = time.monotonic()
-    lab.record(f"operator: told at n1 that {name} is at work")
-    [thread.join() for thread in threads]
-    time.sleep(0.5)
-    [load.end() for load in loads]
-    out = []
-    for began, ended, ident in machine.ran:
-        if began < at_work < ended - 0.1 and ident in answered:
-            out.append((ident, ended - at_work, answered[ident][1]))
-            lab.record(f"{ident} was out on {name} when it was told to be at work, for {ended - at_work:.2f} s more")
-    got = sum(1 for _, _, ident in machine.ran if ident in answered)
-    print(f"long commands at {name}: {got}; still out when it was told to be at work: {len(out)}", out[:3])
-    if not got:
-        raise Unable(f"{name} got no long command")
-    return BROKEN if out else HELD
+        for n in others:
+            lab.signal(f"n{n}", fleet.processes[n], signal.SIGKILL)
+        for n in others:
+            fleet.processes[n].wait()
+            fleet.processes[n] = fleet.start(n)
+            wait_for("a sidecar that is ready", lambda: ready(fleet.listen[n]))
+            time.sleep(0.1)
+    both, end = [], time.monotonic() + 0.7 * LEASE
+    while time.monotonic() < end:
+        now = owners(fleet, 3)
+        if len(now) > 1:
+            # Asked again, the first one last: it was the owner before and after the other one was.
+            ordered = sorted(now, key=lambda n: now[n])
+            again = [(n, fleet.status(n)["duties"][0]) for n in (ordered[0], ordered[-1], ordered[0])]
+            if all(duty["here"] for _, duty in again):
+                both.append(now)
+                lab.record(f"two owners at once: {now}, left ms: {[(n, duty['left_ms']) for n, duty in again]}")
+        time.sleep(0.01)
+    stale = [(at, epoch, who) for at, epoch, who, refused in resource.calls if refused]
+    lab.record(f"calls by an old epoch after one by a newer: {len(stale)}; times that two owned the duty: {len(both)}")
+    print(f"two owners at once: {both[:1]}, seen {len(both)} times; calls refused as old: {len(stale)}")
+    return BROKEN if both else HELD
 
 
 run(__file__, case)
