--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -417,6 +417,8 @@
         self.host, port = address.split(":")
         self.port, self.sock, self.reader = int(port), None, None
 
+    resent = []  # ids that were sent once more, as a kept connection ended under them
+
     def connect(self):
         self.sock = socket.create_connection((self.host, self.port), timeout=10)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -442,6 +444,7 @@
             self.drop()
             if not kept:
                 raise
+            self.resent.append(ident)
             return self.exchange(data, deadline_ms)
 
     def exchange(self, data, deadline_ms):
