--- a/review/8/case.py
+++ b/review/8/case.py
@@ -50,14 +50,15 @@
         connection, serial = Client(listen), 0
         while not stop.is_set():
             serial += 1
-            extra = f"name_key=lot:{random.randrange(40)}"
+            ident, extra = f"c{number}x{serial:05d}", f"name_key=lot:{random.randrange(40)}"
             try:
-                status = connection.call("/check-slot", f"c{number}x{serial:05d}", Req_Extra=extra)[0]
+                status = connection.call("/check-slot", ident, Req_Extra=extra)[0]
             except (OSError, ConnectionError) as error:
                 connection.drop()
                 status = f"none ({type(error).__name__})"
             with lock:
                 counts[status] = counts.get(status, 0) + 1
+            lab.record(f"client {ident}: sent with {extra}, answered {status}")
             time.sleep(random.uniform(0, 0.1))
 
     threads = [threading.Thread(target=client, args=(n,), daemon=True) for n in range(CLIENTS)]
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -16,7 +16,7 @@
     """Answers with 8 MB; what is written already is no longer held."""
 
     def command(self, sock, reader, first, headers, body):
-        time.sleep(self.work)
+        self.run_command(headers)
         self.holds -= 1
         try:
             sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {LONG_ANSWER}\r\n\r\n".encode())
@@ -61,6 +61,7 @@
                 status = data[9:12].decode() or "none"
             except OSError:
                 status = "none"
+            lab.record(f"client c{number}x{serial}: the answer begins with {status}")
             if status != "200":
                 sock.close()
                 done.wait(0.5)
@@ -79,6 +80,7 @@
         with lock:
             reading[0] -= 1
             whole[0] += got >= LONG_ANSWER
+        lab.record(f"client c{number}x{serial}: has read {got} bytes")
         sock.close()
 
     def resident():
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -23,6 +23,7 @@
     random.seed(int(os.environ["SEED"]))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, UNABLE = 0, 1, 2
+LONGEST = 115.0  # seconds that a case may take
 
 
 class Unable(Exception):
@@ -131,6 +132,18 @@
     """Runs a case and ends with its exit code: 0 the rule held, 1 it was broken, 2 the case could not run."""
     lab = Lab(case_file)
     code = UNABLE
+
+    def give_up(why):
+        lab.record(f"the case could not run: {why}")
+        lab.close()
+        print("could not run:", why)
+        sys.stdout.flush()
+        os._exit(UNABLE)
+
+    signal.signal(signal.SIGTERM, lambda *_: give_up("it was told to end"))
+    watch = threading.Timer(LONGEST, give_up, ["it took too long"])
+    watch.daemon = True
+    watch.start()
     try:
         code = case(lab)
     except Unable as error:
