--- a/review/standins-3/kit.py
+++ b/review/standins-3/kit.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -394,6 +395,9 @@
     """Plays a case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. The case returns what
     broke the rule, or nothing."""
     os.umask(0o077)
+    # The seeds of the sidecars are drawn from it; which task runs when does not follow it.
+    random.seed(os.environ.get("SEED"))
+    sys.unraisablehook = lambda _: None  # streams that are dropped after the event loop has ended
     if not os.path.exists(os.path.join(ROOT, "target/release/passroad")):
         print("2: the program is not built")
         sys.exit(2)
