--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)"
-for file in review/standins-2/*.py review/[0-9]*/case.py; do
+for file in review/standins-[23]/*.py review/[0-9]*/case.py; do
     [ -e "$file" ] && python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read(), sys.argv[1])' "$file"
 done
