Review: a script that is told to end or fails itself exits with 2, no process left

Cause: only some faults of a script were told as one that couldn't run, and a signal to it left its processes. Change: any fault of the stand-ins gives 2; SIGTERM ends what was started.

--- a/review/standins-3/kit.py
+++ b/review/standins-3/kit.py
@@ -402,10 +402,12 @@
         print("2: the program is not built")
         sys.exit(2)
     play = Play(folder)
+    # Also one that is told to end leaves no process.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(play), seconds))
         text, code = (f"1: {broken}", 1) if broken else ("0: the rule held", 0)
-    except (CantRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:
         text, code = f"2: the case couldn't run: {error!r}", 2
     finally:
         play.end()
