--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,7 @@
 
 
 async def case(play):
-    fleet = await Fleet(play, 3, 3, endpoints=4, extra='\n[upkeep]\nat_once = 1\nwarm = "60s"\n').start()
+    fleet = await Fleet(play, 3, 3, endpoints=4, extra='\n[upkeep]\nat_once = 1\nwarm = "30s"\n').start()
     await fleet.need("all sidecars are informed", 20, fleet.informed)
     old, machine = fleet.sidecars[2], fleet.endpoints[0]
 
