A long body that is passed on as it comes has one reader and is not hedged

Cause: the relay waited for a connection and had read nothing of the body. The module hedged the command, since it asked whether a part of the body was gone and not whether the body was still arriving, and both relays were given the one body; each read what came while it asked.

Change: the module hedges no command whose body is still arriving, and is told at the body's end that it can't be sent again.

--- a/crates/passroad-choice/src/choice/hedging.rs
+++ b/crates/passroad-choice/src/choice/hedging.rs
@@ -7,12 +7,14 @@
 
 impl Balancer {
     /// Sends a hedge where the only relay takes unusually long. Prevents a command from waiting for
-    /// an endpoint that hangs; the retry budget keeps hedges from adding to an overload.
+    /// an endpoint that hangs; the retry budget keeps hedges from adding to an overload. A body that
+    /// is still arriving has one reader, so there is none for a hedge.
     pub(super) fn hedge(&mut self, command_index: CommandIndex) {
         let Some(command) = self.open_command(command_index).filter(|command| {
             !command.concluded
                 && !command.streaming
                 && !command.queued
+                && !command.body_pending
                 && !command.body_not_replayable
         }) else {
             return;
--- a/crates/passroad-choice/src/choice/tests/hedging.rs
+++ b/crates/passroad-choice/src/choice/tests/hedging.rs
@@ -13,6 +13,22 @@
     assert_eq!(relayed_to(&actions).len(), sent);
 }
 
+// Guards against a body that is divided between two relays: the hedge read a part of it.
+#[rstest]
+#[case::body_pending(true, false)]
+#[case::body_not_replayable(false, true)]
+fn a_body_that_is_not_kept_is_not_hedged(
+    #[case] body_pending: bool,
+    #[case] body_not_replayable: bool,
+) {
+    let mut balancer = balancer_with_relay(Effect::Keyed, 2);
+    let command = balancer.commands[0].as_mut().unwrap();
+    command.relays[0].sent_at = NOW - Duration::from_millis(250);
+    (command.body_pending, command.body_not_replayable) = (body_pending, body_not_replayable);
+    let actions = balancer.decide(NOW, Event::TimerFired { token: TIMER_HEDGE });
+    assert_eq!(relayed_to(&actions).len(), 0);
+}
+
 #[rstest]
 #[case(0.0, false)]
 #[case(3.0, true)]
--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -113,7 +113,7 @@
                 if client_left && responder.take().is_some() {
                     handle.abandon();
                 }
-                if request.upload().is_some_and(|upload| upload.is_partly_sent()) {
+                if is_partly_sent(&request) {
                     handle.body_not_replayable();
                 }
                 let won = responder.is_some() && result.outcome == Outcome::Answered;
@@ -125,6 +125,9 @@
             () = upload_completed(&upload), if upload.is_some() => {
                 upload = None;
                 limit.as_mut().reset(Instant::now() + params.time_limit);
+                if is_partly_sent(&request) {
+                    handle.body_not_replayable();
+                }
                 handle.body_complete();
             }
             () = client_closed(&mut responder), if responder.is_some() => {
@@ -147,6 +150,13 @@
     }
 }
 
+/// Whether a part of a streamed body has been sent, so that no other relay can be given the whole.
+fn is_partly_sent(request: &CommandRequest) -> bool {
+    request
+        .upload()
+        .is_some_and(|upload| upload.is_partly_sent())
+}
+
 /// Completes when a streamed body has been received completely.
 async fn upload_completed(upload: &Option<Arc<StreamedUpload>>) {
     match upload {
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -90,8 +90,7 @@
         let uri: Uri = format!("http://{to}{}", self.target).parse().ok()?;
         let body = match &self.upload {
             None => self.body.clone().into(),
-            Some(upload) if !upload.is_partly_sent() => RelayBody::Upload(Arc::clone(upload)),
-            Some(_) => return None,
+            Some(upload) => RelayBody::Upload(upload.reader()?),
         };
         let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
--- a/crates/passroad/src/request_handler.rs
+++ b/crates/passroad/src/request_handler.rs
@@ -155,7 +155,7 @@
         return error_status(error).into_response();
     }
     if let Some(upload) = upload.filter(|upload| !upload.is_finished()) {
-        tokio::spawn(async move { upload.drain().await });
+        tokio::spawn(upload.drain());
     }
     response
 }
--- a/crates/passroad/tests/long_bodies.rs
+++ b/crates/passroad/tests/long_bodies.rs
@@ -718,3 +718,93 @@
         "{results:?}"
     );
 }
+
+/// Hedged settings with a keyed class `mark`, and two seconds to wait for a connection.
+fn hedging_settings() -> String {
+    long_deadline_settings()
+        .replace("\"second_copies\":false", "\"second_copies\":true")
+        .replace("\"probes\":true", "\"probes\":false")
+        .replace(
+            "\"connect_timeout\":250000000",
+            "\"connect_timeout\":8000000000",
+        )
+        .replace(
+            "{\"name\":\"book\",\"effect\":\"non_idempotent\"",
+            "{\"name\":\"mark\",\"effect\":\"idempotency_key\",\"window\":5000000000",
+        )
+}
+
+/// The head of a keyed command.
+fn keyed_head(id: &str, framing: &str) -> String {
+    format!(
+        "POST /mark HTTP/1.1\r\nHost: b\r\nReq-Id: {id}\r\nReq-Deadline-Ms: 7900\r\nIdempotency-Key: {id}\r\n{framing}\r\n\r\n"
+    )
+}
+
+/// One chunk of a chunked body.
+fn chunk(data: &[u8]) -> Vec<u8> {
+    [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat()
+}
+
+// Guards against a body that is divided between two endpoints: its relay and the hedge both waited for a connection, both read
+// from the body that still came, and one endpoint ran its part as the whole.
+#[rstest]
+fn long_body_whose_relay_waits_for_a_connection_is_not_divided() {
+    /// Connections to endpoints that 64 descriptors leave.
+    const ENDPOINT_CONNECTIONS: usize = 12;
+    const FIRST_BYTES: usize = 1_100_000;
+    const PIECE_BYTES: usize = 10_000;
+    let endpoint = || {
+        fake_server(|message, to| {
+            if message.target().starts_with("/look") {
+                respond(to, "200 OK", "", &random_body(8_000_000));
+            } else {
+                let length = message.body.len().to_string();
+                respond(to, "200 OK", "Connection: close\r\n", length.as_bytes());
+            }
+            false
+        })
+    };
+    let endpoints = [endpoint(), endpoint()];
+    let list = endpoints.iter().enumerate();
+    let list: Vec<_> = list
+        .map(|(n, endpoint)| member(&format!("s-{n}"), endpoint.address, "up"))
+        .collect();
+    let sidecar = start_sidecar_with(&list.join(","), unused_address(), &hedging_settings());
+    // Quick responses make the hedge delay short.
+    for n in 0..20 {
+        let command = keyed_head(&format!("quick{n}"), &content_length(0));
+        assert_eq!(sidecar.request(&command).status(), "200");
+    }
+    let mut slow_readers: Vec<_> = (0..ENDPOINT_CONNECTIONS)
+        .map(|n| start_long_response(&sidecar, n))
+        .collect();
+    let (mut client, sent) = (
+        sidecar.connect(),
+        random_body(FIRST_BYTES + 50 * PIECE_BYTES),
+    );
+    let head = keyed_head("long", "Transfer-Encoding: chunked");
+    let first = [head.as_bytes(), &chunk(&sent[..FIRST_BYTES])].concat();
+    client.get_mut().write_all(&first).unwrap();
+    // The relay waits for a connection, and a hedge is due.
+    sleep(600 * MS);
+    slow_readers.truncate(ENDPOINT_CONNECTIONS - 2);
+    for piece in sent[FIRST_BYTES..].chunks(PIECE_BYTES) {
+        client.get_mut().write_all(&chunk(piece)).unwrap();
+        sleep(10 * MS);
+    }
+    client.get_mut().write_all(b"0\r\n\r\n").unwrap();
+    let response = Message::read(&mut client).unwrap();
+    assert_eq!(
+        (response.status(), String::from_utf8(response.body.clone())),
+        ("200", Ok(sent.len().to_string()))
+    );
+    let requests = endpoints
+        .iter()
+        .flat_map(|endpoint| endpoint.requests.lock().unwrap().clone());
+    let bodies: Vec<_> = requests
+        .filter(|request| request.header("req-id").as_deref() == Some("long"))
+        .map(|request| request.body)
+        .collect();
+    assert!(bodies == [sent], "{} runs", bodies.len());
+}
