--- a/crates/passroad/src/body.rs
+++ b/crates/passroad/src/body.rs
@@ -7,6 +7,7 @@
 pub use self::min_rate::MinRateTimer;
 pub use self::streamed_response::StreamedResponse;
 pub use self::upload::{StreamedUpload, UploadReader};
+use crate::memory_budget::Reservation;
 use bytes::Bytes;
 use hyper::body::{Frame, SizeHint};
 use std::error::Error;
@@ -40,30 +41,64 @@
 
 /// The body of a request to an endpoint or of a response to a client.
 pub enum RelayBody {
-    /// None if empty or sent already.
-    Buffered(Option<Bytes>),
+    Buffered(BufferedBody),
     Upload(UploadReader),
     Streamed(Box<StreamedResponse>),
 }
 
+/// A body that is kept as a whole.
+#[derive(Default)]
+pub struct BufferedBody {
+    bytes: Option<Bytes>, // none if empty or sent already
+    memory: Option<Reservation>,
+}
+
+impl BufferedBody {
+    /// `memory` is held as long as the body is.
+    pub fn new(bytes: Bytes, memory: Option<Reservation>) -> Self {
+        BufferedBody {
+            bytes: Some(bytes).filter(|bytes| !bytes.is_empty()),
+            memory,
+        }
+    }
+
+    /// Whether there is nothing left to send.
+    fn is_sent(&self) -> bool {
+        self.bytes.is_none()
+    }
+
+    /// Bytes left to send.
+    pub fn len(&self) -> usize {
+        self.bytes.as_ref().map_or(0, Bytes::len)
+    }
+
+    /// Takes the bytes to send them. The memory is held until this is called again, as the bytes are still on the way.
+    pub fn take(&mut self) -> Option<Bytes> {
+        if self.is_sent() {
+            self.memory = None;
+        }
+        self.bytes.take()
+    }
+}
+
 impl From<Bytes> for RelayBody {
     fn from(bytes: Bytes) -> Self {
-        RelayBody::Buffered(Some(bytes).filter(|bytes| !bytes.is_empty()))
+        RelayBody::Buffered(BufferedBody::new(bytes, None))
     }
 }
 
 impl Default for RelayBody {
     fn default() -> Self {
-        RelayBody::Buffered(None)
+        RelayBody::Buffered(BufferedBody::default())
     }
 }
 
 impl RelayBody {
-    /// The buffered bytes; empty for a streamed body.
-    pub fn into_buffered(self) -> Bytes {
+    /// The buffered body; empty for a streamed one.
+    pub fn into_buffered(self) -> BufferedBody {
         match self {
-            RelayBody::Buffered(Some(bytes)) => bytes,
-            _ => Bytes::new(),
+            RelayBody::Buffered(buffered) => buffered,
+            _ => BufferedBody::default(),
         }
     }
 }
@@ -88,16 +123,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            RelayBody::Buffered(buffered) => buffered.is_none(),
+            RelayBody::Buffered(buffered) => buffered.is_sent(),
             _ => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            RelayBody::Buffered(buffered) => {
-                SizeHint::with_exact(buffered.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            RelayBody::Buffered(buffered) => SizeHint::with_exact(buffered.len() as u64),
             RelayBody::Upload(reader) => reader.size(),
             RelayBody::Streamed(response) => response.size(),
         }
--- a/crates/passroad/src/body/streamed_response.rs
+++ b/crates/passroad/src/body/streamed_response.rs
@@ -1,6 +1,6 @@
 //! A long response body that is passed on as it comes.
 
-use super::{BoxError, STREAM_STALL_TIMEOUT};
+use super::{BoxError, BufferedBody, STREAM_STALL_TIMEOUT};
 use crate::relay::{EndpointPool, ExchangeGuard};
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming, SizeHint};
@@ -11,7 +11,7 @@
 
 /// A streamed response body. The client can tell when it is cut off: bytes or the last chunk are missing.
 pub struct StreamedResponse {
-    pub first: Option<Bytes>,
+    pub first: BufferedBody,
     pub rest: Incoming,
     pub guard: ExchangeGuard,
     pub left: usize, // bytes that may still be read, by the size limit
@@ -59,7 +59,7 @@
 
     /// The length of the whole response, as far as it is known.
     pub(super) fn size(&self) -> SizeHint {
-        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        let first = self.first.len() as u64;
         let mut size = SizeHint::new();
         if let Some(left) = self.rest.size_hint().exact() {
             size.set_exact(left + first);
--- a/crates/passroad/src/body/upload.rs
+++ b/crates/passroad/src/body/upload.rs
@@ -1,6 +1,8 @@
 //! A long request body that is passed on as it comes, and the one reader that it has.
 
 use super::{BodyError, MAX_BODY_BYTES, MinRateTimer, STREAM_STALL_TIMEOUT};
+use crate::flow_control::{FlushCounter, WriteWindow};
+use crate::memory_budget::Reservation;
 use axum::body::{Body, HttpBody};
 use bytes::Bytes;
 use hyper::body::SizeHint;
@@ -31,6 +33,7 @@
 /// What is left to read of an upload, and who may read it.
 struct UploadSource {
     first: Option<Bytes>,
+    memory: Option<Reservation>, // for `first`
     body: Body,
     rate: MinRateTimer,
     latest_reader: u64,
@@ -63,6 +66,7 @@
     upload: Arc<StreamedUpload>,
     number: u64,
     sends: bool, // for a relay, not to discard the rest
+    window: Option<WriteWindow>,
 }
 
 impl UploadReader {
@@ -71,21 +75,37 @@
         self.upload.size
     }
 
+    /// Reads on only as the connection whose flushes these are writes.
+    pub fn limit_to_written(&mut self, flushes: Arc<FlushCounter>) {
+        self.window = Some(WriteWindow::new(flushes));
+    }
+
     /// Reads the next chunk.
     pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
+        if let Some(window) = &mut self.window {
+            ready!(window.poll_open(cx));
+        }
         let mut source = self.upload.source();
         if source.latest_reader != self.number {
             return Poll::Ready(Some(Err(UploadError::Superseded)));
         }
         let next = ready!(self.upload.poll_source(&mut source, cx));
         source.partly_sent |= self.sends && next.is_some();
+        if let (Some(window), Some(Ok(data))) = (&mut self.window, &next) {
+            window.record(data.len());
+        }
         Poll::Ready(next.map(|data| data.map_err(UploadError::Client)))
     }
 }
 
 impl StreamedUpload {
-    /// `first` is the part that has been read already.
-    pub fn new(first: Bytes, body: Body, rate: MinRateTimer) -> Arc<Self> {
+    /// `first` is the part that has been read already, for which `memory` is held until more has been read.
+    pub fn new(
+        first: Bytes,
+        memory: Option<Reservation>,
+        body: Body,
+        rate: MinRateTimer,
+    ) -> Arc<Self> {
         let mut size = SizeHint::new();
         if let Some(left) = body.size_hint().exact() {
             size.set_exact(left + first.len() as u64);
@@ -94,6 +114,7 @@
         Arc::new(StreamedUpload {
             source: Mutex::new(UploadSource {
                 first,
+                memory,
                 body,
                 rate,
                 latest_reader: 0,
@@ -126,6 +147,7 @@
             upload: Arc::clone(self),
             number: source.latest_reader,
             sends,
+            window: None,
         }
     }
 
@@ -137,7 +159,11 @@
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
         let next = match source.first.take() {
             Some(first) => Some(Ok(first)),
-            None => ready!(source.rate.poll_next(&mut source.body, cx)),
+            None => {
+                let next = ready!(source.rate.poll_next(&mut source.body, cx));
+                source.memory = None;
+                next
+            }
         };
         let next = match next {
             Some(Ok(data))
--- a/crates/passroad/src/body/upload/tests.rs
+++ b/crates/passroad/src/body/upload/tests.rs
@@ -6,7 +6,12 @@
 
 fn upload() -> Arc<StreamedUpload> {
     let rate = MinRateTimer::new(Duration::ZERO);
-    StreamedUpload::new(Bytes::from_static(b"first "), Body::from("rest"), rate)
+    StreamedUpload::new(
+        Bytes::from_static(b"first "),
+        None,
+        Body::from("rest"),
+        rate,
+    )
 }
 
 async fn next(reader: &mut UploadReader) -> Option<Result<Bytes, UploadError>> {
--- a/crates/passroad/src/descriptors.rs
+++ b/crates/passroad/src/descriptors.rs
@@ -1,12 +1,12 @@
-//! The budget of descriptors by use, and how it and the budget for bodies are shared with the other process of a
+//! The budget of descriptors by use, and how it and the memory budget are shared with the other process of a
 //! handover.
 
 use crate::config::SidecarConfig;
 use crate::handover::{Inherited, SharedResources};
 use crate::listener::ClientConnections;
 use crate::management;
+use crate::memory_budget::{MemoryBudget, MemoryPlan};
 use crate::relay::Dialer;
-use crate::request_handler::RequestHandler;
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// Descriptors that are neither a client's nor an endpoint's: standard streams, the runtime, discovery.
@@ -52,12 +52,21 @@
             endpoints,
         }
     }
+
+    /// Fewer connections of clients, if there is too little memory for so many.
+    fn with_memory(self, memory: MemoryPlan) -> Self {
+        Shares {
+            clients: self.clients.min(memory.clients),
+            ..self
+        }
+    }
 }
 
-/// The shares while the old process may still run, and those that this process has alone.
+/// The shares and the memory while the old process may still run, and those that this process has alone.
 pub struct Limits {
     pub now: Shares,
     alone: Shares,
+    pub memory: MemoryPlan,
 }
 
 impl Limits {
@@ -69,9 +78,12 @@
             Some(state) => state.descriptors + OLD_PROCESS_RESERVE,
             None => sockets / 2,
         });
+        let alone = Shares::of(sockets);
+        let memory = MemoryPlan::new(config.memory_bytes, alone.clients, alone.endpoints);
         Limits {
-            now: Shares::of(sockets.saturating_sub(theirs)),
-            alone: Shares::of(sockets),
+            now: Shares::of(sockets.saturating_sub(theirs)).with_memory(memory),
+            alone: alone.with_memory(memory),
+            memory,
         }
     }
 }
@@ -80,14 +92,14 @@
     pub limits: Limits,
     pub connections: Arc<ClientConnections>,
     pub dialer: Dialer,
-    pub request_handler: Arc<RequestHandler>,
+    pub memory: Arc<MemoryBudget>,
     pub withheld: Mutex<usize>, // connections to endpoints that are left to the new process
 }
 
 impl SharedResources for DescriptorBudget {
     fn yield_clients(&self, yielded: bool) {
         self.connections.set_accepting(!yielded);
-        self.request_handler.share_body_budget(yielded);
+        self.memory.share(yielded);
         let mut withheld = self.withheld.lock().unwrap_or_else(PoisonError::into_inner);
         if yielded {
             *withheld += self.dialer.release_unused();
@@ -97,9 +109,9 @@
     }
 
     fn predecessor_ended(&self) {
-        let Limits { now, alone } = &self.limits;
+        let Limits { now, alone, .. } = &self.limits;
         self.connections.raise_limit(alone.clients);
-        self.request_handler.share_body_budget(false);
+        self.memory.share(false);
         self.dialer.add_permits(alone.endpoints - now.endpoints);
     }
 }
--- a/crates/passroad/src/framing.rs
+++ b/crates/passroad/src/framing.rs
@@ -1,7 +1,9 @@
 //! Request framing on a client's connection. hyper exposes the parsed head only; where a request ends must not be ambiguous
 //! between this proxy and an endpoint (request smuggling), so the bytes are inspected here as well.
 
+use crate::flow_control::poll_read_limited;
 use crate::listener::ClientConnection;
+use crate::memory_budget::{MemoryBudget, MemoryUse, Reservation, partial_head_bytes};
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -29,30 +31,37 @@
     ambiguous_length: bool,
     head_since: Option<Instant>, // when the head's first byte arrived
     early: bool,                 // bytes arrived where none may
+    memory: Option<Reservation>, // for a head that is still coming
+    over_budget: bool,           // there was no memory for it
 }
 
 /// Framing state of a connection's current request.
 pub struct RequestFraming {
     state: Mutex<State>,
     early_notify: Notify,
+    budget: Arc<MemoryBudget>,
+    over_budget_notify: Notify,
 }
 
-impl Default for RequestFraming {
-    fn default() -> Self {
+impl RequestFraming {
+    /// The heads that are still coming are counted against the budget.
+    pub fn new(budget: Arc<MemoryBudget>) -> Self {
         let state = State {
             part: Part::Head(Vec::new()),
             ambiguous_length: false,
             head_since: None,
             early: false,
+            memory: None,
+            over_budget: false,
         };
         RequestFraming {
             state: Mutex::new(state),
             early_notify: Notify::new(),
+            budget,
+            over_budget_notify: Notify::new(),
         }
     }
-}
 
-impl RequestFraming {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -63,6 +72,21 @@
         if state.early {
             self.early_notify.notify_one();
         }
+        if !state.reserve_head(&self.budget) {
+            self.over_budget_notify.notify_one();
+        }
+    }
+
+    /// Whether there is no memory for the head that is coming.
+    pub fn is_over_budget(&self) -> bool {
+        self.state().over_budget
+    }
+
+    /// Completes when there is no memory for the head that is coming.
+    pub async fn over_budget(&self) {
+        while !self.is_over_budget() {
+            self.over_budget_notify.notified().await;
+        }
     }
 
     /// Whether the body's length is stated more than once, or together with chunked encoding.
@@ -114,6 +138,20 @@
 }
 
 impl State {
+    /// Reserves memory for the part of a head that has come, and releases it with the last one. False if there is none.
+    fn reserve_head(&mut self, budget: &Arc<MemoryBudget>) -> bool {
+        let bytes = match &self.part {
+            Part::Head(head) if !head.is_empty() => partial_head_bytes(head.len()),
+            _ => {
+                self.memory = None;
+                return true;
+            }
+        };
+        let reserved = budget.reserve_up_to(MemoryUse::Heads, bytes, &mut self.memory);
+        self.over_budget |= !reserved;
+        reserved
+    }
+
     fn record(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
             match &mut self.part {
@@ -199,7 +237,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = Pin::new(&mut *self.stream()).poll_read(cx, buf);
+        let read = poll_read_limited(&mut self.stream(), cx, buf);
         self.connection.framing.record(&buf.filled()[before..]);
         read
     }
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -10,6 +10,7 @@
 mod dispatcher;
 mod endpoint_list;
 pub mod fleet;
+mod flow_control;
 mod framing;
 mod handover;
 pub mod hollow;
@@ -17,6 +18,7 @@
 mod listener;
 mod logging;
 mod management;
+mod memory_budget;
 mod probe;
 mod relay;
 mod request_handler;
@@ -343,7 +345,9 @@
         // The module expects changes to be pushed.
         let _ = discovery_sender.send(endpoint_list::DiscoveryRequest::Watch(true));
     }
-    let dialer = relay::Dialer::new(config.connect_timeout, config.balancer.idle_close, most_out);
+    let memory = memory_budget::MemoryBudget::new(limits.memory);
+    let dialer = relay::Dialer::new(config.connect_timeout, config.balancer.idle_close, most_out)
+        .with_memory(Arc::clone(&memory));
     // The module must count on a connection only as long as it is kept here.
     config.balancer.idle_close = dialer.idle_timeout();
     let (discovery_address_sender, discovery_address) =
@@ -403,7 +407,7 @@
     let request_handler = Arc::new(request_handler::RequestHandler::new(
         Arc::clone(&dispatcher),
         &balancer_config,
-        config.memory_bytes,
+        Arc::clone(&memory),
         ids,
         stages.clone(),
     ));
@@ -437,20 +441,23 @@
             "fleet: work: no sidecar has reported within {INFORMED_TIMEOUT:?} which machines are out; until one does, the list alone decides"
         );
     }
-    let connections =
-        listener::ClientConnections::new(most_in, config.max_sockets / 6, stages.clone());
+    let connections = listener::ClientConnections::new(
+        most_in,
+        config.max_sockets / 6,
+        Arc::clone(&memory),
+        stages.clone(),
+    );
     if let Some((address, management)) = management {
         if predecessor.is_some() {
-            request_handler.share_body_budget(true);
+            memory.share(true);
         }
         let (withheld, socket) = (Mutex::default(), listener::duplicate_socket(&listener)?);
-        let (connections, request_handler) =
-            (Arc::clone(&connections), Arc::clone(&request_handler));
+        let connections = Arc::clone(&connections);
         let budget = Box::new(descriptors::DescriptorBudget {
             limits,
             connections,
             dialer,
-            request_handler,
+            memory,
             withheld,
         });
         let handover = handover::Handover::new(
--- a/crates/passroad/src/listener.rs
+++ b/crates/passroad/src/listener.rs
@@ -7,6 +7,7 @@
 use self::connection::serve_connection;
 pub use self::connection::{ClientConnection, SocketInput, peek_socket};
 use crate::config::Timings;
+use crate::memory_budget::MemoryBudget;
 use crate::request_handler::{RequestHandler, handle_command, health};
 use crate::shutdown::{ShutdownStage, ShutdownWatch, stage_reached};
 use axum::Router;
@@ -50,6 +51,7 @@
     pressure: Notify,            // slots run short
     evictions_left: AtomicUsize, // connections that may be evicted now
     slot_freed: Notify,          // a slot is free again
+    memory: Arc<MemoryBudget>,
     shutdown: ShutdownWatch,
 }
 
@@ -123,7 +125,12 @@
 
 impl ClientConnections {
     /// `max_open` limits open connections, `max_kept` those kept alive between commands.
-    pub fn new(max_open: usize, max_kept: usize, shutdown: ShutdownWatch) -> Arc<Self> {
+    pub fn new(
+        max_open: usize,
+        max_kept: usize,
+        memory: Arc<MemoryBudget>,
+        shutdown: ShutdownWatch,
+    ) -> Arc<Self> {
         Arc::new(ClientConnections {
             max_open: AtomicUsize::new(max_open),
             shortage: Mutex::new(None),
@@ -134,6 +141,7 @@
             pressure: Notify::new(),
             evictions_left: AtomicUsize::new(BACKLOG as usize),
             slot_freed: Notify::new(),
+            memory,
             shutdown,
         })
     }
--- a/crates/passroad/src/listener/connection.rs
+++ b/crates/passroad/src/listener/connection.rs
@@ -1,8 +1,10 @@
 //! One client connection: HTTP/1 served by hyper, its idle timeouts, eviction and close.
 
-use super::response_body::{ClientResponseBody, FlushCounter};
+use super::response_body::ClientResponseBody;
 use super::{ClientConnections, KeptSlot, OpenSlot};
+use crate::flow_control::FlushCounter;
 use crate::framing::{FramedStream, MAX_HEAD_BYTES, RequestFraming, SharedStream};
+use crate::memory_budget::{MemoryBudget, Reservation};
 use crate::send_guard::peer_closed;
 use crate::shutdown::{ShutdownStage, stage_reached};
 use axum::Router;
@@ -35,6 +37,9 @@
 /// Sent when a head is overdue.
 const REQUEST_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/// Sent when there is no memory for a head.
+const UNAVAILABLE_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Time for the client to read a last response before the rest of its request is refused with a reset.
 const LINGER_TIME: Duration = Duration::from_millis(50);
 /// Idle time after which connections are evicted under pressure.
@@ -50,30 +55,55 @@
 /// State of one client's connection.
 pub struct ClientConnection {
     pub framing: RequestFraming,
-    pub flushes: FlushCounter,
+    pub flushes: Arc<FlushCounter>,
     stream: Weak<Mutex<TcpStream>>,
     accepted_at: Instant,
     max_backlog_wait: Duration, // longest possible wait in the backlog
     served: AtomicBool,         // a usable request has been answered
     idle_since: Mutex<Option<Instant>>, // none while a command is open
     idle_changed: Notify,       // `idle_since` has changed
+    command_memory: Mutex<Option<Reservation>>, // of the open command and its response
 }
 
 impl ClientConnection {
     /// `max_backlog_wait` is the longest time that the connection may have waited to be accepted.
-    pub fn new(stream: &SharedStream, accepted_at: Instant, max_backlog_wait: Duration) -> Self {
+    pub fn new(
+        stream: &SharedStream,
+        accepted_at: Instant,
+        max_backlog_wait: Duration,
+        budget: Arc<MemoryBudget>,
+    ) -> Self {
         ClientConnection {
-            framing: RequestFraming::default(),
-            flushes: FlushCounter::default(),
+            framing: RequestFraming::new(budget),
+            flushes: Arc::default(),
             stream: Arc::downgrade(stream),
             accepted_at,
             max_backlog_wait,
             served: AtomicBool::new(false),
             idle_since: Mutex::new(Some(accepted_at)),
             idle_changed: Notify::new(),
+            command_memory: Mutex::new(None),
         }
     }
 
+    /// Holds the memory of a command until its response has ended and nothing of it is under way any more.
+    pub fn hold_command_memory(&self, memory: Reservation) {
+        self.set_command_memory(Some(memory));
+    }
+
+    /// Releases the memory of the command.
+    pub(super) fn release_command_memory(&self) {
+        self.set_command_memory(None);
+    }
+
+    fn set_command_memory(&self, memory: Option<Reservation>) {
+        let mut held = self
+            .command_memory
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *held = memory;
+    }
+
     /// Whether no command has been open for at least this long.
     fn idle_for(&self, span: Duration) -> bool {
         self.idle_since
@@ -215,6 +245,7 @@
             &stream,
             accepted_at,
             max_backlog_wait,
+            Arc::clone(&connections.memory),
         ));
         let kept = Mutex::new(None);
         let service =
@@ -253,6 +284,7 @@
                     }
                 }
                 () = client.head_overdue(connections) => break None,
+                () = client.framing.over_budget() => break None,
                 () = stage_reached(&mut shutdown, next_stage) => {
                     if next_stage == ShutdownStage::ClosingIdle {
                         break None;
@@ -275,7 +307,8 @@
             && client
                 .head_deadline(connections)
                 .is_some_and(|deadline| deadline <= Instant::now());
-        if ended.is_none() && !head_overdue {
+        let over_budget = ended.is_none() && client.framing.is_over_budget();
+        if ended.is_none() && !head_overdue && !over_budget {
             Pin::new(&mut http_connection).graceful_shutdown();
             // Only a client that stops in the middle of a request, or doesn't read its response, is cut off.
             let grace = if client.served.load(Relaxed) {
@@ -288,18 +321,25 @@
         }
         let stream = http_connection.into_parts().io.into_inner().stream;
         match ended {
-            None if head_overdue => drop(
-                stream
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .try_write(REQUEST_TIMEOUT_RESPONSE),
-            ),
+            None if over_budget => {
+                write_last(&stream, UNAVAILABLE_RESPONSE);
+                sleep(LINGER_TIME).await;
+            }
+            None if head_overdue => write_last(&stream, REQUEST_TIMEOUT_RESPONSE),
             Some(Ok(())) if client.framing.expects_body() => sleep(LINGER_TIME).await,
             _ => {}
         }
     });
 }
 
+/// Writes a response to a head that isn't read any further, as far as the socket takes it.
+fn write_last(stream: &SharedStream, response: &[u8]) {
+    let stream = stream.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Err(error) = stream.try_write(response) {
+        log::debug!("last response to a client: {error}");
+    }
+}
+
 /// Decides whether the connection stays open after a response, and ties the response's body to the connection. Returns the slot of
 /// a connection that stays open.
 ///
--- a/crates/passroad/src/listener/connection/tests.rs
+++ b/crates/passroad/src/listener/connection/tests.rs
@@ -15,7 +15,7 @@
     let address = listener.local_addr().unwrap();
     let (_serving, shutdown) = watch::channel(ShutdownStage::Serving);
     // The limit is so low that no connection gets the long keep-alive timeout.
-    let connections = ClientConnections::new(100, 10, shutdown);
+    let connections = ClientConnections::new(100, 10, MemoryBudget::for_tests(), shutdown);
     let router = Router::new().fallback(async || "ok");
     let request = b"GET / HTTP/1.1\r\nHost: b\r\n\r\n";
     let mut clients = Vec::new();
@@ -61,7 +61,7 @@
         .await
         .unwrap();
     let (_serving, shutdown) = watch::channel(ShutdownStage::Serving);
-    let connections = ClientConnections::new(100, 10, shutdown);
+    let connections = ClientConnections::new(100, 10, MemoryBudget::for_tests(), shutdown);
     let response = parts.concat();
     let router = Router::new().fallback(async move || {
         let failure = futures_util::stream::once(async move {
--- a/crates/passroad/src/listener/response_body.rs
+++ b/crates/passroad/src/listener/response_body.rs
@@ -2,53 +2,17 @@
 
 use super::ClientConnection;
 use crate::body::STREAM_STALL_TIMEOUT;
+use crate::flow_control::WriteWindow;
 use axum::body::{Body, HttpBody};
 use bytes::Bytes;
 use hyper::body::{Frame, SizeHint};
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, Waker};
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Instant;
 use tokio::time::{Sleep, sleep};
 
-/// Counts how often hyper has written everything that it had buffered for a client.
-#[derive(Default)]
-pub struct FlushCounter(Mutex<Flushes>);
-
-#[derive(Default)]
-struct Flushes {
-    count: u64,
-    waker: Option<Waker>, // of a body that waits for the next one
-}
-
-impl FlushCounter {
-    fn flushes(&self) -> MutexGuard<'_, Flushes> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Everything that was buffered has been written.
-    pub fn record(&self) {
-        let mut flushes = self.flushes();
-        flushes.count += 1;
-        flushes.waker.take().into_iter().for_each(Waker::wake);
-    }
-
-    fn count(&self) -> u64 {
-        self.flushes().count
-    }
-
-    /// Ready once the count is over this one.
-    fn poll_beyond(&self, count: u64, cx: &mut Context<'_>) -> Poll<()> {
-        let mut flushes = self.flushes();
-        if flushes.count > count {
-            return Poll::Ready(());
-        }
-        flushes.waker = Some(cx.waker().clone());
-        Poll::Pending
-    }
-}
-
 /// A failure of the body that hyper isn't told yet.
 struct HeldFailure {
     error: axum::Error,
@@ -56,20 +20,24 @@
     timeout: Pin<Box<Sleep>>,
 }
 
-/// A response body that keeps its connection from counting as idle, even if the client reads slowly, and that fails only after
+/// A response body that keeps its connection from counting as idle, even if the client reads slowly, that hands over no more than
+/// its client reads, and that fails only after
 /// what came before has been written. hyper drops what it has buffered when a body fails, the response's head included: the client
 /// would get no byte of a response, and could not tell that its command had been read.
 pub(super) struct ClientResponseBody {
     body: Body,
     connection: Arc<ClientConnection>,
+    window: WriteWindow,
     failure: Option<HeldFailure>,
 }
 
 impl ClientResponseBody {
     pub(super) fn new(body: Body, connection: Arc<ClientConnection>) -> Self {
+        let window = WriteWindow::new(Arc::clone(&connection.flushes));
         ClientResponseBody {
             body,
             connection,
+            window,
             failure: None,
         }
     }
@@ -107,9 +75,15 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
         if self.failure.is_none() {
-            match Pin::new(&mut self.body).poll_frame(cx) {
-                Poll::Ready(Some(Err(error))) => self.hold(error),
-                next => return next,
+            ready!(self.window.poll_open(cx));
+            match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Ok(frame)) => {
+                    let length = frame.data_ref().map_or(0, Bytes::len);
+                    self.window.record(length);
+                    return Poll::Ready(Some(Ok(frame)));
+                }
+                Some(Err(error)) => self.hold(error),
+                None => return Poll::Ready(None),
             }
             // hyper flushes after a pending body, but not always in the same turn.
             cx.waker().wake_by_ref();
@@ -128,6 +102,7 @@
 
 impl Drop for ClientResponseBody {
     fn drop(&mut self) {
+        self.connection.release_command_memory();
         self.connection.framing.response_sent();
         self.connection.set_idle_since(Some(Instant::now()));
     }
--- a/crates/passroad/src/listener/response_body/tests.rs
+++ b/crates/passroad/src/listener/response_body/tests.rs
@@ -1,8 +1,10 @@
 use super::*;
 use crate::framing::SharedStream;
+use crate::memory_budget::MemoryBudget;
 use futures_util::stream;
 use http_body_util::BodyExt;
 use rstest::rstest;
+use std::sync::Mutex;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -13,7 +15,12 @@
         .await
         .unwrap();
     let stream = Arc::new(Mutex::new(stream));
-    let connection = ClientConnection::new(&stream, Instant::now(), Duration::ZERO);
+    let connection = ClientConnection::new(
+        &stream,
+        Instant::now(),
+        Duration::ZERO,
+        MemoryBudget::for_tests(),
+    );
     (Arc::new(connection), stream)
 }
 
--- a/crates/passroad/src/probe.rs
+++ b/crates/passroad/src/probe.rs
@@ -1,7 +1,7 @@
 //! Probes an endpoint: one request to its load report or health path.
 
 use crate::body::RelayBody;
-use crate::relay::{EndpointPool, ExchangeResult, PooledClient, exchange, parse_load_report};
+use crate::relay::{EndpointPool, ExchangeResult, exchange, parse_load_report};
 use bytes::Bytes;
 use hyper::{Request, Response};
 use passroad_choice::{Outcome, ReportMode};
@@ -18,7 +18,7 @@
 pub async fn run(pool: EndpointPool, mode: ReportMode, probe_timeout: Duration) -> ExchangeResult {
     let (sender, mut receiver) = oneshot::channel();
     tokio::spawn(async move {
-        let result = timeout(LATE_READ_TIME, send(&pool.client, pool.address, mode)).await;
+        let result = timeout(LATE_READ_TIME, send(&pool, mode)).await;
         let _ = sender.send(result.unwrap_or(Outcome::TimedOut.into()));
     });
     if let Ok(Ok(result)) = timeout(probe_timeout, &mut receiver).await {
@@ -32,11 +32,8 @@
         .unwrap_or(Outcome::TimedOut.into())
 }
 
-async fn send(
-    client: &PooledClient,
-    address: std::net::SocketAddr,
-    mode: ReportMode,
-) -> ExchangeResult {
+async fn send(pool: &EndpointPool, mode: ReportMode) -> ExchangeResult {
+    let address = pool.address;
     let path = if mode == ReportMode::Silent {
         "/healthz"
     } else {
@@ -46,14 +43,22 @@
     else {
         return Outcome::NotSent.into();
     };
-    let mut result = exchange(client, request, &|| Some(path.len()), None).await;
+    let mut result = exchange(
+        &pool.client,
+        request,
+        &|| Some(path.len()),
+        None,
+        pool.memory(),
+    )
+    .await;
     let body = result
         .response
         .take()
         .map(Response::into_body)
         .unwrap_or_default()
-        .into_buffered();
-    result.report = result.report.or_else(|| report_in(&body));
+        .into_buffered()
+        .take();
+    result.report = result.report.or_else(|| report_in(&body?));
     result
 }
 
--- a/crates/passroad/src/probe/tests.rs
+++ b/crates/passroad/src/probe/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::listener::ClientConnection;
+use crate::memory_budget::MemoryBudget;
 use crate::relay::{CommandRequest, Dialer, run as relay};
 use crate::send_guard::SendGuard;
 use rstest::rstest;
@@ -35,7 +36,7 @@
         .body(())
         .unwrap()
         .into_parts();
-    Arc::new(CommandRequest::new(parts, Bytes::new(), None).unwrap())
+    Arc::new(CommandRequest::new(&parts).unwrap())
 }
 
 /// Polls a future without letting the paused clock advance: the runtime is never idle, so timers don't fire.
@@ -74,6 +75,7 @@
         &stream,
         std::time::Instant::now(),
         Duration::ZERO,
+        MemoryBudget::for_tests(),
     ));
     let send = || {
         let (cancel, cancelled) = oneshot::channel();
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -8,6 +8,7 @@
 pub use self::exchange::{ExchangeGuard, ExchangeResult, exchange, parse_load_report};
 pub use self::pool::{Dialer, EndpointPool, PooledClient};
 use crate::body::{RelayBody, StreamedUpload};
+use crate::memory_budget::Reservation;
 use crate::send_guard::SendGuard;
 use bytes::Bytes;
 use hyper::Request;
@@ -17,7 +18,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use tokio::sync::oneshot;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("req-id");
 /// Header by which endpoints recognize a repeated command.
@@ -33,36 +34,39 @@
     key: Option<HeaderValue>, // endpoints deduplicate by it
     body: Bytes,
     upload: Option<Arc<StreamedUpload>>, // replaces `body` if that is too long to buffer
-    _memory: Option<OwnedSemaphorePermit>,
+    _memory: Option<Reservation>,
 }
 
 impl CommandRequest {
-    /// None without a request id. `memory` is held for the buffered body.
-    pub fn new(
-        parts: request::Parts,
-        body: Bytes,
-        memory: Option<OwnedSemaphorePermit>,
-    ) -> Option<Self> {
+    /// A command without a body yet. None without a request id.
+    pub fn new(parts: &request::Parts) -> Option<Self> {
         let target = parts
             .uri
             .path_and_query()
             .map_or("/", |target| target.as_str())
             .to_string();
-        let (id, key) = (
-            parts.headers.get(REQUEST_ID)?.clone(),
-            parts.headers.get(IDEMPOTENCY_KEY).cloned(),
-        );
+        let id = copy_value(parts.headers.get(REQUEST_ID)?)?;
+        let key = parts.headers.get(IDEMPOTENCY_KEY).and_then(copy_value);
         Some(CommandRequest {
-            method: parts.method,
+            method: parts.method.clone(),
             target,
             id,
             key,
-            body,
+            body: Bytes::new(),
             upload: None,
-            _memory: memory,
+            _memory: None,
         })
     }
 
+    /// Attaches the whole body. `memory` is held for it.
+    pub fn with_body(self, body: Bytes, memory: Option<Reservation>) -> Self {
+        CommandRequest {
+            body,
+            _memory: memory,
+            ..self
+        }
+    }
+
     /// Attaches a body that is still being received.
     pub fn with_upload(self, upload: Arc<StreamedUpload>) -> Self {
         CommandRequest {
@@ -106,6 +110,11 @@
     }
 }
 
+/// Copies a header's value, which would otherwise keep the buffer of the whole head.
+fn copy_value(value: &HeaderValue) -> Option<HeaderValue> {
+    HeaderValue::from_bytes(value.as_bytes()).ok()
+}
+
 /// Relays a command to an endpoint and waits for the response. Cancellation drops the exchange, which closes its
 /// connection.
 pub async fn run(
@@ -128,8 +137,14 @@
             let Some(request) = command.build(pool.address, timeout) else {
                 return Outcome::NotSent.into();
             };
-            let mut result =
-                exchange(&client, request, &|| command.min_wire_len(), Some(&guard)).await;
+            let mut result = exchange(
+                &client,
+                request,
+                &|| command.min_wire_len(),
+                Some(&guard),
+                pool.memory(),
+            )
+            .await;
             // A malformed response, as opposed to one with an error status.
             if result.outcome == Outcome::Error && result.response.is_none() {
                 pool.dialer.last_malformed.record();
--- a/crates/passroad/src/relay/exchange.rs
+++ b/crates/passroad/src/relay/exchange.rs
@@ -3,9 +3,12 @@
 use super::exchange_state::{ConnectionExchanges, ExchangeState};
 use super::pool::PooledClient;
 use super::stream::MAX_BYTES_BEFORE_BODY;
-use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES, RelayBody, StreamedResponse};
+use crate::body::{
+    BufferedBody, MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES, RelayBody, StreamedResponse,
+};
+use crate::memory_budget::{MemoryBudget, MemoryUse, Reservation};
 use crate::send_guard::{SendBlocked, SendGuard};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName};
@@ -62,15 +65,19 @@
 }
 
 /// Sends one request and reads its response; a long response is returned as a stream. `guard` is checked right before the
-/// first byte is written; a probe has none.
+/// first byte is written; a probe has none. What is kept of the response counts against `memory`.
 pub async fn exchange(
     client: &PooledClient,
     mut request: Request<RelayBody>,
     min_wire_len: MinWireLen<'_>,
     guard: Option<&Arc<SendGuard>>,
+    memory: Option<&Arc<MemoryBudget>>,
 ) -> ExchangeResult {
     let connection = capture_connection(&mut request);
     let state = Arc::new(ExchangeState::new(guard.cloned()));
+    if let RelayBody::Upload(reader) = request.body_mut() {
+        reader.limit_to_written(Arc::clone(state.flushes()));
+    }
     let last_informational = Arc::new(Mutex::new(None));
     let informational = Arc::clone(&last_informational);
     // An informational (1xx) response is not the beginning of the final one.
@@ -81,7 +88,7 @@
             .for_each(|last| **last = Some(Instant::now()));
     });
     let exchange_guard = ExchangeGuard(Arc::clone(&state));
-    let request_and_response = send_and_read(client, request, &state, min_wire_len);
+    let request_and_response = send_and_read(client, request, &state, min_wire_len, memory);
     let (mut result, rest) = tokio::select! {
         biased;
         result = run_assigned(request_and_response, &connection, &state) => result,
@@ -93,7 +100,7 @@
                 let first = first.into_buffered();
                 let left = MAX_BODY_BYTES.saturating_sub(first.len());
                 RelayBody::Streamed(Box::new(StreamedResponse {
-                    first: Some(first),
+                    first,
                     rest,
                     guard: exchange_guard,
                     left,
@@ -158,9 +165,10 @@
     request: Request<RelayBody>,
     state: &ExchangeState,
     min_wire_len: MinWireLen<'_>,
+    memory: Option<&Arc<MemoryBudget>>,
 ) -> (ExchangeResult, Option<Incoming>) {
     match client.request(request).await {
-        Ok(response) => read_response(response, state).await,
+        Ok(response) => read_response(response, state, memory).await,
         Err(error) => (failure_outcome(&error, state, min_wire_len()), None),
     }
 }
@@ -169,6 +177,7 @@
 async fn read_response(
     response: Response<Incoming>,
     state: &ExchangeState,
+    memory: Option<&Arc<MemoryBudget>>,
 ) -> (ExchangeResult, Option<Incoming>) {
     let (parts, body) = response.into_parts();
     let report = parts
@@ -181,7 +190,7 @@
         return without_response(malformed("its stated length is over the limit"));
     }
     state.set_read_limit(MAX_BODY_BYTES + MAX_BYTES_BEFORE_BODY);
-    let (buffered, rest) = match read_prefix(body).await {
+    let (buffered, rest) = match read_prefix(body, memory).await {
         Ok(read) => read,
         Err(error) if error.is_parse() => return without_response(malformed(&error)),
         Err(_) => return without_response(Outcome::ConnectionLost.into()),
@@ -195,7 +204,7 @@
     if rest.is_some() && outcome != Outcome::Answered {
         return without_response(outcome.into());
     }
-    let mut response = Response::new(buffered.into());
+    let mut response = Response::new(RelayBody::Buffered(buffered));
     *response.status_mut() = parts.status;
     *response.headers_mut() = end_to_end(parts.headers);
     let result = ExchangeResult {
@@ -222,12 +231,39 @@
     }
 }
 
+/// The memory for what is kept of a response.
+struct ResponseMemory<'a> {
+    budget: Option<&'a Arc<MemoryBudget>>,
+    reservation: Option<Reservation>,
+}
+
+impl ResponseMemory<'_> {
+    /// Whether this many bytes may be kept. The first ones count with their command.
+    fn reserve(&mut self, bytes: usize) -> bool {
+        match self.budget {
+            Some(budget) if bytes > MIN_STREAMED_PREFIX_BYTES => {
+                budget.reserve_up_to(MemoryUse::Bodies, bytes, &mut self.reservation)
+            }
+            _ => true,
+        }
+    }
+}
+
 /// Reads a response, or its beginning and the stream with the rest. A response with a long stated length is streamed; one without
-/// a length is if it is long or hasn't ended after `UNSIZED_BUFFERING_TIME`.
-async fn read_prefix(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
+/// a length is if it is long or hasn't ended after `UNSIZED_BUFFERING_TIME`. So is one that there is no memory for.
+async fn read_prefix(
+    mut body: Incoming,
+    budget: Option<&Arc<MemoryBudget>>,
+) -> Result<(BufferedBody, Option<Incoming>), hyper::Error> {
+    let mut memory = ResponseMemory {
+        budget,
+        reservation: None,
+    };
     let mut buffered = BytesMut::new();
     let stated = body.size_hint().exact();
-    let mut streamed = stated.is_some_and(|length| length > MAX_BUFFERED_RESPONSE_BYTES as u64);
+    let mut streamed = stated.is_some_and(|length| {
+        length > MAX_BUFFERED_RESPONSE_BYTES as u64 || !memory.reserve(length as usize)
+    });
     let mut timeout = std::pin::pin!(tokio::time::sleep(UNSIZED_BUFFERING_TIME));
     loop {
         let has_begun = !buffered.is_empty();
@@ -239,24 +275,23 @@
                 continue;
             }
             // The connection's task has read by then what its socket has, the end of the connection included.
-            () = yield_now(), if has_begun && streamed => return Ok((buffered.freeze(), Some(body))),
+            () = yield_now(), if has_begun && streamed => break,
         };
         let Some(frame) = frame else {
-            return Ok((buffered.freeze(), None));
+            let body = BufferedBody::new(buffered.freeze(), memory.reservation);
+            return Ok((body, None));
         };
         let Ok(data) = frame?.into_data() else {
             continue;
         };
         buffered.extend_from_slice(&data);
-        let max = if streamed {
-            MIN_STREAMED_PREFIX_BYTES
-        } else {
-            MAX_BUFFERED_RESPONSE_BYTES
-        };
-        if buffered.len() > max {
-            return Ok((buffered.freeze(), Some(body)));
+        streamed |= buffered.len() > MAX_BUFFERED_RESPONSE_BYTES || !memory.reserve(buffered.len());
+        if streamed && buffered.len() > MIN_STREAMED_PREFIX_BYTES {
+            break;
         }
     }
+    let first = BufferedBody::new(buffered.freeze(), memory.reservation);
+    Ok((first, Some(body)))
 }
 
 /// Removes hop-by-hop headers.
--- a/crates/passroad/src/relay/exchange_state.rs
+++ b/crates/passroad/src/relay/exchange_state.rs
@@ -1,6 +1,7 @@
 //! What is known of the exchanges on a connection to an endpoint. Each exchange has a state of its own: a late event of one, such
 //! as the end of a response that a slow client still reads, can't be taken for an event of the next one on the same connection.
 
+use crate::flow_control::FlushCounter;
 use crate::send_guard::SendGuard;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -28,6 +29,7 @@
     bytes_read: AtomicUsize,    // bytes of the response
     read_limit: AtomicUsize,    // limit on those, once the response's head is parsed
     last_read: Mutex<Option<Instant>>,
+    flushes: Arc<FlushCounter>, // of the request
 }
 
 impl ExchangeState {
@@ -39,6 +41,7 @@
             bytes_read: AtomicUsize::new(0),
             read_limit: AtomicUsize::new(0),
             last_read: Mutex::new(None),
+            flushes: Arc::default(),
         }
     }
 
@@ -101,6 +104,11 @@
             .unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
     }
 
+    /// How often all of the request that was buffered has been written.
+    pub(super) fn flushes(&self) -> &Arc<FlushCounter> {
+        &self.flushes
+    }
+
     /// Bytes of the response that have been read.
     pub(super) fn bytes_read(&self) -> usize {
         self.bytes_read.load(Relaxed)
@@ -217,6 +225,13 @@
         }
     }
 
+    /// Everything that was buffered has been written.
+    pub(super) fn record_flush(&self) {
+        if let Some(started) = &self.slots().started {
+            started.flushes.record();
+        }
+    }
+
     /// Bytes were read. Returns the exchange that they are counted for.
     pub(super) fn record_read(&self, count: usize) -> Option<Arc<ExchangeState>> {
         let slots = self.slots();
--- a/crates/passroad/src/relay/pool.rs
+++ b/crates/passroad/src/relay/pool.rs
@@ -2,6 +2,7 @@
 
 use super::stream::{LastMalformed, MAX_HEAD_BYTES, MeteredStream};
 use crate::body::RelayBody;
+use crate::memory_budget::MemoryBudget;
 use hyper::http::Uri;
 use hyper_util::client::legacy::{self, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -61,6 +62,11 @@
         }
     }
 
+    /// The budget for what is kept of responses, if there is one.
+    pub fn memory(&self) -> Option<&Arc<MemoryBudget>> {
+        self.dialer.memory.as_ref()
+    }
+
     /// Cancels relays that haven't sent their first byte.
     pub fn cancel_unsent(&mut self) {
         std::mem::take(&mut self.invalidated).cancel();
@@ -80,6 +86,7 @@
     idle_timeout: Duration,
     size_limited: bool, // response sizes are limited, and requests wait for a send guard
     permits: Arc<Semaphore>,
+    memory: Option<Arc<MemoryBudget>>, // for what is kept of responses
     pub(super) last_malformed: LastMalformed,
 }
 
@@ -106,6 +113,7 @@
             idle_timeout,
             size_limited: true,
             permits,
+            memory: None,
             last_malformed: LastMalformed::default(),
         }
     }
@@ -118,6 +126,14 @@
         }
     }
 
+    /// Counts what is kept of responses against a budget.
+    pub fn with_memory(self, memory: Arc<MemoryBudget>) -> Self {
+        Dialer {
+            memory: Some(memory),
+            ..self
+        }
+    }
+
     /// How long an idle connection is kept at least.
     pub fn idle_timeout(&self) -> Duration {
         self.idle_timeout
--- a/crates/passroad/src/relay/stream.rs
+++ b/crates/passroad/src/relay/stream.rs
@@ -2,6 +2,7 @@
 //! be reused and that the request is still wanted.
 
 use super::exchange_state::{ConnectionExchanges, ExchangeState, NextWrite, Retired};
+use crate::flow_control::poll_read_limited;
 use crate::listener::{SocketInput, peek_socket};
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use std::future::Future;
@@ -140,7 +141,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(poll_read_limited(&mut self.stream, cx, buf))?;
         let count = buf.filled().len() - before;
         if self.exchanges.is_between_exchanges() {
             return Poll::Ready(Err(self.retire(UNEXPECTED_INPUT)));
@@ -184,7 +185,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        // hyper calls this only once it has written everything that it had buffered.
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.exchanges.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/passroad/src/request_handler.rs
+++ b/crates/passroad/src/request_handler.rs
@@ -7,6 +7,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::in_flight::InFlightIds;
 use crate::listener::ClientConnection;
+use crate::memory_budget::{COMMAND_BYTES, MemoryBudget, MemoryUse, Reservation};
 use crate::relay::{CommandRequest, IDEMPOTENCY_KEY};
 use crate::shutdown::{ShutdownStage, ShutdownWatch};
 use axum::body::{Body, HttpBody};
@@ -16,32 +17,24 @@
 use bytes::{Bytes, BytesMut};
 use passroad_choice::interner::stable_hash;
 use passroad_choice::{BalancerConfig, Effect, RequestClassConfig};
-use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::sync::oneshot;
 
 /// Subtracted from a command's time limit, so that the response is there in time; at most a twentieth of the limit.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
 const MAX_DEADLINE_DIGITS: usize = 9;
 /// How long clients may go on naming request classes by the previous configuration.
 const PREVIOUS_CLASSES_TIME: Duration = Duration::from_millis(1200);
-/// Bodies up to this size are buffered without counting against the memory limit.
+/// Bodies up to this size are buffered with the memory of their command.
 const SMALL_BODY_BYTES: usize = 4 << 10;
-/// One part in this many of the memory limit is for buffered bodies.
-const BODY_MEMORY_DIVISOR: usize = 4;
-/// Body memory is counted in permits of this size.
-const MEMORY_PERMIT_BYTES: usize = 4 << 10;
-
 /// State of the HTTP handlers.
 pub struct RequestHandler {
     dispatcher: Arc<Dispatcher>,
     class_table: Mutex<Arc<ClassTable>>,
     shutdown: ShutdownWatch,
-    body_permits: Arc<Semaphore>, // memory for buffered bodies
+    memory: Arc<MemoryBudget>,
     in_flight: Arc<InFlightIds>,
-    half_permits: usize,       // half of all body permits
-    lent_permits: AtomicUsize, // body permits left to the other process of a handover
 }
 
 /// The request classes and tenants that commands may name, each class with its index in the decision module.
@@ -169,28 +162,23 @@
 }
 
 impl RequestHandler {
-    /// `memory` is the memory limit in bytes, a part of which is for buffered bodies.
+    /// Commands and the bodies that are kept count against the budget.
     pub fn new(
         dispatcher: Arc<Dispatcher>,
         config: &BalancerConfig,
-        memory: usize,
+        memory: Arc<MemoryBudget>,
         in_flight: Arc<InFlightIds>,
         shutdown: ShutdownWatch,
     ) -> Self {
         // At the start, the module's class indices are the positions in the configuration.
         let indices: Vec<_> = (0..config.classes.len()).collect();
         let class_table = Mutex::new(Arc::new(ClassTable::new(config, &indices, Vec::new())));
-        let permit_count = memory / BODY_MEMORY_DIVISOR / MEMORY_PERMIT_BYTES;
-        let (body_permits, half_permits) =
-            (Arc::new(Semaphore::new(permit_count)), permit_count / 2);
         RequestHandler {
             dispatcher,
             class_table,
             shutdown,
-            body_permits,
+            memory,
             in_flight,
-            half_permits,
-            lent_permits: AtomicUsize::new(0),
         }
     }
 
@@ -209,19 +197,6 @@
         *class_table = Arc::new(ClassTable::new(config, indices, previous_classes));
     }
 
-    /// Leaves half of the body memory to the other process of a handover, or takes it back. Memory in use stays in use.
-    pub fn share_body_budget(&self, shared: bool) {
-        match shared {
-            true => drop(
-                self.lent_permits
-                    .fetch_add(self.body_permits.forget_permits(self.half_permits), Relaxed),
-            ),
-            false => self
-                .body_permits
-                .add_permits(self.lent_permits.swap(0, Relaxed)),
-        }
-    }
-
     fn class_table(&self) -> Arc<ClassTable> {
         Arc::clone(
             &self
@@ -268,9 +243,17 @@
         let params = parse_params(class, &class_table.tenants, &parts.headers, connection)
             .filter(|_| !connection.framing.has_ambiguous_length());
         let mut params = params.ok_or(StatusCode::BAD_REQUEST)?;
+        let command_request = CommandRequest::new(&parts).ok_or(StatusCode::BAD_REQUEST)?;
+        // The head isn't kept while the body arrives.
+        drop(parts);
         let is_safe = class.0.effect == Effect::Safe;
         let mut rate = MinRateTimer::new(connection.min_read_time());
-        let (body, permits) = match length.exact() {
+        let Some(memory) = self.memory.reserve(MemoryUse::Commands, COMMAND_BYTES) else {
+            discard(body, rate);
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        connection.hold_command_memory(memory);
+        let (body, memory) = match length.exact() {
             Some(0) => (RequestBody::Complete(Bytes::new()), None),
             _ => self.buffer(body, &mut rate).await?,
         };
@@ -285,37 +268,30 @@
             // The budget stays: to the module, a reduced one means that the client's earlier tries have used up the rest.
             params.time_limit = params.budget.saturating_sub(delay);
         }
-        let (buffered, upload) = match body {
+        let command_request = match body {
             RequestBody::Complete(body) if is_safe && !body.is_empty() => {
                 return Err(StatusCode::BAD_REQUEST);
             }
             RequestBody::Partial(..) if is_safe => return Err(StatusCode::BAD_REQUEST),
-            RequestBody::Complete(body) => (body, None),
+            RequestBody::Complete(body) => command_request.with_body(body, memory),
             RequestBody::Partial(first, rest) => {
-                (Bytes::new(), Some(StreamedUpload::new(first, rest, rate)))
+                command_request.with_upload(StreamedUpload::new(first, memory, rest, rate))
             }
         };
-        let command_request =
-            CommandRequest::new(parts, buffered, permits).ok_or(StatusCode::BAD_REQUEST)?;
-        Ok((
-            params,
-            upload
-                .into_iter()
-                .fold(command_request, CommandRequest::with_upload),
-        ))
+        Ok((params, command_request))
     }
 
-    /// Buffers a body, with memory permits if it isn't small. A body that is too long, or for which the permits don't suffice, is
-    /// returned with its first part, to be streamed. Prevents long bodies from filling the memory.
+    /// Buffers a body, with memory reserved for it if it isn't small. A body that is too long, or for which there is too little
+    /// memory, is returned with its first part, to be streamed.
     async fn buffer(
         &self,
         mut body: Body,
         rate: &mut MinRateTimer,
-    ) -> Result<(RequestBody, Option<OwnedSemaphorePermit>), StatusCode> {
-        let (mut buffered, mut permits) = (BytesMut::new(), None);
+    ) -> Result<(RequestBody, Option<Reservation>), StatusCode> {
+        let (mut buffered, mut memory) = (BytesMut::new(), None);
         let stated = body.size_hint().exact().map(|length| length as usize);
         if let Some(length) = stated.filter(|length| *length > SMALL_BODY_BYTES) {
-            match self.reserve_memory(length, &mut permits) {
+            match self.reserve_body(length, &mut memory) {
                 true => buffered.reserve(length),
                 false => return Ok((RequestBody::Partial(Bytes::new(), body), None)),
             }
@@ -324,34 +300,28 @@
             buffered.extend_from_slice(&data.map_err(error_status)?);
             if stated.is_none()
                 && buffered.len() > SMALL_BODY_BYTES
-                && !self.reserve_memory(buffered.len(), &mut permits)
+                && !self.reserve_body(buffered.len(), &mut memory)
             {
-                return Ok((RequestBody::Partial(buffered.freeze(), body), permits));
+                return Ok((RequestBody::Partial(buffered.freeze(), body), memory));
             }
         }
-        Ok((RequestBody::Complete(buffered.freeze()), permits))
+        Ok((RequestBody::Complete(buffered.freeze()), memory))
     }
 
-    /// Acquires the permits for a body of this length, beyond those in `permits`. False if it is too long or there are too few.
-    fn reserve_memory(&self, length: usize, permits: &mut Option<OwnedSemaphorePermit>) -> bool {
-        let taken = permits
-            .as_ref()
-            .map_or(0, OwnedSemaphorePermit::num_permits);
-        let more = length.div_ceil(MEMORY_PERMIT_BYTES).saturating_sub(taken) as u32;
+    /// Reserves memory for a body of this length, beyond what is reserved. False if it is too long or too little is left.
+    fn reserve_body(&self, length: usize, memory: &mut Option<Reservation>) -> bool {
         if length > MAX_BUFFERED_REQUEST_BYTES {
             return false;
         }
-        let Ok(more) = Arc::clone(&self.body_permits).try_acquire_many_owned(more) else {
-            return false;
-        };
-        match permits {
-            Some(permits) => permits.merge(more),
-            None => *permits = Some(more),
-        }
-        true
+        self.memory.reserve_up_to(MemoryUse::Bodies, length, memory)
     }
 }
 
+/// Reads the body of a refused request to its end, since a client may not read the response before it has written the whole body.
+fn discard(body: Body, rate: MinRateTimer) {
+    tokio::spawn(StreamedUpload::new(Bytes::new(), None, body, rate).drain());
+}
+
 /// A body as far as it was read before the command runs.
 enum RequestBody {
     Complete(Bytes),
--- a/crates/passroad/tests/harness/mod.rs
+++ b/crates/passroad/tests/harness/mod.rs
@@ -565,6 +565,16 @@
             / 1024
     }
 
+    /// Memory of its own, without the program's pages.
+    pub fn private_memory_bytes(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"));
+        let kib: usize = line
+            .and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+            .unwrap();
+        kib << 10
+    }
+
     pub fn open_descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
             .unwrap()
