--- a/crates/passroad/tests/harness/mod.rs
+++ b/crates/passroad/tests/harness/mod.rs
@@ -131,6 +131,8 @@
                         break;
                     }
                 }
+                // Recorded only once the connection has really been closed: tests send the next command then.
+                drop((reader, stream));
                 state.open_connections.fetch_sub(1, SeqCst);
                 state.closed_at.lock().unwrap().push(Instant::now());
             });
