A response that its endpoint writes slowly is no longer cut off after a pause of 0.1 s

What callers saw: an endpoint wrote the head and then the body in pieces 0.25 s apart; the client of an unsafe command was told 502 after 0.1 s, that of a safe one 503 after more attempts of the same kind.

Cause: a pause of 0.1 s within a response of which nothing had been passed on counted as a response that never ends (RESPONSE_STALL_TIMEOUT).

Change: PauseLimit. An unsafe command's response may pause for 2 s within its limit, since nothing is gained by giving it up. That of a command that may run twice may pause for a third of its time, so that another endpoint can answer in time, and for 2 s once a pause has ended. Probes keep 0.1 s. The parameters of an exchange become ExchangeContext. Ways not taken: passing the head on alone, which would turn a response that never begins its body from a failed attempt into a broken answer; one longer pause for all, which would leave safe commands without another endpoint.

Measured (arm64): response_written_slowly_comes_whole (length, chunks, to the close; short and long; safe and unsafe) failed in 12 of 12 cases before (six 502, six 503) and passed in three runs after. All tests of spoilt responses pass, with a new one for safe commands that passed before as well; the tests of long bodies, sidecar, races, restarts, upgrades, management and memory pass.

--- a/crates/passroad/src/probe.rs
+++ b/crates/passroad/src/probe.rs
@@ -1,7 +1,9 @@
 //! Probes an endpoint: one request to its load report or health path.
 
 use crate::body::RelayBody;
-use crate::relay::{EndpointPool, ExchangeResult, exchange, parse_load_report};
+use crate::relay::{
+    EndpointPool, ExchangeContext, ExchangeResult, PauseLimit, exchange, parse_load_report,
+};
 use bytes::Bytes;
 use hyper::{Request, Response};
 use passroad_choice::{Outcome, ReportMode};
@@ -43,14 +45,13 @@
     else {
         return Outcome::NotSent.into();
     };
-    let mut result = exchange(
-        &pool.client,
-        request,
-        &|| Some(path.len()),
-        None,
-        pool.memory(),
-    )
-    .await;
+    let context = ExchangeContext {
+        min_wire_len: &|| Some(path.len()),
+        guard: None,
+        memory: pool.memory(),
+        pause_limit: PauseLimit::PROBE,
+    };
+    let mut result = exchange(&pool.client, request, context).await;
     let body = result
         .response
         .take()
--- a/crates/passroad/src/relay.rs
+++ b/crates/passroad/src/relay.rs
@@ -5,7 +5,9 @@
 mod pool;
 mod stream;
 
-pub use self::exchange::{ExchangeGuard, ExchangeResult, exchange, parse_load_report};
+pub use self::exchange::{
+    ExchangeContext, ExchangeGuard, ExchangeResult, PauseLimit, exchange, parse_load_report,
+};
 pub use self::pool::{Dialer, EndpointPool, PooledClient};
 use crate::body::{RelayBody, StreamedUpload};
 use crate::memory_budget::Reservation;
@@ -80,6 +82,15 @@
         self.upload.as_ref()
     }
 
+    /// How long its response may pause, if it has this much time.
+    fn pause_limit(&self, time: Duration) -> PauseLimit {
+        let may_run_twice = self.key.is_some() || self.method == hyper::Method::GET;
+        match may_run_twice {
+            true => PauseLimit::retryable(time),
+            false => PauseLimit::FINAL,
+        }
+    }
+
     /// Lower bound of the request's length on the wire; none while its body is incomplete.
     fn min_wire_len(&self) -> Option<usize> {
         let body_len = self
@@ -137,14 +148,13 @@
             let Some(request) = command.build(pool.address, timeout) else {
                 return Outcome::NotSent.into();
             };
-            let mut result = exchange(
-                &client,
-                request,
-                &|| command.min_wire_len(),
-                Some(&guard),
-                pool.memory(),
-            )
-            .await;
+            let context = ExchangeContext {
+                min_wire_len: &|| command.min_wire_len(),
+                guard: Some(&guard),
+                memory: pool.memory(),
+                pause_limit: command.pause_limit(timeout),
+            };
+            let mut result = exchange(&client, request, context).await;
             // A malformed response, as opposed to one with an error status.
             if result.outcome == Outcome::Error && result.response.is_none() {
                 pool.dialer.last_malformed.record();
--- a/crates/passroad/src/relay/exchange.rs
+++ b/crates/passroad/src/relay/exchange.rs
@@ -24,8 +24,12 @@
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
-/// Endpoints write a response in one go: one that pauses midway for this long counts as malformed.
-const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(100);
+/// An endpoint that pauses for this long within a response of which nothing has been passed on yet has stopped for good.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// A pause up to this long says nothing of how an endpoint writes its response. No probe waits for longer.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+/// One part in this many of its time may pass in a pause before a command that may run twice is sent elsewhere.
+const RETRY_PAUSE_DIVISOR: u32 = 3;
 /// A response without a stated length that takes longer than this is streamed: only its end would tell how long it is.
 const UNSIZED_BUFFERING_TIME: Duration = Duration::from_millis(10);
 /// A streamed response is returned once this much of it has arrived, or all that the endpoint has sent so far: as long as nothing is
@@ -37,6 +41,45 @@
 /// Returns a lower bound of a request's length on the wire, once that is known.
 pub type MinWireLen<'a> = &'a (dyn Fn() -> Option<usize> + Sync);
 
+/// The longest pause within a response before the endpoint counts as having stopped for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PauseLimit {
+    first: Duration,
+    /// After a pause that ended: the endpoint writes slowly, and goes on.
+    later: Duration,
+}
+
+impl PauseLimit {
+    /// For a probe, which is made again anyway.
+    pub const PROBE: PauseLimit = PauseLimit {
+        first: MIN_PAUSE,
+        later: MIN_PAUSE,
+    };
+    /// For a command that must not run twice: nothing is gained by giving up its response.
+    pub const FINAL: PauseLimit = PauseLimit {
+        first: MAX_PAUSE,
+        later: MAX_PAUSE,
+    };
+
+    /// For a command that may be sent elsewhere within this time.
+    pub fn retryable(time: Duration) -> Self {
+        PauseLimit {
+            first: (time / RETRY_PAUSE_DIVISOR).clamp(MIN_PAUSE, MAX_PAUSE),
+            later: MAX_PAUSE,
+        }
+    }
+}
+
+/// What an exchange depends on beside its request.
+pub struct ExchangeContext<'a> {
+    pub min_wire_len: MinWireLen<'a>,
+    /// Checked right before the first byte is written; a probe has none.
+    pub guard: Option<&'a Arc<SendGuard>>,
+    /// What is kept of the response counts against this budget, if there is one.
+    pub memory: Option<&'a Arc<MemoryBudget>>,
+    pub pause_limit: PauseLimit,
+}
+
 /// Result of one HTTP exchange with an endpoint, for a relay or a probe.
 pub struct ExchangeResult {
     pub outcome: Outcome,
@@ -64,17 +107,14 @@
     }
 }
 
-/// Sends one request and reads its response; a long response is returned as a stream. `guard` is checked right before the
-/// first byte is written; a probe has none. What is kept of the response counts against `memory`.
+/// Sends one request and reads its response; a long response is returned as a stream.
 pub async fn exchange(
     client: &PooledClient,
     mut request: Request<RelayBody>,
-    min_wire_len: MinWireLen<'_>,
-    guard: Option<&Arc<SendGuard>>,
-    memory: Option<&Arc<MemoryBudget>>,
+    context: ExchangeContext<'_>,
 ) -> ExchangeResult {
     let connection = capture_connection(&mut request);
-    let state = Arc::new(ExchangeState::new(guard.cloned()));
+    let state = Arc::new(ExchangeState::new(context.guard.cloned()));
     if let RelayBody::Upload(reader) = request.body_mut() {
         reader.limit_to_written(Arc::clone(state.flushes()));
     }
@@ -88,11 +128,11 @@
             .for_each(|last| **last = Some(Instant::now()));
     });
     let exchange_guard = ExchangeGuard(Arc::clone(&state));
-    let request_and_response = send_and_read(client, request, &state, min_wire_len, memory);
+    let request_and_response = send_and_read(client, request, &state, &context);
     let (mut result, rest) = tokio::select! {
         biased;
         result = run_assigned(request_and_response, &connection, &state) => result,
-        () = response_stalled(&state, &last_informational) => (malformed("it stalled midway"), None),
+        () = response_stalled(&state, &last_informational, context.pause_limit) => (malformed("it stalled midway"), None),
     };
     if let Some(rest) = rest {
         result.response = result.response.map(|response| {
@@ -164,12 +204,14 @@
     client: &PooledClient,
     request: Request<RelayBody>,
     state: &ExchangeState,
-    min_wire_len: MinWireLen<'_>,
-    memory: Option<&Arc<MemoryBudget>>,
+    context: &ExchangeContext<'_>,
 ) -> (ExchangeResult, Option<Incoming>) {
     match client.request(request).await {
-        Ok(response) => read_response(response, state, memory).await,
-        Err(error) => (failure_outcome(&error, state, min_wire_len()), None),
+        Ok(response) => read_response(response, state, context.memory).await,
+        Err(error) => (
+            failure_outcome(&error, state, (context.min_wire_len)()),
+            None,
+        ),
     }
 }
 
@@ -350,16 +392,27 @@
     Outcome::ConnectionLost.into()
 }
 
-/// Completes when a response has begun and stalled midway.
-async fn response_stalled(state: &ExchangeState, last_informational: &Mutex<Option<Instant>>) {
+/// Completes when a response has begun and stalled midway. An informational response is no beginning.
+async fn response_stalled(
+    state: &ExchangeState,
+    last_informational: &Mutex<Option<Instant>>,
+    limit: PauseLimit,
+) {
+    let (mut max_pause, mut previous) = (limit.first, None);
     loop {
-        tokio::time::sleep(RESPONSE_STALL_TIMEOUT / 4).await;
-        let last = state.last_read();
+        tokio::time::sleep(MIN_PAUSE / 4).await;
         let informational = last_informational.lock().ok().and_then(|last| *last);
-        if last.is_some_and(|last| {
-            last.elapsed() > RESPONSE_STALL_TIMEOUT
-                && informational.is_none_or(|informational| informational < last)
-        }) {
+        let Some(last) = state
+            .last_read()
+            .filter(|last| informational.is_none_or(|informational| informational < *last))
+        else {
+            continue;
+        };
+        if previous.is_some_and(|previous| last.duration_since(previous) > MIN_PAUSE) {
+            max_pause = limit.later;
+        }
+        previous = Some(last);
+        if last.elapsed() > max_pause {
             return;
         }
     }
--- a/crates/passroad/tests/long_bodies.rs
+++ b/crates/passroad/tests/long_bodies.rs
@@ -719,6 +719,87 @@
     );
 }
 
+/// How an endpoint tells where its response ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Length,
+    Chunked,
+    Close,
+}
+
+/// An endpoint that writes the head of its response and then each tenth of the body after a pause.
+fn slowly_writing_endpoint(framing: Framing, length: usize, pause: Duration) -> FakeServer {
+    fake_server(move |_, to| {
+        let end_of_body = match framing {
+            Framing::Length => content_length(length),
+            Framing::Chunked => "Transfer-Encoding: chunked".to_string(),
+            Framing::Close => "Connection: close".to_string(),
+        };
+        let _ = write!(to, "HTTP/1.1 200 OK\r\n{end_of_body}\r\n\r\n");
+        for piece in random_body(length).chunks(length / 10) {
+            sleep(pause);
+            let piece = match framing {
+                Framing::Chunked => chunk(piece),
+                _ => piece.to_vec(),
+            };
+            let _ = to.write_all(&piece);
+        }
+        if framing == Framing::Chunked {
+            let _ = to.write_all(b"0\r\n\r\n");
+        }
+        framing != Framing::Close
+    })
+}
+
+// Guards against responses that are cut off while their endpoint still writes them: a pause of 0.1 s counted as the end, and the
+// client of an unsafe command was told 502.
+#[rstest]
+fn response_written_slowly_comes_whole(
+    #[values(Framing::Length, Framing::Chunked, Framing::Close)] framing: Framing,
+    #[values(2_000, 160_000)] length: usize,
+    #[values(get_look("a"), post_book("a"))] command: String,
+) {
+    let endpoint = slowly_writing_endpoint(framing, length, 250 * MS);
+    // A short response has to be whole in time, of a long one its first bytes.
+    let (settings, command) = match length {
+        2_000 => (long_deadline_settings(), with_long_deadline(&command)),
+        _ => (SETTINGS.to_string(), command),
+    };
+    let sidecar = start_with_little_memory_and(&[endpoint.address], &settings);
+    let response = sidecar.request(&command);
+    assert_eq!(response.status(), "200");
+    assert!(
+        response.body == random_body(length),
+        "{}",
+        response.body.len()
+    );
+    assert_eq!(endpoint.request_count(), 1);
+}
+
+// Guards against commands that wait for a response that has stopped for good, where another endpoint would answer them in time.
+#[rstest]
+#[case::head_without_end("HTTP/1.1 200 OK\r\nOdd: ")]
+#[case::no_body("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")]
+#[case::body_too_short("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfree")]
+fn safe_command_whose_response_stops_is_answered_elsewhere(#[case] beginning: &'static str) {
+    let stopping = fake_server(move |_, to| {
+        let _ = to.write_all(beginning.as_bytes());
+        true
+    });
+    let healthy = ok_endpoint("whole");
+    let sidecar = start_with_little_memory(&[stopping.address, healthy.address]);
+    let mut n = 0;
+    while stopping.request_count() == 0 {
+        n += 1;
+        assert!(n < 1000, "no command was sent to the stopping endpoint");
+        let response = sidecar.request(&get_look(&n.to_string()));
+        assert_eq!(
+            (response.status(), &response.body[..]),
+            ("200", &b"whole"[..])
+        );
+    }
+}
+
 /// Hedged settings with a keyed class `mark`, and two seconds to wait for a connection.
 fn hedging_settings() -> String {
     long_deadline_settings()
