A command whose endpoint reads its body slowly gets its final response in time

What callers saw: a client wrote a long request at once, the endpoint read it slowly, and the final response came seconds after the limit, or not while the endpoint went on reading.

Cause: a streamed body's command had no time limit before the sidecar had read the last byte, and with back-pressure it reads no faster than the endpoint; the client had written everything long before.

Change: body/upload_lag.rs tells since when the client may have been waiting: since all that it had written was last read, or since 4 MB ago, as the systems of both sides hold no more. When that is as long ago as the limit, reading is stopped and the command refused; the endpoint never had all of it. Once a body is complete the limit runs from the same moment. Ways not taken: ending the relay as a failed connect, which would hold a slow reader for unreachable; small socket buffers, which say nothing of the client's.

--- a/crates/passroad/src/body.rs
+++ b/crates/passroad/src/body.rs
@@ -3,6 +3,7 @@
 mod min_rate;
 mod streamed_response;
 mod upload;
+mod upload_lag;
 
 pub use self::min_rate::MinRateTimer;
 pub use self::streamed_response::StreamedResponse;
--- a/crates/passroad/src/body/upload.rs
+++ b/crates/passroad/src/body/upload.rs
@@ -1,7 +1,9 @@
 //! A long request body that is passed on as it comes, and the one reader that it has.
 
+use super::upload_lag::UploadLag;
 use super::{BodyError, MAX_BODY_BYTES, MinRateTimer, STREAM_STALL_TIMEOUT};
 use crate::flow_control::{FlushCounter, WriteWindow};
+use crate::listener::ClientConnection;
 use crate::memory_budget::Reservation;
 use axum::body::{Body, HttpBody};
 use bytes::Bytes;
@@ -10,12 +12,14 @@
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Receiving,
+    /// Since when the client may have been waiting for the response.
     Complete(Instant),
     Failed(BodyError),
 }
@@ -36,11 +40,26 @@
     memory: Option<Reservation>, // for `first`
     body: Body,
     rate: MinRateTimer,
+    lag: UploadLag,
+    client: Option<Arc<ClientConnection>>,
     latest_reader: u64,
     partly_sent: bool, // a relay has read some of it
     discarding: bool,
 }
 
+impl UploadSource {
+    fn poll_body(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        self.rate.poll_next(&mut self.body, cx)
+    }
+
+    /// Whether the client's socket has input that hyper has not read yet.
+    fn has_unread_input(&self) -> bool {
+        self.client
+            .as_ref()
+            .is_some_and(|client| client.has_unread_input())
+    }
+}
+
 /// Why an upload can't be read on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UploadError {
@@ -105,6 +124,7 @@
         memory: Option<Reservation>,
         body: Body,
         rate: MinRateTimer,
+        client: Option<Arc<ClientConnection>>,
     ) -> Arc<Self> {
         let mut size = SizeHint::new();
         if let Some(left) = body.size_hint().exact() {
@@ -117,6 +137,8 @@
                 memory,
                 body,
                 rate,
+                lag: UploadLag::new(Instant::now()),
+                client,
                 latest_reader: 0,
                 partly_sent: false,
                 discarding: false,
@@ -160,7 +182,13 @@
         let next = match source.first.take() {
             Some(first) => Some(Ok(first)),
             None => {
-                let next = ready!(source.rate.poll_next(&mut source.body, cx));
+                let next = source.poll_body(cx);
+                let now = Instant::now();
+                if next.is_pending() {
+                    source.lag.record_nothing(now, source.has_unread_input());
+                }
+                let next = ready!(next);
+                source.lag.record_received(now, self.received.load(Relaxed));
                 source.memory = None;
                 next
             }
@@ -176,7 +204,8 @@
         match &next {
             // With a stated length, hyper doesn't poll for the end.
             Some(Ok(_)) if self.size.exact() == Some(self.received.load(Relaxed) as u64) => {
-                self.state.send_replace(State::Complete(Instant::now()));
+                self.state
+                    .send_replace(State::Complete(source.lag.behind_since(Instant::now())));
             }
             Some(Ok(_)) => {}
             Some(Err(error)) => drop(self.state.send_replace(State::Failed(*error))),
@@ -184,7 +213,7 @@
                 self.state.send_if_modified(|state| {
                     let completes = *state == State::Receiving;
                     *state = if completes {
-                        State::Complete(Instant::now())
+                        State::Complete(source.lag.behind_since(Instant::now()))
                     } else {
                         *state
                     };
@@ -205,7 +234,7 @@
         self.completed_at().map(|_| self.received.load(Relaxed))
     }
 
-    /// When the body was completed.
+    /// Since when the client may have been waiting for the response, once the body is complete.
     pub fn completed_at(&self) -> Option<Instant> {
         match *self.state.borrow() {
             State::Complete(since) => Some(since),
@@ -239,6 +268,27 @@
         }
     }
 
+    /// Completes when the client may have been waiting for the response for this long, and the body is still incomplete.
+    pub async fn overdue(&self, limit: Duration) {
+        while !self.is_finished() {
+            let now = Instant::now();
+            let deadline = self.source().lag.behind_since(now) + limit;
+            if deadline <= now {
+                return;
+            }
+            sleep_until(deadline).await;
+        }
+        std::future::pending().await
+    }
+
+    /// Keeps relays from reading any more. True if the body was incomplete, so that no endpoint has been given the whole.
+    pub fn stop_sending(&self) -> bool {
+        let mut source = self.source();
+        source.discarding = true;
+        source.latest_reader += 1;
+        !self.is_finished()
+    }
+
     /// Completes when nothing has been read from an incomplete body for `STREAM_STALL_TIMEOUT`. Prevents a relay from hanging
     /// when its endpoint stops reading: nothing else would end it.
     pub async fn stalled(&self) {
--- a/crates/passroad/src/body/upload/tests.rs
+++ b/crates/passroad/src/body/upload/tests.rs
@@ -11,6 +11,7 @@
         None,
         Body::from("rest"),
         rate,
+        None,
     )
 }
 
--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -123,13 +123,21 @@
                 }
             }
             () = upload_completed(&upload), if upload.is_some() => {
-                upload = None;
-                limit.as_mut().reset(Instant::now() + params.time_limit);
+                let waiting_since = upload.take().and_then(|upload| upload.completed_at());
+                let waiting_since = waiting_since.unwrap_or_else(Instant::now);
+                limit.as_mut().reset(waiting_since + params.time_limit);
                 if is_partly_sent(&request) {
                     handle.body_not_replayable();
                 }
                 handle.body_complete();
             }
+            // Prevents a response that comes late because the endpoint was slow to read the body. It never had all of it.
+            () = upload_overdue(&upload, params.time_limit), if upload.is_some() => {
+                if upload.take().is_some_and(|upload| upload.stop_sending()) {
+                    respond(&mut responder, FinalResponse::Refused { retry_after: None });
+                    handle.abandon();
+                }
+            }
             () = client_closed(&mut responder), if responder.is_some() => {
                 responder = None;
                 handle.abandon();
@@ -165,6 +173,14 @@
     }
 }
 
+/// Completes when a streamed body hasn't been passed on in time.
+async fn upload_overdue(upload: &Option<Arc<StreamedUpload>>, limit: Duration) {
+    match upload {
+        Some(upload) => upload.overdue(limit).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Completes when the client has closed its connection.
 async fn client_closed(responder: &mut Option<oneshot::Sender<FinalResponse>>) {
     match responder {
--- a/crates/passroad/src/listener/connection.rs
+++ b/crates/passroad/src/listener/connection.rs
@@ -148,7 +148,7 @@
     }
 
     /// Whether the socket has unread data.
-    fn has_unread_input(&self) -> bool {
+    pub fn has_unread_input(&self) -> bool {
         self.socket_input() == Some(SocketInput::Bytes)
     }
 
--- a/crates/passroad/src/request_handler.rs
+++ b/crates/passroad/src/request_handler.rs
@@ -275,7 +275,8 @@
             RequestBody::Partial(..) if is_safe => return Err(StatusCode::BAD_REQUEST),
             RequestBody::Complete(body) => command_request.with_body(body, memory),
             RequestBody::Partial(first, rest) => {
-                command_request.with_upload(StreamedUpload::new(first, memory, rest, rate))
+                let client = Some(Arc::clone(connection));
+                command_request.with_upload(StreamedUpload::new(first, memory, rest, rate, client))
             }
         };
         Ok((params, command_request))
@@ -319,7 +320,7 @@
 
 /// Reads the body of a refused request to its end, since a client may not read the response before it has written the whole body.
 fn discard(body: Body, rate: MinRateTimer) {
-    tokio::spawn(StreamedUpload::new(Bytes::new(), None, body, rate).drain());
+    tokio::spawn(StreamedUpload::new(Bytes::new(), None, body, rate, None).drain());
 }
 
 /// A body as far as it was read before the command runs.
--- a/crates/passroad/tests/long_bodies.rs
+++ b/crates/passroad/tests/long_bodies.rs
@@ -800,6 +800,61 @@
     }
 }
 
+/// An endpoint that reads requests at 80 kB a second.
+fn slowly_reading_endpoint() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            spawn(move || {
+                let mut piece = [0; 8_000];
+                while let Ok(count @ 1..) = stream.read(&mut piece) {
+                    if piece[..count].starts_with(b"GET /load ") {
+                        respond(
+                            &mut stream,
+                            "200 OK",
+                            "",
+                            b"TEXT inflight=0, queue=0, util=0.1",
+                        );
+                        continue;
+                    }
+                    sleep(100 * MS);
+                }
+            });
+        }
+    });
+    address
+}
+
+// Guards against a final response that comes seconds late: the time of a command began only when its endpoint had read the body.
+#[rstest]
+#[case::with_length(false)]
+#[case::chunked(true)]
+fn final_response_is_in_time_though_the_endpoint_reads_slowly(#[case] chunked: bool) {
+    const DEADLINE: Duration = Duration::from_millis(900);
+    /// What the network may add, and a busy machine.
+    const SLACK: Duration = Duration::from_millis(600);
+    let sidecar = start_with_little_memory(&[slowly_reading_endpoint()]);
+    let (mut client, sent) = (sidecar.connect(), random_body(8_000_000));
+    let request = match chunked {
+        false => [
+            request_head("a", &content_length(sent.len())).as_bytes(),
+            &sent,
+        ]
+        .concat(),
+        true => {
+            let head = request_head("a", "Transfer-Encoding: chunked");
+            [head.as_bytes(), &chunk(&sent), b"0\r\n\r\n"].concat()
+        }
+    };
+    client.get_mut().write_all(&request).unwrap();
+    let written = Instant::now();
+    let response = Message::read(&mut client).unwrap();
+    let elapsed = written.elapsed();
+    assert_eq!(response.status(), "503");
+    assert!(elapsed < DEADLINE + SLACK, "{elapsed:?}");
+}
+
 /// Hedged settings with a keyed class `mark`, and two seconds to wait for a connection.
 fn hedging_settings() -> String {
     long_deadline_settings()
