The id of a command that may still run is held when its client leaves

What callers saw: a client sent an unsafe command and left while the endpoint worked on it; the same id came again, at the same process or the other one of an upgrade, and the endpoint ran it twice.

Cause: an id was claimed only as long as the handler of the client's connection waited.

Change: the claim belongs to the command. If its client leaves after a relay was sent that isn't proven not to run, the claim is held for the command's time limit, unless the class is safe to repeat. The other process of an upgrade holds the ids that were open when a process ended for 3 s. Where nothing was sent the id is free at once, as before.

--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{RelayBody, StreamedUpload};
 use crate::dispatcher::{CommandAction, Dispatcher};
+use crate::in_flight::InFlightId;
 use crate::listener::ClientConnection;
 use crate::relay::{self, CommandRequest, ExchangeResult};
 use crate::send_guard::SendGuard;
@@ -38,17 +39,21 @@
     /// Time until the final response is sent, whatever the module decides.
     pub time_limit: Duration,
     pub is_retry: bool,
+    /// Its class is safe to repeat.
+    pub may_run_twice: bool,
     /// Hash of the subject that endpoints keep state for, if the command names one.
     pub key: Option<u64>,
     pub client: Arc<ClientConnection>,
 }
 
 /// Runs a command: admits it, carries out what the module decides and sends one final response to `responder`. A dropped
-/// receiver means that the client has closed its connection. Returns when the module has released the command.
+/// receiver means that the client has closed its connection. Returns when the module has released the command. `claim` is held for
+/// longer if the command may still run: its id must not be sent once more.
 pub async fn run(
     dispatcher: Arc<Dispatcher>,
     params: CommandParams,
     request: CommandRequest,
+    claim: InFlightId,
     responder: oneshot::Sender<FinalResponse>,
 ) {
     let (request, mut responder) = (Arc::new(request), Some(responder));
@@ -72,12 +77,13 @@
         body_pending: upload.is_some(),
     });
     let (mut relays, mut cancels) = (FuturesUnordered::new(), Vec::new());
+    let (mut sent_relays, mut client_left) = (SentRelays::default(), false);
     loop {
         tokio::select! {
             biased;
             action = handle.next_action() => match action {
                 // The module has released the command, so no relay of it is open any more.
-                None => return,
+                None => break,
                 Some(CommandAction::Relay { pool, timeout, send_by }) => {
                     let (cancel, cancelled) = oneshot::channel();
                     cancels.push(Some(cancel));
@@ -87,6 +93,7 @@
                     let send_by = upload.is_none().then(|| (started + timeout.min(send_by)).into());
                     let guard = SendGuard::new(handle.ended.clone(), pool.invalidated.clone(), send_by, Arc::clone(&params.client));
                     let guard = Arc::new(guard);
+                    sent_relays.add(&guard);
                     relays.push(async move {
                         let result = relay::run(*pool, Arc::clone(&request), Arc::clone(&guard), timeout, cancelled).await;
                         let completed = request.upload().and_then(|upload| upload.completed_at());
@@ -109,10 +116,12 @@
                     handle.abandon();
                 }
             },
-            Some((relay, result, elapsed, client_left)) = relays.next() => {
-                if client_left && responder.take().is_some() {
+            Some((relay, result, elapsed, found_closed)) = relays.next() => {
+                if found_closed && responder.take().is_some() {
+                    client_left = true;
                     handle.abandon();
                 }
+                sent_relays.record(relay, result.outcome);
                 if is_partly_sent(&request) {
                     handle.body_not_replayable();
                 }
@@ -139,7 +148,7 @@
                 }
             }
             () = client_closed(&mut responder), if responder.is_some() => {
-                responder = None;
+                (responder, client_left) = (None, true);
                 handle.abandon();
             }
             // Prevents a command from going without a response in time, whatever else went wrong.
@@ -149,6 +158,45 @@
             }
         }
     }
+    // Prevents an effect twice: the client has left without a response, and may send the command once more by the same id.
+    if client_left && !params.may_run_twice && sent_relays.may_run() {
+        claim.release_after(params.time_limit);
+    }
+}
+
+/// The relays of a command, and what is known of whether it may run by them.
+#[derive(Default)]
+struct SentRelays(Vec<SentRelay>);
+
+struct SentRelay {
+    guard: Arc<SendGuard>,
+    never_runs: bool,
+}
+
+impl SentRelays {
+    fn add(&mut self, guard: &Arc<SendGuard>) {
+        self.0.push(SentRelay {
+            guard: Arc::clone(guard),
+            never_runs: false,
+        });
+    }
+
+    fn record(&mut self, relay: usize, outcome: Outcome) {
+        let never_runs = matches!(
+            outcome,
+            Outcome::NotSent | Outcome::ConnectFailed | Outcome::Overloaded
+        );
+        if let Some(relay) = self.0.get_mut(relay) {
+            relay.never_runs = never_runs;
+        }
+    }
+
+    /// Whether the command may have run, or may run yet.
+    fn may_run(&self) -> bool {
+        self.0
+            .iter()
+            .any(|relay| relay.guard.has_started() && !relay.never_runs)
+    }
 }
 
 /// Sends the final response, unless one has been sent or the client has left.
--- a/crates/passroad/src/handover.rs
+++ b/crates/passroad/src/handover.rs
@@ -29,6 +29,8 @@
 const MAX_LINE_BYTES: usize = 4 << 10;
 /// Well within the time that a start may take; a process that doesn't answer by then has ended or hangs.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// For how long the commands that a process leaves when it ends may run: the longest deadline of clients.
+const ID_RETENTION: Duration = Duration::from_secs(3);
 /// How long the other process has to apply a cordon; operators get their answer within a second.
 const CORDON_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -332,7 +334,7 @@
             Ok(Ok((notifications, ids))) => {
                 log::info!("the listening socket was handed over to a new process");
                 self.exchange(stream, notifications, ids, true).await;
-                self.in_flight_ids.clear_other_process();
+                self.release_ids_of_ended_process();
                 if self.yielded.send_replace(false) {
                     self.resources.yield_clients(false);
                     log::info!("the new process has ended; clients are accepted here again");
@@ -383,6 +385,18 @@
         }
     }
 
+    /// Releases the ids that the other process has left, once their commands run no more.
+    fn release_ids_of_ended_process(&self) {
+        let ids = Arc::clone(&self.in_flight_ids);
+        tokio::spawn(async move {
+            let ended = ids.other_process_ended();
+            tokio::time::sleep(ID_RETENTION).await;
+            ended
+                .into_iter()
+                .for_each(|id| ids.set_in_other_process(false, id));
+        });
+    }
+
     async fn serve_link(&self, stream: UnixStream, old: bool) {
         let (sender, notifications) = mpsc::unbounded_channel();
         self.links
@@ -391,7 +405,7 @@
             .push(sender);
         self.exchange(stream, notifications, self.in_flight_ids.subscribe(), old)
             .await;
-        self.in_flight_ids.clear_other_process();
+        self.release_ids_of_ended_process();
         self.links
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/passroad/src/in_flight.rs
+++ b/crates/passroad/src/in_flight.rs
@@ -4,6 +4,7 @@
 use axum::http::HeaderValue;
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 /// A change reported to the other process: whether an id was claimed (or released), and the id.
@@ -21,7 +22,22 @@
 pub struct InFlightIds(Mutex<IdSets>);
 
 /// An id that is claimed until this is dropped.
-pub struct InFlightId(HeaderValue, Arc<InFlightIds>);
+pub struct InFlightId {
+    id: Option<HeaderValue>, // none once it is released in another way
+    ids: Arc<InFlightIds>,
+}
+
+impl InFlightId {
+    /// Releases the id after a while; not when the process ends before that.
+    pub fn release_after(mut self, time: Duration) {
+        let (id, ids) = (self.id.take(), Arc::clone(&self.ids));
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            // Only now: a guard would release the id when the process ends, in which the task is dropped.
+            drop(InFlightId { id, ids });
+        });
+    }
+}
 
 impl InFlightIds {
     fn sets(&self) -> MutexGuard<'_, IdSets> {
@@ -39,7 +55,10 @@
         let new = sets.own.insert(id.clone());
         new.then(|| {
             sets.notify(true, id);
-            InFlightId(id.clone(), Arc::clone(self))
+            InFlightId {
+                id: Some(id.clone()),
+                ids: Arc::clone(self),
+            }
         })
     }
 
@@ -76,12 +95,12 @@
         }
     }
 
-    /// Forgets the other process's ids once it has ended.
-    pub fn clear_other_process(&self) {
+    /// The other process has ended. Returns the ids that were in flight there: their commands may still run at endpoints.
+    pub fn other_process_ended(&self) -> Vec<String> {
         let mut sets = self.sets();
-        sets.other_process.clear();
         sets.subscribers
             .retain(|subscriber| !subscriber.is_closed());
+        sets.other_process.iter().cloned().collect()
     }
 }
 
@@ -97,9 +116,12 @@
 
 impl Drop for InFlightId {
     fn drop(&mut self) {
-        let mut sets = self.1.sets();
-        sets.own.remove(&self.0);
-        sets.notify(false, &self.0);
+        let Some(id) = &self.id else {
+            return;
+        };
+        let mut sets = self.ids.sets();
+        sets.own.remove(id);
+        sets.notify(false, id);
     }
 }
 
--- a/crates/passroad/src/in_flight/tests.rs
+++ b/crates/passroad/src/in_flight/tests.rs
@@ -20,6 +20,10 @@
     let _claimed = other.claim(&id).unwrap();
     apply_changes();
     assert!(own.claim(&id).is_none());
-    own.clear_other_process();
+    // Its command may still run when the process has ended.
+    let ended = own.other_process_ended();
+    assert_eq!(ended, ["a"]);
+    assert!(own.claim(&id).is_none());
+    own.set_in_other_process(false, ended[0].clone());
     assert!(own.claim(&id).is_some());
 }
--- a/crates/passroad/src/request_handler.rs
+++ b/crates/passroad/src/request_handler.rs
@@ -116,7 +116,7 @@
         Err(status) => return status.into_response(),
     };
     // Prevents two open commands with the same id: an endpoint would take them for one.
-    let Some(_claim) = handler.in_flight.claim(&command_request.id) else {
+    let Some(claim) = handler.in_flight.claim(&command_request.id) else {
         return StatusCode::CONFLICT.into_response();
     };
     if params.time_limit.is_zero() {
@@ -129,6 +129,7 @@
         Arc::clone(&handler.dispatcher),
         params,
         command_request,
+        claim,
         responder,
     ));
     let response = tokio::select! {
@@ -371,6 +372,7 @@
         budget: limit - margin,
         time_limit: limit - margin / 2,
         is_retry,
+        may_run_twice: class.effect == Effect::Safe,
         key: subject
             .filter(|subject| !subject.is_empty() && *subject != "-")
             .map(stable_hash),
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -1084,6 +1084,53 @@
     wait_until(|| sidecar.open_descriptors() <= before + 1);
 }
 
+// Guards against a command that runs twice: its client left while it ran, and sent it once more by the same id.
+#[rstest]
+fn id_of_a_command_that_may_still_run_is_rejected_until_its_time_is_over() {
+    let silent = fake_server(|_, _| true);
+    let sidecar = start_sidecar(&member("s-1", silent.address, "up"));
+    let mut client = sidecar.connect();
+    let command = post_book("a");
+    client.get_mut().write_all(command.as_bytes()).unwrap();
+    wait_until(|| silent.request_count() == 1);
+    let sent = Instant::now();
+    drop(client);
+    wait_until(|| !silent.closed_at.lock().unwrap().is_empty());
+    while sent.elapsed() < 800 * MS {
+        assert_eq!(sidecar.request(&command).status(), "409");
+        sleep(50 * MS);
+    }
+    assert_eq!(silent.request_count(), 1);
+    // The endpoint is silent: the command is taken again, and fails.
+    wait_until(|| sidecar.request(&command).status() != "409");
+    assert_eq!(silent.request_count(), 2);
+}
+
+// A command that may run twice is no reason to wait.
+#[rstest]
+fn id_of_a_safe_command_is_taken_again_once_its_client_has_left() {
+    let gate = Gate::default();
+    let handler_gate = gate.clone();
+    let endpoint = fake_server(move |_, to| {
+        handler_gate.wait_until_open();
+        respond(to, "200 OK", "", b"seen");
+        true
+    });
+    let known = member("s-1", endpoint.address, "up");
+    let settings = long_deadline_settings();
+    let sidecar = start_sidecar_with(&known, unused_address(), &settings);
+    let mut client = sidecar.connect();
+    let command = with_long_deadline(&get_look("a"));
+    client.get_mut().write_all(command.as_bytes()).unwrap();
+    wait_until(|| endpoint.request_count() == 1);
+    drop(client);
+    let left = Instant::now();
+    gate.open();
+    wait_until(|| sidecar.request(&command).status() == "200");
+    // Well before its limit.
+    assert!(left.elapsed() < 4000 * MS, "{:?}", left.elapsed());
+}
+
 #[rstest]
 #[case::in_the_head("GET /look HTTP/1.1\r\nReq-")]
 #[case::in_the_body(
--- a/crates/passroad/tests/upgrades.rs
+++ b/crates/passroad/tests/upgrades.rs
@@ -378,6 +378,37 @@
     })
 }
 
+// Guards against a command that runs twice: its client left the old process, which ended, and sent it once more to the new one.
+#[rstest]
+fn id_left_by_the_old_process_is_rejected_by_the_new_one_while_it_may_run() {
+    let gate = Gate::default();
+    let handler_gate = gate.clone();
+    let endpoint = fake_server(move |_, to| {
+        handler_gate.wait_until_open();
+        respond(to, "200 OK", "", b"ok");
+        true
+    });
+    let (address, management, shared) = (unused_address(), unused_address(), shared_directory());
+    let known = member("s-1", endpoint.address, "up");
+    let config = config_json(address, unused_address(), &known, &long_deadline_settings());
+    let config = config.replace("\"sockets\":64", "\"sockets\":256");
+    let mut old =
+        Sidecar::start_with_shared_directory(address, unused_address(), &config, &shared.0);
+    let command = with_long_deadline(&post_book("a"));
+    let mut client = old.connect();
+    client.get_mut().write_all(command.as_bytes()).unwrap();
+    wait_until(|| endpoint.request_count() == 1);
+    let new = Sidecar::start_with_shared_directory(address, management, &config, &shared.0);
+    wait_until(|| management_request(management, "GET", "/admin/health", "") == "200");
+    drop(client);
+    old.signal("TERM");
+    old.child.wait().unwrap();
+    assert_eq!(new.request(&command).status(), "409");
+    assert_eq!(endpoint.request_count(), 1);
+    gate.open();
+    wait_until(|| new.request(&command).status() == "200");
+}
+
 // The command is open in the old process, and the new one accepts clients before it has read a line
 // from the old one.
 #[rstest]
