Ids of an ended process are held for the longest time limit; undelivered answers count

Cause: the other process of an upgrade held the ids that were open for 3 s, whatever limits the settings give their classes. A final response that finds its client gone was taken for one that had been given.

Change: the longest configured time limit takes the place of the constant. A response that can't be delivered counts as a client that has left.

A response that finds its client gone has no test: the order is a matter of one turn.

--- a/crates/passroad/src/command.rs
+++ b/crates/passroad/src/command.rs
@@ -1,5 +1,8 @@
 //! The lifecycle of one command, from admission to its final response. The decision module chooses each step.
 
+mod sent_relays;
+
+use self::sent_relays::SentRelays;
 use crate::body::{RelayBody, StreamedUpload};
 use crate::dispatcher::{CommandAction, Dispatcher};
 use crate::in_flight::InFlightId;
@@ -109,10 +112,12 @@
                     // Dropping the sender ends the relay's future, which closes its connection.
                     cancels.get_mut(relay).and_then(Option::take);
                 }
-                Some(CommandAction::Refuse { retry_after }) => respond(&mut responder, FinalResponse::Refused { retry_after }),
-                Some(CommandAction::Fail) => respond(&mut responder, FinalResponse::Failed),
+                Some(CommandAction::Refuse { retry_after }) => {
+                    client_left |= !respond(&mut responder, FinalResponse::Refused { retry_after });
+                }
+                Some(CommandAction::Fail) => client_left |= !respond(&mut responder, FinalResponse::Failed),
                 Some(CommandAction::Expire) => {
-                    respond(&mut responder, FinalResponse::DeadlineExceeded);
+                    client_left |= !respond(&mut responder, FinalResponse::DeadlineExceeded);
                     handle.abandon();
                 }
             },
@@ -128,7 +133,7 @@
                 let won = responder.is_some() && result.outcome == Outcome::Answered;
                 handle.relay_finished(relay, &result, elapsed, won || responder.is_none());
                 if let (true, ExchangeResult { response: Some(response), .. }) = (won, result) {
-                    respond(&mut responder, FinalResponse::FromEndpoint(response));
+                    client_left |= !respond(&mut responder, FinalResponse::FromEndpoint(response));
                 }
             }
             () = upload_completed(&upload), if upload.is_some() => {
@@ -143,7 +148,7 @@
             // Prevents a response that comes late because the endpoint was slow to read the body. It never had all of it.
             () = upload_overdue(&upload, params.time_limit), if upload.is_some() => {
                 if upload.take().is_some_and(|upload| upload.stop_sending()) {
-                    respond(&mut responder, FinalResponse::Refused { retry_after: None });
+                    client_left |= !respond(&mut responder, FinalResponse::Refused { retry_after: None });
                     handle.abandon();
                 }
             }
@@ -153,7 +158,7 @@
             }
             // Prevents a command from going without a response in time, whatever else went wrong.
             () = &mut limit, if responder.is_some() => {
-                respond(&mut responder, FinalResponse::DeadlineExceeded);
+                client_left |= !respond(&mut responder, FinalResponse::DeadlineExceeded);
                 handle.abandon();
             }
         }
@@ -164,46 +169,14 @@
     }
 }
 
-/// The relays of a command, and what is known of whether it may run by them.
-#[derive(Default)]
-struct SentRelays(Vec<SentRelay>);
-
-struct SentRelay {
-    guard: Arc<SendGuard>,
-    never_runs: bool,
-}
-
-impl SentRelays {
-    fn add(&mut self, guard: &Arc<SendGuard>) {
-        self.0.push(SentRelay {
-            guard: Arc::clone(guard),
-            never_runs: false,
-        });
-    }
-
-    fn record(&mut self, relay: usize, outcome: Outcome) {
-        let never_runs = matches!(
-            outcome,
-            Outcome::NotSent | Outcome::ConnectFailed | Outcome::Overloaded
-        );
-        if let Some(relay) = self.0.get_mut(relay) {
-            relay.never_runs = never_runs;
-        }
-    }
-
-    /// Whether the command may have run, or may run yet.
-    fn may_run(&self) -> bool {
-        self.0
-            .iter()
-            .any(|relay| relay.guard.has_started() && !relay.never_runs)
-    }
-}
-
-/// Sends the final response, unless one has been sent or the client has left.
-fn respond(responder: &mut Option<oneshot::Sender<FinalResponse>>, response: FinalResponse) {
-    if let Some(responder) = responder.take() {
-        let _ = responder.send(response);
-    }
+/// Sends the final response, unless one has been sent or the client has left. False if it finds that the client has left.
+fn respond(
+    responder: &mut Option<oneshot::Sender<FinalResponse>>,
+    response: FinalResponse,
+) -> bool {
+    responder
+        .take()
+        .is_none_or(|responder| responder.send(response).is_ok())
 }
 
 /// Whether a part of a streamed body has been sent, so that no other relay can be given the whole.
--- a/crates/passroad/src/handover.rs
+++ b/crates/passroad/src/handover.rs
@@ -1,6 +1,7 @@
 //! Handover in an upgrade: a new process takes the listening socket and the state of the old one. Until the old process
 //! ends the two send each other cordons and the ids of open commands.
 
+use crate::config::Timings;
 use crate::dispatcher::Dispatcher;
 use crate::endpoint_list::HandoverState;
 use crate::in_flight::{IdChange, InFlightIds};
@@ -29,8 +30,6 @@
 const MAX_LINE_BYTES: usize = 4 << 10;
 /// Well within the time that a start may take; a process that doesn't answer by then has ended or hangs.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
-/// For how long the commands that a process leaves when it ends may run: the longest deadline of clients.
-const ID_RETENTION: Duration = Duration::from_secs(3);
 /// How long the other process has to apply a cordon; operators get their answer within a second.
 const CORDON_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -185,6 +184,7 @@
 pub struct Handover {
     dispatcher: Arc<Dispatcher>,
     in_flight_ids: Arc<InFlightIds>,
+    timings: watch::Receiver<Timings>,
     stages: ShutdownWatch,
     listen: SocketAddr,
     socket: OwnedFd, // a duplicate, to be handed over
@@ -197,6 +197,7 @@
     pub fn new(
         dispatcher: Arc<Dispatcher>,
         in_flight_ids: Arc<InFlightIds>,
+        timings: watch::Receiver<Timings>,
         stages: ShutdownWatch,
         socket: TcpListener,
         resources: Box<dyn SharedResources>,
@@ -206,6 +207,7 @@
         Ok(Arc::new(Handover {
             dispatcher,
             in_flight_ids,
+            timings,
             stages,
             listen,
             socket: socket.into(),
@@ -388,9 +390,10 @@
     /// Releases the ids that the other process has left, once their commands run no more.
     fn release_ids_of_ended_process(&self) {
         let ids = Arc::clone(&self.in_flight_ids);
+        let longest = self.timings.borrow().max_time_limit;
         tokio::spawn(async move {
             let ended = ids.other_process_ended();
-            tokio::time::sleep(ID_RETENTION).await;
+            tokio::time::sleep(longest).await;
             ended
                 .into_iter()
                 .for_each(|id| ids.set_in_other_process(false, id));
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -463,6 +463,7 @@
         let handover = handover::Handover::new(
             Arc::clone(&dispatcher),
             Arc::clone(&in_flight_ids),
+            timings.clone(),
             stages.clone(),
             socket,
             budget,
--- a/crates/passroad/tests/upgrades.rs
+++ b/crates/passroad/tests/upgrades.rs
@@ -398,6 +398,7 @@
     let mut client = old.connect();
     client.get_mut().write_all(command.as_bytes()).unwrap();
     wait_until(|| endpoint.request_count() == 1);
+    let sent = Instant::now();
     let new = Sidecar::start_with_shared_directory(address, management, &config, &shared.0);
     wait_until(|| management_request(management, "GET", "/admin/health", "") == "200");
     drop(client);
@@ -407,6 +408,8 @@
     assert_eq!(endpoint.request_count(), 1);
     gate.open();
     wait_until(|| new.request(&command).status() == "200");
+    // The command had 7.9 s from its client.
+    assert!(sent.elapsed() >= 7900 * MS, "{:?}", sent.elapsed());
 }
 
 // The command is open in the old process, and the new one accepts clients before it has read a line
