Tests: one gated endpoint for all, and a wait for the end of a connection in place of a pause

The same endpoint behind a gate, and the same answer to load probes, stood in many tests.

Change: the test waits until the end has been received (wait_until_end_received) and pauses no longer, which is stricter. gated_endpoint and respond_idle stand in the harness. In the product: names for the shares of the memory budget (the same values), reworded comments.

--- a/crates/passroad/src/body/upload.rs
+++ b/crates/passroad/src/body/upload.rs
@@ -26,7 +26,7 @@
 
 /// A client's long request body, streamed to a single relay. What no relay reads is read and discarded.
 ///
-/// No part of it is kept, so only one party may read it: the one with the latest [`UploadReader`].
+/// No part of it is kept, so it has one reader at a time: the latest [`UploadReader`].
 pub struct StreamedUpload {
     source: Mutex<UploadSource>,
     size: SizeHint,
@@ -94,7 +94,7 @@
         self.upload.size
     }
 
-    /// Reads on only as the connection whose flushes these are writes.
+    /// Makes the next chunk wait until the connection that counts these flushes has written the one before.
     pub fn limit_to_written(&mut self, flushes: Arc<FlushCounter>) {
         self.window = Some(WriteWindow::new(flushes));
     }
--- a/crates/passroad/src/memory_budget.rs
+++ b/crates/passroad/src/memory_budget.rs
@@ -17,6 +17,14 @@
 const PARTIAL_HEAD_BYTES: usize = 8 << 10;
 /// Bytes held for each byte of such a head: one in hyper's buffer, one for the framing.
 const COPIES_OF_HEAD: usize = 2;
+/// Shares of a budget, of this many parts.
+const SHARE_PARTS: usize = 16;
+/// The most that heads may take, so that commands are served beside any number of them.
+const HEADS_SHARE: usize = 12;
+/// The most that kept bodies may take. What isn't kept is streamed.
+const BODIES_SHARE: usize = 4;
+/// What kept bodies may take even where commands may come to need all memory.
+const MIN_BODIES_SHARE: usize = 1;
 /// How often refusals are logged at most.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -34,18 +42,20 @@
 impl MemoryUse {
     const COUNT: usize = 3;
 
-    /// The most that this use may take of a budget, where commands may come to take so much of it. What isn't kept of a body is
-    /// passed on as it comes, so bodies leave room for commands.
-    fn ceiling(self, total: usize, commands: usize) -> usize {
+    /// The most that this use may take of a budget of which all commands together take `for_commands`.
+    fn ceiling(self, total: usize, for_commands: usize) -> usize {
+        let share = |parts: usize| total / SHARE_PARTS * parts;
         match self {
-            MemoryUse::Heads => total / 4 * 3,
+            MemoryUse::Heads => share(HEADS_SHARE),
             MemoryUse::Commands => total,
-            MemoryUse::Bodies => total.saturating_sub(commands).clamp(total / 16, total / 4),
+            MemoryUse::Bodies => total
+                .saturating_sub(for_commands)
+                .clamp(share(MIN_BODIES_SHARE), share(BODIES_SHARE)),
         }
     }
 }
 
-/// The memory for all clients, by the process's limit.
+/// How the memory of a process is divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryPlan {
     limit: usize,
@@ -55,8 +65,8 @@
 }
 
 impl MemoryPlan {
-    /// For a process with this limit in bytes, and at most so many connections of clients and commands. With little memory there
-    /// are fewer.
+    /// For a process with this limit in bytes, and at most this many connections of clients and open commands. With little memory
+    /// there are fewer connections.
     pub fn new(limit: usize, clients: usize, commands: usize) -> Self {
         let for_connections = available(limit, 1) / 2;
         MemoryPlan {
@@ -78,7 +88,7 @@
     }
 }
 
-/// What so many processes leave of a limit. A limit that is too low for them is divided in halves.
+/// What this many processes leave of a limit for their clients: half of it at least, where the limit is too low for them.
 fn available(limit: usize, processes: usize) -> usize {
     let own = PROCESS_BYTES + (processes - 1) * SECOND_PROCESS_BYTES;
     limit.saturating_sub(own).max(limit / 2)
@@ -97,7 +107,7 @@
 
 struct State {
     total: usize,
-    for_commands: usize, // what they take if there are as many as may be
+    for_commands: usize, // for the most commands that may be open
     used: [usize; MemoryUse::COUNT],
     refused: [usize; MemoryUse::COUNT], // since they were last logged
     logged_at: Option<Instant>,
--- a/crates/passroad/src/relay/pause_limit.rs
+++ b/crates/passroad/src/relay/pause_limit.rs
@@ -11,6 +11,7 @@
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// One part in this many of its time may pass in a pause before a command that may run twice is sent elsewhere.
 const RETRY_PAUSE_DIVISOR: u32 = 3;
+
 /// The longest pause within a response before the endpoint counts as having stopped for good.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PauseLimit {
--- a/crates/passroad/tests/cancellation.rs
+++ b/crates/passroad/tests/cancellation.rs
@@ -475,12 +475,7 @@
     #[values(false, true)] may_cancel: bool,
 ) {
     let gate = Gate::default();
-    let handler_gate = gate.clone();
-    let endpoint = fake_server(move |_, to| {
-        handler_gate.wait_until_open();
-        respond(to, "200 OK", "", b"ok");
-        true
-    });
+    let endpoint = gated_endpoint(&gate, "ok");
     let known = member("s-1", endpoint.address, "up");
     let sidecar = start_sidecar_with(
         &known,
--- a/crates/passroad/tests/harness/mod.rs
+++ b/crates/passroad/tests/harness/mod.rs
@@ -118,12 +118,7 @@
                     (BufReader::new(stream.try_clone().unwrap()), stream);
                 while let Some(message) = Message::read(&mut reader) {
                     if message.target() == "/load" {
-                        respond(
-                            &mut stream,
-                            "200 OK",
-                            "",
-                            b"TEXT inflight=0, queue=0, util=0.1",
-                        );
+                        respond_idle(&mut stream);
                         continue;
                     }
                     state.requests.lock().unwrap().push(message.clone());
@@ -156,6 +151,21 @@
     let _ = to.write_all(&[head.as_bytes(), body].concat());
 }
 
+/// Answers a load probe as an idle endpoint.
+pub fn respond_idle(to: &mut TcpStream) {
+    respond(to, "200 OK", "", b"TEXT inflight=0, queue=0, util=0.1");
+}
+
+/// An endpoint that answers every command with 200 and this body once the gate is open.
+pub fn gated_endpoint(gate: &Gate, body: &'static str) -> FakeServer {
+    let gate = gate.clone();
+    fake_server(move |_, to| {
+        gate.wait_until_open();
+        respond(to, "200 OK", "", body.as_bytes());
+        true
+    })
+}
+
 /// An endpoint that answers every command with 200 and this body.
 pub fn ok_endpoint(body: &'static str) -> FakeServer {
     fake_server(move |_, to| {
--- a/crates/passroad/tests/long_bodies.rs
+++ b/crates/passroad/tests/long_bodies.rs
@@ -199,7 +199,7 @@
                             }
                         }
                         if head.contains("/load ") {
-                            respond(&mut to, "200 OK", "", b"TEXT inflight=0, queue=0, util=0.1");
+                            respond_idle(&mut to);
                         } else if long_requests {
                             let received =
                                 read_slowly(&mut reader, BODY_BYTES, &written, TOTAL_BYTES);
@@ -414,12 +414,7 @@
                     let mut piece = [0; 50_000];
                     let count = stream.read(&mut piece).unwrap_or(0);
                     match piece[..count].starts_with(b"GET /load") {
-                        true => respond(
-                            &mut stream,
-                            "200 OK",
-                            "",
-                            b"TEXT inflight=0, queue=0, util=0.1",
-                        ),
+                        true => respond_idle(&mut stream),
                         false => drop(stream.read(&mut piece)),
                     }
                 });
@@ -810,12 +805,7 @@
                 let mut piece = [0; 8_000];
                 while let Ok(count @ 1..) = stream.read(&mut piece) {
                     if piece[..count].starts_with(b"GET /load ") {
-                        respond(
-                            &mut stream,
-                            "200 OK",
-                            "",
-                            b"TEXT inflight=0, queue=0, util=0.1",
-                        );
+                        respond_idle(&mut stream);
                         continue;
                     }
                     sleep(100 * MS);
--- a/crates/passroad/tests/races.rs
+++ b/crates/passroad/tests/races.rs
@@ -173,12 +173,7 @@
 #[case::in_the_balancer_and_the_backlog(40)]
 fn queued_command_is_not_sent_after_its_client_disconnected(#[case] count: usize) {
     let gate = Gate::default();
-    let handler_gate = gate.clone();
-    let endpoint = fake_server(move |_, to| {
-        handler_gate.wait_until_open();
-        respond(to, "200 OK", "", b"ok");
-        true
-    });
+    let endpoint = gated_endpoint(&gate, "ok");
     // A command may queue for a quarter of the deadline target.
     let settings = SETTINGS.replace(
         "\"response_goal\":400000000",
--- a/crates/passroad/tests/sidecar.rs
+++ b/crates/passroad/tests/sidecar.rs
@@ -6,9 +6,9 @@
 use harness::*;
 use rstest::rstest;
 use std::io::Write;
-use std::net::Shutdown;
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::Ordering::SeqCst;
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Instant;
 
@@ -244,12 +244,7 @@
 #[rstest]
 fn duplicate_id_is_rejected_while_its_command_is_open() {
     let gate = Gate::default();
-    let handler_gate = gate.clone();
-    let endpoint = fake_server(move |_, to| {
-        handler_gate.wait_until_open();
-        respond(to, "200 OK", "", b"booked");
-        true
-    });
+    let endpoint = gated_endpoint(&gate, "booked");
     let sidecar = start_sidecar_with(
         &member("s-1", endpoint.address, "up"),
         unused_address(),
@@ -280,12 +275,7 @@
 #[rstest]
 fn pipelined_request_behind_an_open_command_is_rejected() {
     let gate = Gate::default();
-    let handler_gate = gate.clone();
-    let endpoint = fake_server(move |_, to| {
-        handler_gate.wait_until_open();
-        respond(to, "200 OK", "", b"booked");
-        true
-    });
+    let endpoint = gated_endpoint(&gate, "booked");
     let sidecar = start_sidecar_with(
         &member("s-1", endpoint.address, "up"),
         unused_address(),
@@ -962,7 +952,10 @@
 
 #[rstest]
 fn idle_connection_closed_by_the_endpoint_fails_no_command() {
-    let endpoint = fake_server(|_, to| {
+    let last_peer = Arc::<Mutex<Option<SocketAddr>>>::default();
+    let recorded_peer = Arc::clone(&last_peer);
+    let endpoint = fake_server(move |_, to| {
+        *recorded_peer.lock().unwrap() = Some(to.peer_addr().unwrap());
         respond(to, "200 OK", "", b"booked");
         false
     });
@@ -971,7 +964,8 @@
         assert_eq!(sidecar.request(&post_book(&n.to_string())).status(), "200");
         // A command sent in the moment of the close may have run, and would fail.
         wait_until(|| endpoint.closed_at.lock().unwrap().len() > n);
-        sleep(10 * MS);
+        let peer = last_peer.lock().unwrap().expect("a command has come");
+        wait_until_end_received(endpoint.address, peer);
     }
     assert_eq!(endpoint.request_count(), 10);
 }
@@ -1110,12 +1104,7 @@
 #[rstest]
 fn id_of_a_safe_command_is_taken_again_once_its_client_has_left() {
     let gate = Gate::default();
-    let handler_gate = gate.clone();
-    let endpoint = fake_server(move |_, to| {
-        handler_gate.wait_until_open();
-        respond(to, "200 OK", "", b"seen");
-        true
-    });
+    let endpoint = gated_endpoint(&gate, "seen");
     let known = member("s-1", endpoint.address, "up");
     let settings = long_deadline_settings();
     let sidecar = start_sidecar_with(&known, unused_address(), &settings);
@@ -1196,7 +1185,10 @@
     let endpoint = ok_endpoint("ok");
     let sidecar = start_sidecar(&member("s-1", endpoint.address, "up"));
     let short = |n: &str| get_look(n).replace("900", "500");
-    assert!((0..8).all(|n| sidecar.request(&short(&n.to_string())).status() == "200"));
+    for n in 0..8 {
+        let response = sidecar.request(&short(&n.to_string()));
+        assert_eq!(response.status(), "200", "command {n}");
+    }
     let mut client = sidecar.connect();
     sidecar.signal("STOP");
     client
--- a/crates/passroad/tests/upgrades.rs
+++ b/crates/passroad/tests/upgrades.rs
@@ -261,12 +261,7 @@
 #[rstest]
 fn id_open_in_one_process_is_rejected_by_the_other() {
     let gate = Gate::default();
-    let handler_gate = gate.clone();
-    let endpoint = fake_server(move |_, to| {
-        handler_gate.wait_until_open();
-        respond(to, "200 OK", "", b"ok");
-        true
-    });
+    let endpoint = gated_endpoint(&gate, "ok");
     let (address, shared) = (unused_address(), shared_directory());
     let config = config_json(
         address,
@@ -382,12 +377,7 @@
 #[rstest]
 fn id_left_by_the_old_process_is_rejected_by_the_new_one_while_it_may_run() {
     let gate = Gate::default();
-    let handler_gate = gate.clone();
-    let endpoint = fake_server(move |_, to| {
-        handler_gate.wait_until_open();
-        respond(to, "200 OK", "", b"ok");
-        true
-    });
+    let endpoint = gated_endpoint(&gate, "ok");
     let (address, management, shared) = (unused_address(), unused_address(), shared_directory());
     let known = member("s-1", endpoint.address, "up");
     let config = config_json(address, unused_address(), &known, &long_deadline_settings());
@@ -417,12 +407,7 @@
 #[rstest]
 fn open_ids_are_known_before_the_first_line_of_the_old_process() {
     let gate = Gate::default();
-    let handler_gate = gate.clone();
-    let endpoint = fake_server(move |_, to| {
-        handler_gate.wait_until_open();
-        respond(to, "200 OK", "", b"ok");
-        true
-    });
+    let endpoint = gated_endpoint(&gate, "ok");
     let (address, shared) = (unused_address(), shared_directory());
     let config = config_json(
         address,
