An operator's done, withdraw or force is answered once a majority has it

Cause: the coordinator of the order of work answered these as soon as it had changed its own log, and told the others up to a tick (50 ms) later. Killed in between, it took the change with it: the operator had been told `done`, the successors held the machine to be at work for good and started no other. Requests to take machines out did wait for a majority already.

Change: all operators' requests that were taken wait in one module (open_requests.rs) until a majority of the voters has the entry that they lead to; `force` until it has the machine under maintenance. One that is sent again meanwhile is not applied twice. A withdrawal of an earlier coordinator is sent again under the own epoch before it is answered.

--- a/crates/passroad-upkeep/src/coordinator.rs
+++ b/crates/passroad-upkeep/src/coordinator.rs
@@ -1,5 +1,6 @@
 //! The coordinator: it takes requests into the log, advances machines, and sends entries to all sidecars.
 
+use crate::open_requests::OpenRequest;
 use crate::{
     Action, Context, ENTRIES_PER_DATAGRAM, Entry, Epoch, MAX_MACHINES_PER_REQUEST, MachineEvent,
     MachineId, MaintenanceManager, MaintenanceState, Member, Message, OperatorAction,
@@ -97,7 +98,8 @@
                 auto_return,
             });
         }
-        self.open_requests.insert(request, from);
+        self.open_requests
+            .insert(request, OpenRequest::schedule(from, machines));
     }
 
     pub(crate) fn operate(
@@ -115,6 +117,10 @@
         let Role::Coordinator(epoch) = self.role else {
             return;
         };
+        // Sent again because it isn't answered yet.
+        if self.open_requests.contains_key(&request) {
+            return;
+        }
         let state = self.operation_log.get(machine).map(|entry| entry.state);
         let rejected = match (action, state) {
             (
@@ -130,8 +136,11 @@
                 );
                 None
             }
-            (OperatorAction::Withdraw, Some(MaintenanceState::Withdrawn))
-            | (
+            (OperatorAction::Withdraw, Some(MaintenanceState::Withdrawn)) => {
+                self.take_over(epoch, machine);
+                None
+            }
+            (
                 OperatorAction::Complete,
                 Some(
                     MaintenanceState::Completed
@@ -160,12 +169,30 @@
             (OperatorAction::Bootstrap, _) => None,
             (_, None) => Some(Rejection::UnknownMachine),
         };
+        // Bootstrapping changes no entry.
+        if rejected.is_none() && action != OperatorAction::Bootstrap {
+            let open = OpenRequest::operate(from, machine, action);
+            self.open_requests.insert(request, open);
+            return;
+        }
         actions.push(Action::Send {
             to: from,
             message: Message::Response { request, rejected },
         });
     }
 
+    /// Puts an entry of an earlier coordinator under the own epoch, so that all sidecars receive it again.
+    fn take_over(&mut self, epoch: Epoch, machine: MachineId) {
+        let earlier = self.operation_log.get(machine).copied();
+        if let Some(entry) = earlier.filter(|entry| entry.epoch != epoch) {
+            self.operation_log.apply(Entry {
+                epoch,
+                step: 0,
+                ..entry
+            });
+        }
+    }
+
     pub(crate) fn advance(
         &mut self,
         context: &Context,
@@ -249,16 +276,8 @@
     ) {
         let majority = self.majority();
         let ordered = self.operation_log.ordered();
-        // Takes over entries of an earlier coordinator under the own epoch, so that all sidecars receive them again.
-        for entry in ordered
-            .iter()
-            .filter(|e| e.epoch != epoch && !e.state.is_finished())
-        {
-            self.operation_log.apply(Entry {
-                epoch,
-                step: 0,
-                ..*entry
-            });
+        for entry in ordered.iter().filter(|e| !e.state.is_finished()) {
+            self.take_over(epoch, entry.machine);
         }
         let ordered = self.operation_log.ordered();
         let mut replicated = Vec::new();
@@ -341,30 +360,7 @@
                 _ => {}
             }
         }
-        // A request is answered once a majority has all its entries.
-        let done = |request: &u64| {
-            let mut entries = ordered.iter().filter(|e| e.request == *request);
-            entries.all(|entry| entry.state.is_finished() || replicated.contains(&entry.machine))
-        };
-        let answered: Vec<(u64, Member)> = self
-            .open_requests
-            .iter()
-            .filter(|(r, _)| done(r))
-            .map(|(r, to)| (*r, *to))
-            .collect();
-        for (request, to) in answered {
-            self.open_requests.remove(&request);
-            let message = Message::Response {
-                request,
-                rejected: None,
-            };
-            if to == self.config.me {
-                let replies = self.receive(context, to, message);
-                actions.extend(replies);
-            } else {
-                actions.push(Action::Send { to, message });
-            }
-        }
+        self.answer_open_requests(context, actions);
         self.start_next(context, epoch, &replicated, actions);
     }
 
--- a/crates/passroad-upkeep/src/lib.rs
+++ b/crates/passroad-upkeep/src/lib.rs
@@ -13,6 +13,7 @@
 mod capacity;
 mod coordinator;
 mod messages;
+mod open_requests;
 mod operation_log;
 mod participant;
 mod recovery;
@@ -22,6 +23,7 @@
 
 pub use capacity::{Limits, ListedMachine, can_take_out};
 pub use messages::{Action, MachineEvent, Message, OperatorAction, Rejection};
+use open_requests::OpenRequest;
 pub use operation_log::{Entry, Epoch, MachineId, MaintenanceState, OperationLog};
 use recovery::Recovery;
 
@@ -109,8 +111,8 @@
     readmitted: BTreeMap<MachineId, u32>,
     own_acks: BTreeMap<MachineId, (Epoch, u32, bool)>,
     pending_requests: BTreeMap<u64, PendingRequest>,
-    /// Requests whose entries a majority doesn't have yet, and which member sent them.
-    open_requests: BTreeMap<u64, Member>,
+    /// Requests whose effect a majority of the voters doesn't have yet.
+    open_requests: BTreeMap<u64, OpenRequest>,
     forced: BTreeSet<MachineId>,
     reported: BTreeSet<(MachineId, Epoch, u32)>,
     next_member: usize,
--- a/crates/passroad-upkeep/src/tests.rs
+++ b/crates/passroad-upkeep/src/tests.rs
@@ -254,6 +254,14 @@
             .collect()
     }
 
+    /// Ends the coordinator, and has another one after a while.
+    fn replace_coordinator(&mut self) {
+        self.restart(0);
+        self.owner = None;
+        self.run(Duration::from_secs(1));
+        self.owner = Some((1, 2));
+    }
+
     /// Restarts a sidecar without state.
     fn restart(&mut self, me: usize) {
         self.incarnations[me] += 100_000;
@@ -384,6 +392,49 @@
     assert_eq!(world.answers, [(5, None), (6, None)]);
 }
 
+// Guards against an operator who was answered that it is done, by a coordinator that ended before it had told any other.
+#[rstest]
+#[case::complete(3, OperatorAction::Complete, MaintenanceState::Warm)]
+#[case::withdraw(5, OperatorAction::Withdraw, MaintenanceState::Withdrawn)]
+fn what_an_operator_was_answered_survives_the_coordinator(
+    #[case] machine: MachineId,
+    #[case] action: OperatorAction,
+    #[case] expected: MaintenanceState,
+    #[values(0, 30, 60)] lost: u32,
+) {
+    let mut world = World::new(5);
+    world.request_long(4, 77, &[3, 5]);
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.state(3), Some(MaintenanceState::UnderMaintenance));
+    world.lost = lost;
+    world.operate(3, 6, machine, action);
+    while !world.answers.contains(&(6, None)) {
+        world.run(10 * MS);
+    }
+    world.replace_coordinator();
+    world.run(Duration::from_secs(20));
+    assert_eq!(world.state(machine), Some(expected));
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+// The same for a machine that is treated as idle while a sidecar has something on it.
+#[rstest]
+fn a_forced_machine_stays_forced_after_the_coordinator(#[values(0, 30, 60)] lost: u32) {
+    let mut world = World::new(5);
+    world.busy.borrow_mut().insert((3, 3));
+    world.request_long(4, 77, &[3]);
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.state(3), Some(MaintenanceState::Draining));
+    world.lost = lost;
+    world.operate(3, 6, 3, OperatorAction::Force);
+    while !world.answers.contains(&(6, None)) {
+        world.run(10 * MS);
+    }
+    world.replace_coordinator();
+    world.run(Duration::from_secs(20));
+    assert_eq!(world.state(3), Some(MaintenanceState::UnderMaintenance));
+}
+
 // The next coordinator continues from what a majority knows, at each step of its predecessor.
 #[rstest]
 fn a_coordinator_killed_at_any_time_is_succeeded(
@@ -392,10 +443,7 @@
     let mut world = World::new(5);
     world.request(4, 77, &[3, 5]);
     world.run(MS * after);
-    world.restart(0);
-    world.owner = None;
-    world.run(Duration::from_secs(1));
-    world.owner = Some((1, 2));
+    world.replace_coordinator();
     world.run(Duration::from_secs(30));
     assert_eq!(
         (world.state(3), world.state(5)),
