A client that pauses within a body at the allowed rate isn't closed as idle

Cause: a connection counted as idle until the whole body was read and buffered, since a command is opened only then.

Change: framing tracks how a body comes in (framing/body_progress.rs). While it keeps to the minimum rate its connection is in use: a second behind at most, or what the whole body takes if that is less, and no pause over 2.2 s, so that clients that have stopped go within 3 s. A request that has come whole is in use until its response.

--- a/crates/passroad/src/body.rs
+++ b/crates/passroad/src/body.rs
@@ -5,7 +5,7 @@
 mod upload;
 mod upload_lag;
 
-pub use self::min_rate::MinRateTimer;
+pub use self::min_rate::{BODY_GRACE, MinRateTimer, time_at_min_rate};
 pub use self::streamed_response::StreamedResponse;
 pub use self::upload::{StreamedUpload, UploadReader};
 use crate::memory_budget::Reservation;
--- a/crates/passroad/src/body/min_rate.rs
+++ b/crates/passroad/src/body/min_rate.rs
@@ -12,7 +12,12 @@
 /// Clients send at least 64 kB per second; a rate up to a fifth lower is tolerated.
 const MIN_BYTES_PER_SECOND: f64 = 0.8 * 64_000.0;
 /// Time for a body on top of what the minimum rate gives.
-const BODY_GRACE: Duration = Duration::from_secs(1);
+pub const BODY_GRACE: Duration = Duration::from_secs(1);
+
+/// How long this many bytes of a body may take.
+pub fn time_at_min_rate(bytes: u64) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_SECOND)
+}
 
 /// Enforces a minimum rate on a client's body: compares the time spent waiting for the client with the bytes received.
 pub struct MinRateTimer {
@@ -38,8 +43,7 @@
 
     /// The waiting time allowed so far.
     fn allowed_time(&self) -> Duration {
-        let at_min_rate =
-            BODY_GRACE + Duration::from_secs_f64(self.received as f64 / MIN_BYTES_PER_SECOND);
+        let at_min_rate = BODY_GRACE + time_at_min_rate(self.received as u64);
         at_min_rate.max(self.min_time)
     }
 
--- a/crates/passroad/src/framing.rs
+++ b/crates/passroad/src/framing.rs
@@ -1,6 +1,9 @@
 //! Request framing on a client's connection. hyper exposes the parsed head only; where a request ends must not be ambiguous
 //! between this proxy and an endpoint (request smuggling), so the bytes are inspected here as well.
 
+mod body_progress;
+
+use self::body_progress::BodyProgress;
 use crate::flow_control::poll_read_limited;
 use crate::listener::ClientConnection;
 use crate::memory_budget::{MemoryBudget, MemoryUse, Reservation, partial_head_bytes};
@@ -30,6 +33,7 @@
     part: Part,
     ambiguous_length: bool,
     head_since: Option<Instant>, // when the head's first byte arrived
+    body: Option<BodyProgress>,  // of the body that is coming
     early: bool,                 // bytes arrived where none may
     memory: Option<Reservation>, // for a head that is still coming
     over_budget: bool,           // there was no memory for it
@@ -50,6 +54,7 @@
             part: Part::Head(Vec::new()),
             ambiguous_length: false,
             head_since: None,
+            body: None,
             early: false,
             memory: None,
             over_budget: false,
@@ -110,6 +115,17 @@
         matches!(&self.state().part, Part::Body(_) | Part::Chunked)
     }
 
+    /// Until when the client has sent, or need not have sent, what is due of its request; none between requests, while a head is
+    /// coming, and behind bytes that came early.
+    pub fn active_until(&self, now: Instant) -> Option<Instant> {
+        let state = self.state();
+        match (&state.part, state.early) {
+            (Part::Head(_), _) | (_, true) => None,
+            (Part::Finished, false) => Some(now),
+            (Part::Body(_) | Part::Chunked, false) => state.body.map(|body| body.due()),
+        }
+    }
+
     /// Whether the connection must be closed after the response: bytes arrived early, or the request's end hasn't been seen.
     pub fn must_close(&self) -> bool {
         let state = self.state();
@@ -152,6 +168,12 @@
         reserved
     }
 
+    fn record_body(&mut self, bytes: usize) {
+        if let Some(body) = &mut self.body {
+            body.record(Instant::now(), bytes);
+        }
+    }
+
     fn record(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
             match &mut self.part {
@@ -165,18 +187,20 @@
                         // hyper rejects it.
                         None => (head.len(), Part::Finished, false),
                     };
+                    self.body = part.begin_body();
                     (self.part, self.ambiguous_length) = (part, ambiguous);
                     bytes = &bytes[size.saturating_sub(before).min(bytes.len())..];
                 }
                 Part::Body(left) => {
                     let taken = (bytes.len() as u64).min(*left);
                     *left -= taken;
-                    bytes = &bytes[taken as usize..];
                     if *left == 0 {
                         self.part = Part::Finished;
                     }
+                    self.record_body(taken as usize);
+                    bytes = &bytes[taken as usize..];
                 }
-                Part::Chunked => return,
+                Part::Chunked => return self.record_body(bytes.len()),
                 Part::Finished => {
                     self.early = true;
                     return;
@@ -186,6 +210,17 @@
     }
 }
 
+impl Part {
+    /// The progress of the body that begins now, if one does.
+    fn begin_body(&self) -> Option<BodyProgress> {
+        match self {
+            Part::Body(length) => Some(BodyProgress::new(Instant::now(), Some(*length))),
+            Part::Chunked => Some(BodyProgress::new(Instant::now(), None)),
+            Part::Head(_) | Part::Finished => None,
+        }
+    }
+}
+
 /// Parses a head: its length, what follows it, and whether the body's length is ambiguous. None while it is incomplete.
 fn parse_head(head: &[u8]) -> Option<(usize, Part, bool)> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
--- a/crates/passroad/src/listener/connection.rs
+++ b/crates/passroad/src/listener/connection.rs
@@ -104,11 +104,15 @@
         *held = memory;
     }
 
-    /// Whether no command has been open for at least this long.
+    /// Whether no command has been open for at least this long. One whose body comes at the minimum rate is open.
     fn idle_for(&self, span: Duration) -> bool {
-        self.idle_since
-            .lock()
-            .is_ok_and(|since| since.is_some_and(|since| since.elapsed() >= span))
+        let now = Instant::now();
+        let Some(idle_since) = self.idle_since.lock().ok().and_then(|since| *since) else {
+            return false;
+        };
+        let active_until = self.framing.active_until(now);
+        let since = active_until.map_or(idle_since, |until| until.max(idle_since));
+        now.saturating_duration_since(since) >= span
     }
 
     /// Sets since when no command is open; none while one is.
--- a/crates/passroad/tests/long_bodies.rs
+++ b/crates/passroad/tests/long_bodies.rs
@@ -578,6 +578,80 @@
     assert_eq!(Message::read(&mut client).unwrap().status(), "200");
 }
 
+/// Connections that send nothing, as many as take all places for clients.
+fn idle_connections(sidecar: &Sidecar) -> Vec<TcpStream> {
+    (0..400)
+        .filter_map(|_| TcpStream::connect(sidecar.address).ok())
+        .collect()
+}
+
+// Guards against clients that are cut off within a body that comes as fast as it has to, at 94 kB a second, where places run short.
+#[rstest]
+#[case::with_length(&content_length(150_000), random_body(150_000))]
+#[case::chunked("Transfer-Encoding: chunked", [chunk(&random_body(150_000)), chunk(&[])].concat())]
+fn client_that_pauses_within_its_body_is_not_evicted(
+    #[case] framing: &str,
+    #[case] body: Vec<u8>,
+    #[values(false, true)] has_served: bool,
+) {
+    const CLIENTS: usize = 8;
+    const PAUSE: Duration = Duration::from_millis(1600);
+    let endpoint = length_endpoint();
+    let sidecar = start_sidecar(&member("s-1", endpoint.address, "up"));
+    let (first, rest) = body.split_at(100_000);
+    let mut clients: Vec<_> = (0..CLIENTS)
+        .map(|n| {
+            let mut client = sidecar.connect();
+            if has_served {
+                let before = post_book(&format!("before{n}"));
+                assert_eq!(round_trip(&mut client, &before).unwrap().status(), "200");
+            }
+            let head = request_head(&n.to_string(), framing);
+            client.get_mut().write_all(head.as_bytes()).unwrap();
+            client.get_mut().write_all(first).unwrap();
+            client
+        })
+        .collect();
+    let idle_clients = idle_connections(&sidecar);
+    sleep(PAUSE);
+    for client in &mut clients {
+        client.get_mut().write_all(rest).unwrap();
+        assert_eq!(Message::read(client).unwrap().body, b"150000");
+    }
+    drop(idle_clients);
+}
+
+// Guards against clients that hold all places by bodies that have stopped: 3 s at most.
+#[rstest]
+#[case::small(4, 2)]
+#[case::long(1_000_000, 500_000)]
+fn clients_that_stop_within_their_bodies_leave_their_places(
+    #[case] length: usize,
+    #[case] sent: usize,
+) {
+    /// More than 64 descriptors leave places for.
+    const CLIENTS: usize = 30;
+    const LONGEST: Duration = Duration::from_secs(3);
+    let endpoint = length_endpoint();
+    let known = member("s-1", endpoint.address, "up");
+    let settings = long_deadline_settings();
+    let sidecar = start_sidecar_with(&known, unused_address(), &settings);
+    let began = Instant::now();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|n| {
+            let mut client = sidecar.connect();
+            let head = request_head(&n.to_string(), &content_length(length));
+            client.get_mut().write_all(head.as_bytes()).unwrap();
+            client.get_mut().write_all(&random_body(sent)).unwrap();
+            client
+        })
+        .collect();
+    let other = sidecar.request(&with_long_deadline(&get_look("a")));
+    assert_eq!(other.status(), "200");
+    assert!(began.elapsed() < LONGEST, "{:?}", began.elapsed());
+    drop(clients);
+}
+
 // A client that still reads a response is not idle, although it sends nothing.
 #[rstest]
 fn slow_reader_is_not_evicted_while_others_wait() {
@@ -594,9 +668,7 @@
         .unwrap();
     let mut first = [0; 1000];
     reader.read_exact(&mut first).unwrap();
-    let idle_clients: Vec<_> = (0..400)
-        .filter_map(|_| TcpStream::connect(sidecar.address).ok())
-        .collect();
+    let idle_clients = idle_connections(&sidecar);
     sleep(Duration::from_millis(2500));
     let mut rest = Vec::new();
     BufReader::new(&mut reader)
