Tests: an unused address no longer accepts connects while processes start

Shown by a small program: beside two threads that start processes, 1,132 of 129,410 connects to such addresses were accepted, and all of them reset.

Change: the socket that finds the address is bound and doesn't listen. A test connects to 20,000 unused addresses while processes start.

Measured: the test failed with the former harness (82 of 20,000 accepted), passes now; the 15 tests of the file pass.

--- a/crates/passroad/tests/harness/mod.rs
+++ b/crates/passroad/tests/harness/mod.rs
@@ -238,7 +238,11 @@
         (count / 250) as u8,
         (count % 250 + 1) as u8,
     );
-    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
+    // Bound only: a listening socket would accept connects for as long as a process that starts meanwhile holds a copy.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&SocketAddr::from((host, 0)).into()).unwrap();
+    socket.local_addr().unwrap().as_socket().unwrap()
 }
 
 /// An address at which connects hang: the backlog of the listener is full and nobody accepts. The
--- a/crates/passroad/tests/restarts.rs
+++ b/crates/passroad/tests/restarts.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
-use std::process::{Child, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::thread::{JoinHandle, sleep, spawn};
@@ -177,6 +177,27 @@
 
 // ---- many starts at once ----
 
+// Guards the tests below against connects to addresses at which no sidecar listens yet: a process that was being started held a
+// copy of the socket that had found the address, and connects were accepted and reset.
+#[rstest]
+fn unused_addresses_refuse_connects_while_processes_start() {
+    const ADDRESSES: usize = 20_000;
+    let finished = Arc::<AtomicBool>::default();
+    let stops = Arc::clone(&finished);
+    let starts = spawn(move || {
+        while !stops.load(SeqCst) {
+            let mut child = Command::new("true").spawn().unwrap();
+            child.wait().unwrap();
+        }
+    });
+    let accepted = (0..ADDRESSES)
+        .filter(|_| TcpStream::connect(unused_address()).is_ok())
+        .count();
+    finished.store(true, SeqCst);
+    starts.join().unwrap();
+    assert_eq!(accepted, 0);
+}
+
 /// What discovery does while the sidecars start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DiscoveryState {
