Tests: simulated and real sidecars are compared over 8 s at rest, not over 2

Its window at rest is 2 s, right after the 3 s in which the fleet settles.

Change: the event comes at 8 s, so that the window at rest has 8 s. The bound and all that is checked stay.

--- a/crates/passroad-rig/tests/scale.rs
+++ b/crates/passroad-rig/tests/scale.rs
@@ -135,9 +135,9 @@
 fn simulated_and_real_sidecars_are_measured_alike() {
     let text = SMALL
         .replace("settle", "real = 1\nsettle")
-        .replace("length = \"4s\"", "length = \"16s\"");
+        .replace("length = \"4s\"", "length = \"22s\"");
     let event =
-        "[[event]]\nname = \"death\"\nkind = \"kill\"\ncount = 1\nat = \"2s\"\nfor = \"9s\"\n";
+        "[[event]]\nname = \"death\"\nkind = \"kill\"\ncount = 1\nat = \"8s\"\nfor = \"9s\"\n";
     let folder = Folder::with("points", &format!("{text}{event}"));
     let json = folder.0.join("points.json");
     let output = folder
