A cordon and maintenance are two reasons; neither ends the other

What callers saw: an operator cordoned an endpoint and was told yes; after an upgrade, or after its turn in the order of work, commands ran on it though nobody had called it back. The other way round a call back by hand had a machine used while it was at work. Cause: both reasons stood in one set of the dispatcher, in one list of the state that an upgrade hands over, and in one pair of messages on its link. Whatever lifted one lifted both: the end of a turn, a call back, and in a new process the first entry that it read as returning (the exclusion that it had inherited was an operator's). Change: `Exclusions` holds both reasons, and the module is told only whether one of them holds. The handover has a version 2 with both in state and link; beside version 1 the whole set is handed over, and the end of one reason isn't told while the other holds. A set handed over by version 1 counts as cordoned until it is called back, since a command on a cordoned endpoint breaks a rule and a machine that stays out costs its capacity. Maintenance changes go over the link, too. A process without an order of work takes what was out for maintenance as cordoned, or nothing could end it. The log and `GET /admin/metrics` tell the reasons apart.

--- a/crates/passroad/src/dispatcher.rs
+++ b/crates/passroad/src/dispatcher.rs
@@ -2,6 +2,10 @@
 //! and each action goes from here to whatever carries it out: commands, connection pools, discovery, timers.
 
 use crate::endpoint_list::{DiscoveryRequest, EndpointList, HandoverState, ListEntry};
+use crate::exclusions::{
+    ExclusionChange, ExclusionReason, ExclusionSubscription, Exclusions, SubscriberId,
+};
+use crate::handover::VERSION_WITHOUT_REASONS;
 use crate::relay::{Dialer, EndpointPool};
 use crate::{probe, relay};
 use passroad_choice::interner::{Interner, stable_hash};
@@ -16,6 +20,7 @@
 use std::time::{Duration, Instant, SystemTime};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
 /// Ids of removed endpoints that are remembered, at eight bytes each.
@@ -76,7 +81,7 @@
     revision: Option<u64>,
     entries: Vec<Option<ListEntry>>, // as last listed, by endpoint index
     removed: RemovedIds,
-    cordoned: BTreeSet<String>,
+    exclusions: Exclusions,
     pools: Vec<Option<EndpointPool>>,
     exhaustion_logged_at: Option<Instant>,
     zones: Interner<String>,
@@ -121,7 +126,7 @@
                 revision: None,
                 entries: Vec::new(),
                 removed: RemovedIds::default(),
-                cordoned: BTreeSet::new(),
+                exclusions: Exclusions::default(),
                 pools: Vec::new(),
                 exhaustion_logged_at: None,
                 zones,
@@ -310,7 +315,8 @@
             listen,
             revision: state.revision,
             entries: state.entries.iter().flatten().cloned().collect(),
-            cordoned: state.cordoned.iter().cloned().collect(),
+            cordoned: state.exclusions.ids(ExclusionReason::Operator).clone(),
+            under_maintenance: state.exclusions.ids(ExclusionReason::Maintenance).clone(),
             removed: state.removed.order.iter().copied().collect(),
             open_ids: Vec::new(),
             descriptors,
@@ -323,8 +329,9 @@
         }
     }
 
-    /// Takes over the old process's state, before any command is admitted.
-    pub fn inherit(self: &Arc<Self>, inherited: HandoverState) -> Option<u64> {
+    /// Takes over the old process's state, before any command is admitted. `maintained` says whether this process takes
+    /// part in the maintenance of machines.
+    pub fn inherit(self: &Arc<Self>, inherited: HandoverState, maintained: bool) -> Option<u64> {
         let list = EndpointList {
             revision: inherited.revision.unwrap_or_default(),
             complete: true,
@@ -335,9 +342,12 @@
             .removed
             .into_iter()
             .for_each(|id_hash| self.state().removed.note(id_hash));
-        for id in &inherited.cordoned {
-            self.set_cordoned(id, true);
-        }
+        self.inherit_exclusions(
+            inherited.version,
+            inherited.cordoned,
+            inherited.under_maintenance,
+            maintained,
+        );
         match serde_json::from_value::<LearnedState>(inherited.learned_state) {
             Ok(learned) => {
                 let mut state = self.state();
@@ -360,15 +370,66 @@
         inherited.revision
     }
 
-    /// Cordons an endpoint or lifts its cordon, effective on return. False for an id that was never listed.
-    pub fn cordon(self: &Arc<Self>, id: &str, cordoned: bool) -> bool {
-        let state = self.state();
-        let known = state.endpoints.get(id).is_some() || state.removed.has(id);
-        drop(state);
-        if known {
-            self.set_cordoned(id, cordoned);
+    fn inherit_exclusions(
+        self: &Arc<Self>,
+        version: u32,
+        cordoned: BTreeSet<String>,
+        under_maintenance: BTreeSet<String>,
+        maintained: bool,
+    ) {
+        if maintained && version == VERSION_WITHOUT_REASONS {
+            for id in &cordoned {
+                log::warn!(
+                    id = id.as_str();
+                    "{id} was out of use at the old process, which doesn't say why: it counts as cordoned until /admin/uncordon"
+                );
+            }
         }
-        known
+        // Without the operation log nothing else would end them.
+        let reason_of_maintained = if maintained {
+            ExclusionReason::Maintenance
+        } else {
+            ExclusionReason::Operator
+        };
+        let by_operator = cordoned
+            .into_iter()
+            .map(|id| (id, ExclusionReason::Operator));
+        let by_maintenance = under_maintenance
+            .into_iter()
+            .map(|id| (id, reason_of_maintained));
+        for (id, reason) in by_operator.chain(by_maintenance) {
+            self.exclude(&ExclusionChange {
+                id,
+                reason,
+                excluded: true,
+            });
+        }
+    }
+
+    /// Whether an endpoint of this id is or was listed.
+    pub fn knows(&self, id: &str) -> bool {
+        let state = self.state();
+        state.endpoints.get(id).is_some() || state.removed.has(id)
+    }
+
+    /// Whether an endpoint is out of use, for whichever reason.
+    pub fn is_out_of_use(&self, id: &str) -> bool {
+        self.state().exclusions.is_out_of_use(id)
+    }
+
+    /// The ids of the endpoints that are out of use for a reason.
+    pub fn excluded_ids(&self, reason: ExclusionReason) -> Vec<String> {
+        self.state()
+            .exclusions
+            .ids(reason)
+            .iter()
+            .cloned()
+            .collect()
+    }
+
+    /// Subscribes to the changes of exclusions, for the other process of a handover.
+    pub fn subscribe_to_exclusions(&self) -> ExclusionSubscription {
+        self.state().exclusions.subscribe()
     }
 
     /// The listed endpoints, each with its utilization, where that is known, and whether it is failing.
@@ -392,19 +453,42 @@
         pool.is_some_and(|pool| !pool.is_unused())
     }
 
-    /// Like `cordon`, for an id that another process knows.
-    pub fn set_cordoned(self: &Arc<Self>, id: &str, cordoned: bool) {
+    /// Applies a change of this process, effective on return, and tells the other process of a handover. Each receiver
+    /// returned is ready once a process has applied it.
+    pub fn exclude(self: &Arc<Self>, change: &ExclusionChange) -> Vec<oneshot::Receiver<()>> {
+        self.apply_exclusion(change, None)
+    }
+
+    /// Applies a change that the other process of a handover has reported.
+    pub fn exclude_as_reported(
+        self: &Arc<Self>,
+        change: &ExclusionChange,
+        reported_by: SubscriberId,
+    ) {
+        self.apply_exclusion(change, Some(reported_by));
+    }
+
+    fn apply_exclusion(
+        self: &Arc<Self>,
+        change: &ExclusionChange,
+        reported_by: Option<SubscriberId>,
+    ) -> Vec<oneshot::Receiver<()>> {
         let mut state = self.state();
-        let changed = if cordoned {
-            state.cordoned.insert(id.to_string())
-        } else {
-            state.cordoned.remove(id)
-        };
-        if changed {
-            let endpoint = state.endpoints.intern(&id.to_string());
-            log::info!(endpoint = endpoint, id = id; "endpoint {endpoint} ({id}) is {}", if cordoned { "cordoned" } else { "no longer cordoned" });
-            self.decide(&mut state, Event::CordonChanged { endpoint, cordoned });
+        let effect = state.exclusions.apply(change);
+        if effect.reason_changed {
+            let endpoint = state.endpoints.intern(&change.id);
+            log::info!(
+                endpoint = endpoint, id = change.id.as_str(), out_of_use = effect.out_of_use;
+                "endpoint {endpoint} ({}) is {}{}", change.id, change.description(),
+                if effect.out_of_use && !change.excluded { ", and out of use still" } else { "" }
+            );
+            if effect.use_changed {
+                let cordoned = effect.out_of_use;
+                self.decide(&mut state, Event::CordonChanged { endpoint, cordoned });
+            }
         }
+        // Still under the lock: the other process has to learn of changes in their order.
+        state.exclusions.notify(change, reported_by)
     }
 
     /// Applies a new configuration whole or not at all. Returns the module's index of each request class.
--- a/crates/passroad/src/endpoint_list.rs
+++ b/crates/passroad/src/endpoint_list.rs
@@ -3,6 +3,7 @@
 
 use passroad_choice::EndpointState;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 #[derive(Deserialize, Debug, Default)]
@@ -68,8 +69,12 @@
     pub revision: Option<u64>,
     #[serde(rename = "members")]
     pub entries: Vec<ListEntry>,
+    /// Ids of endpoints that an operator has cordoned. In version 1: of all that are out of use, for whichever reason.
     #[serde(rename = "bans")]
-    pub cordoned: Vec<String>,
+    pub cordoned: BTreeSet<String>,
+    /// Ids of endpoints that are out for maintenance; not in version 1.
+    #[serde(default, rename = "work", skip_serializing_if = "BTreeSet::is_empty")]
+    pub under_maintenance: BTreeSet<String>,
     /// Hashes of ids that have left the list.
     #[serde(rename = "left")]
     pub removed: Vec<u64>,
--- a/crates/passroad/src/fleet/machines.rs
+++ b/crates/passroad/src/fleet/machines.rs
@@ -4,6 +4,7 @@
 use super::config::MaintenanceSettings;
 use crate::dispatcher::Dispatcher;
 use crate::endpoint_list::ListEntry;
+use crate::exclusions::{ExclusionChange, ExclusionReason};
 use passroad_choice::EndpointState;
 use passroad_choice::interner::stable_hash;
 use passroad_upkeep::{
@@ -101,13 +102,19 @@
             .is_none_or(|id| !self.dispatcher.uses(id))
     }
 
-    /// Excludes a machine or lifts its exclusion. False if the machine was never listed here, so that there is nothing
-    /// to exclude yet.
+    /// Excludes a machine for maintenance or ends that; an operator's cordon stays as it is. False if the machine was
+    /// never listed here, so that there is nothing to exclude yet.
     pub fn set_excluded(&self, machine: MachineId, excluded: bool) -> bool {
-        let id = self.names.get(&machine);
-        id.into_iter()
-            .for_each(|id| self.dispatcher.set_cordoned(id, excluded));
-        id.is_some()
+        let Some(id) = self.names.get(&machine) else {
+            return false;
+        };
+        // Nobody waits until the other process of a handover has applied it: that process keeps its own view of the log.
+        drop(self.dispatcher.exclude(&ExclusionChange {
+            id: id.clone(),
+            reason: ExclusionReason::Maintenance,
+            excluded,
+        }));
+        true
     }
 
     pub fn name(&self, machine: MachineId) -> String {
--- a/crates/passroad/src/handover.rs
+++ b/crates/passroad/src/handover.rs
@@ -1,31 +1,34 @@
 //! Handover in an upgrade: a new process takes the listening socket and the state of the old one. Until the old process
-//! ends the two send each other cordons and the ids of open commands.
+//! ends the two send each other changes of exclusions and the ids of open commands.
+
+mod protocol;
 
 use crate::config::Timings;
 use crate::dispatcher::Dispatcher;
 use crate::endpoint_list::HandoverState;
+use crate::exclusions::{ExclusionChange, ExclusionReason, ExclusionSubscription};
 use crate::in_flight::{IdChange, InFlightIds};
 use crate::shutdown::{ShutdownStage, ShutdownWatch};
+pub use protocol::VERSION_WITHOUT_REASONS;
+use protocol::{Message, VERSION, common_version, state_in_version};
 use rustix::fd::OwnedFd;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
-use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, IoSliceMut, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream as Blocking;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
-const VERSION: u32 = 1;
 const MAX_STATE_BYTES: usize = 8 << 20;
 const MAX_LINE_BYTES: usize = 4 << 10;
 /// Well within the time that a start may take; a process that doesn't answer by then has ended or hangs.
@@ -33,33 +36,12 @@
 /// How long the other process has to apply a cordon; operators get their answer within a second.
 const CORDON_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// A line between the two processes.
-#[derive(Serialize, Deserialize, Debug, PartialEq)]
-#[serde(rename_all = "lowercase", deny_unknown_fields)]
-enum Message {
-    /// The new process requests a handover, in this version.
-    #[serde(rename = "ask")]
-    Request(u32),
-    /// The new process accepts clients.
-    Ready,
-    #[serde(rename = "out")]
-    Cordoned(String),
-    #[serde(rename = "back")]
-    Uncordoned(String),
-    /// The last cordon, or the end of one, is in effect here, too.
-    #[serde(rename = "done")]
-    Applied,
-    /// A command of this id is open here, or no longer.
-    #[serde(rename = "taken")]
-    IdOpened(String),
-    #[serde(rename = "given")]
-    IdClosed(String),
-}
-
 /// What the old process has handed over.
 pub struct Inherited {
     pub listener: TcpListener,
     pub state: Option<HandoverState>,
+    /// The version that the old process speaks.
+    version: u32,
     link: Blocking,
 }
 
@@ -106,7 +88,7 @@
         .map_err(describe)?;
     link.set_write_timeout(Some(ANSWER_TIMEOUT))
         .map_err(describe)?;
-    link.write_all(&encode(&Message::Request(VERSION)))
+    link.write_all(&Message::Request(VERSION).encode())
         .map_err(describe)?;
     let mut size = [0; 4];
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
@@ -137,9 +119,11 @@
     let state = state
         .map_err(|error| log::warn!("the state of the old process is not taken over: {error}"))
         .ok();
+    let version = state.as_ref().map_or(VERSION, |state| state.version);
     Ok(Inherited {
         listener,
         state,
+        version,
         link,
     })
 }
@@ -154,8 +138,9 @@
     // Checks the version first: nothing else may be readable in another one.
     let value: serde_json::Value = serde_json::from_slice(&bytes).map_err(|e| e.to_string())?;
     let version = value.get("version").and_then(serde_json::Value::as_u64);
-    if version != Some(VERSION.into()) {
-        return Err(format!("version {version:?}, not {VERSION}"));
+    let known = u64::from(VERSION_WITHOUT_REASONS)..=u64::from(VERSION);
+    if !version.is_some_and(|version| known.contains(&version)) {
+        return Err(format!("version {version:?}, not {known:?}"));
     }
     let state: HandoverState = serde_json::from_value(value).map_err(|e| e.to_string())?;
     if state.listen != listen {
@@ -164,12 +149,6 @@
     Ok(state)
 }
 
-fn encode(message: &Message) -> Vec<u8> {
-    let mut bytes = serde_json::to_vec(message).unwrap_or_default();
-    bytes.push(b'\n');
-    bytes
-}
-
 /// How a process shares its resources with the other process of a handover.
 pub trait SharedResources: Send + Sync + 'static {
     /// The new process accepts clients from now on, or no longer does.
@@ -178,7 +157,25 @@
     fn predecessor_ended(&self);
 }
 
-type Notification = (Message, oneshot::Sender<()>);
+/// What an operator's cordon or uncordon of an endpoint has come to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CordonOutcome {
+    /// No endpoint of this id was ever listed; nothing is changed.
+    NeverListed,
+    Cordoned,
+    InUse,
+    /// Uncordoned, and out of use until its maintenance ends.
+    UnderMaintenance,
+}
+
+/// The link to the other process of a handover.
+struct Link {
+    stream: UnixStream,
+    /// The version that both processes speak.
+    version: u32,
+    exclusions: ExclusionSubscription,
+    ids: mpsc::UnboundedReceiver<IdChange>,
+}
 
 /// The handovers of this process: from its predecessor, and to its successor.
 pub struct Handover {
@@ -189,7 +186,6 @@
     listen: SocketAddr,
     socket: OwnedFd, // a duplicate, to be handed over
     resources: Box<dyn SharedResources>,
-    links: Mutex<Vec<mpsc::UnboundedSender<Notification>>>,
     yielded: watch::Sender<bool>,
 }
 
@@ -203,7 +199,6 @@
         resources: Box<dyn SharedResources>,
     ) -> Result<Arc<Self>, String> {
         let listen = socket.local_addr().map_err(|e| e.to_string())?;
-        let (links, yielded) = (Mutex::default(), watch::channel(false).0);
         Ok(Arc::new(Handover {
             dispatcher,
             in_flight_ids,
@@ -212,37 +207,23 @@
             listen,
             socket: socket.into(),
             resources,
-            links,
-            yielded,
+            yielded: watch::channel(false).0,
         }))
     }
 
-    /// Cordons an endpoint or lifts its cordon, here and in the other process of a handover. False for an id that was
-    /// never listed.
-    pub async fn cordon(&self, id: &str, cordoned: bool) -> bool {
-        if !self.dispatcher.cordon(id, cordoned) {
-            return false;
-        }
-        let mut pending = Vec::new();
-        for link in self
-            .links
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .iter()
-        {
-            let (done, applied) = oneshot::channel();
-            let message = if cordoned {
-                Message::Cordoned(id.into())
-            } else {
-                Message::Uncordoned(id.into())
-            };
-            if link.send((message, done)).is_ok() {
-                pending.push(applied);
-            }
+    /// Cordons an endpoint or lifts its cordon, here and in the other process of a handover.
+    pub async fn cordon(&self, id: &str, cordoned: bool) -> CordonOutcome {
+        if !self.dispatcher.knows(id) {
+            return CordonOutcome::NeverListed;
         }
+        let confirmations = self.dispatcher.exclude(&ExclusionChange {
+            id: id.into(),
+            reason: ExclusionReason::Operator,
+            excluded: cordoned,
+        });
         let all = async {
-            for applied in pending {
-                let _ = applied.await;
+            for confirmation in confirmations {
+                let _ = confirmation.await;
             }
         };
         // The operator gets an answer even if the other process doesn't reply.
@@ -251,7 +232,21 @@
                 "the other process has not applied the change of {id} within {CORDON_TIMEOUT:?}"
             );
         }
-        true
+        if cordoned {
+            CordonOutcome::Cordoned
+        } else if self.dispatcher.is_out_of_use(id) {
+            CordonOutcome::UnderMaintenance
+        } else {
+            CordonOutcome::InUse
+        }
+    }
+
+    /// The ids of the endpoints that are out of use, by reason.
+    pub fn excluded_endpoints(&self) -> serde_json::Value {
+        serde_json::json!({
+            "cordoned": self.dispatcher.excluded_ids(ExclusionReason::Operator),
+            "maintenance": self.dispatcher.excluded_ids(ExclusionReason::Maintenance),
+        })
     }
 
     /// Takes over from the old process, then waits for a new one, for as long as this process runs.
@@ -296,11 +291,18 @@
             .set_nonblocking(true)
             .and_then(|()| UnixStream::from_std(predecessor.link));
         match link {
-            Ok(mut link) => {
-                if link.write_all(&encode(&Message::Ready)).await.is_ok() {
+            Ok(mut stream) => {
+                if stream.write_all(&Message::Ready.encode()).await.is_ok() {
                     log::info!("took over from the old process");
                 }
-                self.serve_link(link, false).await;
+                let link = Link {
+                    stream,
+                    version: predecessor.version,
+                    exclusions: self.dispatcher.subscribe_to_exclusions(),
+                    ids: self.in_flight_ids.subscribe(),
+                };
+                self.exchange(link, false).await;
+                self.release_ids_of_ended_process();
                 log::info!("the old process has ended");
             }
             Err(error) => log::warn!("the old process: {error}"),
@@ -316,26 +318,29 @@
             while line.last() != Some(&b'\n') && line.len() < MAX_LINE_BYTES {
                 line.push(stream.read_u8().await?);
             }
-            if !matches!(serde_json::from_slice(&line), Ok(Message::Request(_)))
-                || *self.stages.borrow() != ShutdownStage::Serving
-            {
-                return Err(io::ErrorKind::InvalidData.into());
-            }
-            // From here on cordons are sent over the link, so that none is missed.
-            let (sender, notifications) = mpsc::unbounded_channel();
-            self.links
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .push(sender);
+            let requested = match serde_json::from_slice(&line) {
+                Ok(Message::Request(version)) => common_version(version),
+                _ => None,
+            };
+            let version = requested
+                .filter(|_| *self.stages.borrow() == ShutdownStage::Serving)
+                .ok_or(io::ErrorKind::InvalidData)?;
+            // From here on changes of exclusions are sent over the link, so that none is missed.
+            let exclusions = self.dispatcher.subscribe_to_exclusions();
             // So are changes of open ids; those that are open now are part of the state.
             let ids = self.in_flight_ids.subscribe();
-            self.send_state(&mut stream).await?;
-            Ok::<_, io::Error>((notifications, ids))
+            self.send_state(&mut stream, version).await?;
+            Ok::<_, io::Error>(Link {
+                stream,
+                version,
+                exclusions,
+                ids,
+            })
         });
         match handed.await {
-            Ok(Ok((notifications, ids))) => {
+            Ok(Ok(link)) => {
                 log::info!("the listening socket was handed over to a new process");
-                self.exchange(stream, notifications, ids, true).await;
+                self.exchange(link, true).await;
                 self.release_ids_of_ended_process();
                 if self.yielded.send_replace(false) {
                     self.resources.yield_clients(false);
@@ -347,13 +352,9 @@
                 "upgrade: the new process did not receive the state within {ANSWER_TIMEOUT:?}"
             ),
         }
-        self.links
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .retain(|link| !link.is_closed());
     }
 
-    async fn send_state(&self, stream: &mut UnixStream) -> io::Result<()> {
+    async fn send_state(&self, stream: &mut UnixStream, version: u32) -> io::Result<()> {
         let state = self
             .dispatcher
             .handover_state(VERSION, self.listen, open_descriptors());
@@ -362,6 +363,7 @@
             open_ids: self.in_flight_ids.open_ids(),
             ..state
         };
+        let state = state_in_version(state, version);
         let bytes = serde_json::to_vec(&state).map_err(io::Error::other)?;
         let size = (bytes.len() as u32).to_be_bytes();
         loop {
@@ -400,34 +402,19 @@
         });
     }
 
-    async fn serve_link(&self, stream: UnixStream, old: bool) {
-        let (sender, notifications) = mpsc::unbounded_channel();
-        self.links
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(sender);
-        self.exchange(stream, notifications, self.in_flight_ids.subscribe(), old)
-            .await;
-        self.release_ids_of_ended_process();
-        self.links
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .retain(|link| !link.is_closed());
-    }
-
     /// Exchanges messages over a link until it ends. `old` says whether this is the old process.
-    async fn exchange(
-        &self,
-        stream: UnixStream,
-        mut notifications: mpsc::UnboundedReceiver<Notification>,
-        mut ids: mpsc::UnboundedReceiver<IdChange>,
-        old: bool,
-    ) {
+    async fn exchange(&self, link: Link, old: bool) {
+        let Link {
+            stream,
+            version,
+            mut exclusions,
+            mut ids,
+        } = link;
         let (reader, mut writer) = stream.into_split();
         let mut lines = BufReader::new(reader).lines();
         let mut unconfirmed: VecDeque<oneshot::Sender<()>> = VecDeque::new();
         loop {
-            tokio::select! {
+            let answer = tokio::select! {
                 line = lines.next_line() => {
                     let Ok(Some(line)) = line else { return };
                     match serde_json::from_str(&line) {
@@ -435,40 +422,49 @@
                             self.yielded.send_replace(true);
                             self.resources.yield_clients(true);
                             log::info!("the new process accepts clients");
-                            continue;
+                            None
                         }
-                        Ok(Message::Cordoned(id)) => self.dispatcher.set_cordoned(&id, true),
-                        Ok(Message::Uncordoned(id)) => self.dispatcher.set_cordoned(&id, false),
                         Ok(Message::IdOpened(id)) => {
                             self.in_flight_ids.set_in_other_process(true, id);
-                            continue;
+                            None
                         }
                         Ok(Message::IdClosed(id)) => {
                             self.in_flight_ids.set_in_other_process(false, id);
-                            continue;
+                            None
                         }
                         Ok(Message::Applied) => {
                             unconfirmed.pop_front().map(|done| done.send(()));
-                            continue;
+                            None
+                        }
+                        message => {
+                            let change = message.ok().and_then(|message| message.exclusion_change());
+                            let Some(change) = change else {
+                                return log::warn!("upgrade: malformed message from the other process");
+                            };
+                            self.dispatcher.exclude_as_reported(&change, exclusions.id);
+                            Some(Message::Applied)
                         }
-                        _ => return log::warn!("upgrade: malformed message from the other process"),
-                    }
-                    if writer.write_all(&encode(&Message::Applied)).await.is_err() {
-                        return;
-                    }
-                }
-                Some((opened, id)) = ids.recv() => {
-                    let message = if opened { Message::IdOpened(id) } else { Message::IdClosed(id) };
-                    if writer.write_all(&encode(&message)).await.is_err() {
-                        return;
                     }
                 }
-                Some((message, done)) = notifications.recv() => {
-                    unconfirmed.push_back(done);
-                    if writer.write_all(&encode(&message)).await.is_err() {
-                        return;
+                Some((opened, id)) = ids.recv() => Some(if opened {
+                    Message::IdOpened(id)
+                } else {
+                    Message::IdClosed(id)
+                }),
+                Some(notice) = exclusions.notices.recv() => {
+                    let message = Message::for_notice(&notice, version);
+                    match message {
+                        Some(_) => unconfirmed.push_back(notice.applied),
+                        // Nothing is to be applied there.
+                        None => drop(notice.applied.send(())),
                     }
+                    message
                 }
+            };
+            if let Some(message) = answer
+                && writer.write_all(&message.encode()).await.is_err()
+            {
+                return;
             }
         }
     }
--- a/crates/passroad/src/lib.rs
+++ b/crates/passroad/src/lib.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod dispatcher;
 mod endpoint_list;
+mod exclusions;
 pub mod fleet;
 mod flow_control;
 mod framing;
@@ -386,8 +387,12 @@
     open_ids
         .into_iter()
         .for_each(|id| in_flight_ids.set_in_other_process(true, id));
+    let maintained = config
+        .fleet
+        .as_ref()
+        .is_some_and(|(fleet, peers)| fleet.maintenance.is_some() && peers.messages_allowed);
     let revision = match state {
-        Some(state) => dispatcher.inherit(state),
+        Some(state) => dispatcher.inherit(state, maintained),
         // An empty list, too: the module polls discovery from then on.
         None => {
             dispatcher.apply_list(
--- a/crates/passroad/src/management.rs
+++ b/crates/passroad/src/management.rs
@@ -1,7 +1,7 @@
 //! The management endpoint: an address of its own, served by a thread of its own, so that client load can't delay it.
 
 use crate::fleet;
-use crate::handover::{Handover, Inherited};
+use crate::handover::{CordonOutcome, Handover, Inherited};
 use crate::memory_budget::MemoryBudget;
 use crate::metrics;
 use crate::shutdown::{ShutdownStage, ShutdownWatch};
@@ -143,7 +143,9 @@
 
 /// What the process holds, and what it did and why since its start.
 async fn metrics_page(State(app): State<AppState>) -> Response {
-    let page = serde_json::json!({ "memory": app.memory.status(), "counts": metrics::counts() });
+    let page = serde_json::json!({
+        "memory": app.memory.status(), "counts": metrics::counts(), "excluded": app.handover.excluded_endpoints(),
+    });
     status_page(Some(page))
 }
 
@@ -347,8 +349,15 @@
     };
     // Answers only once the change is in effect.
     match app.handover.cordon(&endpoint.id, cordoned).await {
-        true => respond(StatusCode::OK, if cordoned { "out" } else { "back in use" }),
-        false => respond(StatusCode::NOT_FOUND, "no endpoint of this id was listed"),
+        CordonOutcome::Cordoned => respond(StatusCode::OK, "out"),
+        CordonOutcome::InUse => respond(StatusCode::OK, "back in use"),
+        CordonOutcome::UnderMaintenance => respond(
+            StatusCode::OK,
+            "no longer cordoned, and out until its work is done",
+        ),
+        CordonOutcome::NeverListed => {
+            respond(StatusCode::NOT_FOUND, "no endpoint of this id was listed")
+        }
     }
 }
 
--- /dev/null
+++ b/crates/passroad/tests/exclusions.rs
@@ -0,0 +1,133 @@
+//! Endpoints that operators cordon at a sidecar while the fleet takes them out for maintenance, over upgrades and reloads.
+
+mod harness;
+mod maintenance;
+
+use harness::*;
+use maintenance::*;
+use rstest::rstest;
+
+/// The sidecar at which operators cordon, and which is upgraded.
+const SIDECAR: usize = 2;
+const MACHINE: &str = "s-1";
+const MACHINE_INDEX: usize = 1;
+/// Enough that a machine in use gets some, also while it is cold.
+const COMMANDS: usize = 150;
+/// Long enough that a machine stays in the state `returning` for the whole test.
+const LONG_WARM_UP: &str = "at_once = 1\nwarm = \"60s\"\n";
+
+enum Step {
+    /// The machine is requested and goes under maintenance.
+    TakeOut,
+    /// Its maintenance ends.
+    Complete,
+    Cordon,
+    Uncordon,
+    /// The sidecar is upgraded.
+    Upgrade,
+    /// The sidecar is upgraded, and the machine cordoned or uncordoned at the old process while the new one runs.
+    CordonAtOldProcess,
+    UncordonAtOldProcess,
+    /// The machine goes under maintenance while both processes of an upgrade run.
+    TakeOutBesideOldProcess,
+    /// The sidecar reads its configuration again.
+    Reload,
+}
+use Step::*;
+
+fn fleet(upkeep: &str) -> Maintenance {
+    Maintenance::with_file(&format!("{MAINTENANCE_FILE}{upkeep}"), respond_ok)
+}
+
+fn post(maintenance: &Maintenance, action: &str) {
+    let management = maintenance.management_addresses[SIDECAR];
+    assert_eq!(post_cordon(management, action, MACHINE), "200");
+}
+
+fn post_to_old_process(maintenance: &mut Maintenance, action: &str) {
+    let old = maintenance.start_successor(SIDECAR);
+    assert_eq!(post_cordon(old.management, action, MACHINE), "200");
+    old.stop();
+}
+
+fn take(maintenance: &mut Maintenance, step: &Step) {
+    match step {
+        TakeOut => maintenance.take_out(MACHINE),
+        Complete => maintenance.complete(MACHINE),
+        Cordon => post(maintenance, "cordon"),
+        Uncordon => post(maintenance, "uncordon"),
+        Upgrade => maintenance.upgrade(SIDECAR),
+        CordonAtOldProcess => post_to_old_process(maintenance, "cordon"),
+        UncordonAtOldProcess => post_to_old_process(maintenance, "uncordon"),
+        TakeOutBesideOldProcess => {
+            let old = maintenance.start_successor(SIDECAR);
+            wait_until(|| {
+                maintenance
+                    .work(0, &["request", MACHINE])
+                    .1
+                    .contains("taken into the order")
+            });
+            old.stop();
+            (0..3).for_each(|n| maintenance.wait_for_state(n, MACHINE, "at work"));
+        }
+        Reload => {
+            let sidecar = &maintenance.sidecars[SIDECAR];
+            sidecar.reload(&maintenance.config(SIDECAR, sidecar.address));
+        }
+    }
+}
+
+/// Waits until the sidecar knows the operation log again, as far as there is one.
+fn wait_until_informed(maintenance: &Maintenance) {
+    wait_until(|| {
+        maintenance
+            .work(SIDECAR, &["status", "--json"])
+            .1
+            .contains("\"informed\":true")
+    });
+}
+
+// An operator's cordon ended by the maintenance of its endpoint, or by an upgrade: commands ran on an endpoint that
+// nobody had called back.
+#[rstest]
+#[case::cordoned_while_it_returns(&[TakeOut, Complete, Cordon, Upgrade])]
+#[case::cordoned_at_the_old_process_while_it_returns(&[TakeOut, Complete, CordonAtOldProcess])]
+#[case::cordoned_under_maintenance(&[TakeOut, Cordon, Complete])]
+#[case::cordoned_before_maintenance(&[Cordon, TakeOut, Complete])]
+#[case::cordoned_under_maintenance_then_upgraded(&[TakeOut, Cordon, Upgrade, Complete])]
+#[case::cordoned_at_the_old_process_under_maintenance(&[TakeOut, CordonAtOldProcess, Complete])]
+#[case::cordoned_before_maintenance_then_upgraded(&[Cordon, TakeOut, Upgrade, Complete])]
+#[case::maintained_twice(&[Cordon, TakeOut, Complete, Upgrade, Upgrade])]
+#[case::cordoned_then_reloaded(&[TakeOut, Cordon, Reload, Complete, Reload])]
+fn a_cordon_holds_until_it_is_called_back(#[case] steps: &[Step]) {
+    let mut maintenance = fleet(LONG_WARM_UP);
+    for step in steps {
+        take(&mut maintenance, step);
+    }
+    wait_until_informed(&maintenance);
+    let received = |count| maintenance.commands_received(SIDECAR, MACHINE_INDEX, count);
+    assert_eq!(received(COMMANDS), 0);
+    post(&maintenance, "uncordon");
+    wait_until(|| received(10) > 0);
+}
+
+// An operator's call back ended the maintenance of its endpoint at that sidecar: commands ran on a machine at work.
+#[rstest]
+#[case::called_back(&[TakeOut, Cordon, Uncordon])]
+#[case::called_back_without_a_cordon(&[TakeOut, Uncordon])]
+#[case::called_back_then_upgraded(&[TakeOut, Cordon, Uncordon, Upgrade])]
+#[case::called_back_at_the_old_process(&[TakeOut, Cordon, UncordonAtOldProcess])]
+#[case::upgraded(&[TakeOut, Upgrade, Upgrade])]
+#[case::taken_out_during_an_upgrade(&[TakeOutBesideOldProcess, Upgrade])]
+fn maintenance_holds_until_it_is_done(#[case] steps: &[Step]) {
+    let mut maintenance = fleet(LONG_WARM_UP);
+    for step in steps {
+        take(&mut maintenance, step);
+    }
+    let received = |count| maintenance.commands_received(SIDECAR, MACHINE_INDEX, count);
+    assert_eq!(received(COMMANDS), 0);
+    wait_until_informed(&maintenance);
+    assert_eq!(received(COMMANDS), 0);
+    maintenance.complete(MACHINE);
+    wait_until(|| received(10) > 0);
+}
--- a/crates/passroad/tests/fleet.rs
+++ b/crates/passroad/tests/fleet.rs
@@ -2,25 +2,16 @@
 //! maintenance of machines.
 
 mod harness;
+mod maintenance;
 
 use harness::*;
+use maintenance::*;
 use rstest::rstest;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::process::Command;
 use std::sync::{Arc, Mutex};
 
-/// UDP addresses that nobody else uses.
-fn unused_udp_addresses(count: usize) -> Vec<SocketAddr> {
-    let bound: Vec<_> = (0..count)
-        .map(|_| UdpSocket::bind(SocketAddr::new(unused_address().ip(), 0)).unwrap())
-        .collect();
-    bound
-        .iter()
-        .map(|socket| socket.local_addr().unwrap())
-        .collect()
-}
-
 /// A request of the owner of a duty to the resource.
 #[derive(Clone, Copy, Debug)]
 struct Act {
@@ -60,43 +51,6 @@
     (server, acts)
 }
 
-/// The configuration of the sidecar with this index.
-fn peer_config(
-    index: usize,
-    peers: &[SocketAddr],
-    address: SocketAddr,
-    management: SocketAddr,
-    may_tell: bool,
-) -> String {
-    peer_config_with_endpoints(index, peers, address, management, may_tell, "")
-}
-
-/// The same, with known endpoints.
-fn peer_config_with_endpoints(
-    index: usize,
-    peers: &[SocketAddr],
-    address: SocketAddr,
-    management: SocketAddr,
-    may_tell: bool,
-    known: &str,
-) -> String {
-    let settings = SETTINGS.replacen('{', &format!(r#"{{"my_number":{index},"#), 1);
-    let settings = settings.replace(
-        r#""allowed":{"#,
-        &format!(r#""allowed":{{"may_tell":{may_tell},"#),
-    );
-    let list: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
-    let peer_settings = format!(
-        r#"{{"peer_listen":"{}","peers":[{}],"#,
-        peers[index],
-        list.join(",")
-    );
-    with_management(
-        &config_json(address, unused_address(), known, &settings).replacen('{', &peer_settings, 1),
-        management,
-    )
-}
-
 /// A fleet file with the duty `sweep`, whose owner calls the resource at this address.
 fn fleet_file(resource: SocketAddr) -> String {
     format!(
@@ -405,127 +359,6 @@
     );
 }
 
-/// Three sidecars in front of four machines, whose maintenance the sidecars coordinate.
-struct Maintenance {
-    sidecars: Vec<Sidecar>,
-    management_addresses: Vec<SocketAddr>,
-    peers: Vec<SocketAddr>,
-    machines: Vec<FakeServer>,
-}
-
-const MAINTENANCE_FILE: &str = "lease = \"2s\"\nperiod = \"200ms\"\nvoters = 3\n[upkeep]\n";
-
-impl Maintenance {
-    fn new(
-        handler: impl Fn(usize, &Message, &mut TcpStream) -> bool + Clone + Send + Sync + 'static,
-    ) -> Maintenance {
-        let machine = |n: usize| {
-            let handler = handler.clone();
-            fake_server(move |message, to| handler(n, message, to))
-        };
-        let (peers, management_addresses) = (
-            unused_udp_addresses(3),
-            (0..3).map(|_| unused_address()).collect(),
-        );
-        let mut maintenance = Maintenance {
-            sidecars: Vec::new(),
-            management_addresses,
-            peers,
-            machines: (0..4).map(machine).collect(),
-        };
-        maintenance.sidecars = (0..3).map(|n| maintenance.start(n)).collect();
-        maintenance
-    }
-
-    fn start(&self, n: usize) -> Sidecar {
-        let listed =
-            |(n, machine): (usize, &FakeServer)| member(&format!("s-{n}"), machine.address, "up");
-        let known: Vec<String> = self.machines.iter().enumerate().map(listed).collect();
-        let address = unused_address();
-        let config = peer_config_with_endpoints(
-            n,
-            &self.peers,
-            address,
-            self.management_addresses[n],
-            true,
-            &known.join(","),
-        );
-        // Held commands must not time out, even on a busy machine.
-        let config = config.replace(
-            "\"response_goal\":400000000,\"time_limit\":1000000000",
-            "\"response_goal\":50000000000,\"time_limit\":60000000000",
-        );
-        Sidecar::start_with_fleet(address, &config, MAINTENANCE_FILE).0
-    }
-
-    /// Runs `passroad work` against one sidecar; exit code and output.
-    fn work(&self, sidecar: usize, arguments: &[&str]) -> (Option<i32>, String) {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_passroad"));
-        let management = self.management_addresses[sidecar].to_string();
-        let output = command
-            .arg("work")
-            .args(arguments)
-            .args(["--door", &management])
-            .output()
-            .unwrap();
-        (
-            output.status.code(),
-            String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned(),
-        )
-    }
-
-    /// The state of a machine as one sidecar reports it.
-    fn state(&self, sidecar: usize, machine: &str) -> String {
-        let (_, output) = self.work(sidecar, &["status"]);
-        let line = output
-            .lines()
-            .find(|line| line.contains(machine))
-            .unwrap_or_default();
-        line.split_whitespace()
-            .skip(2)
-            .collect::<Vec<_>>()
-            .join(" ")
-    }
-
-    fn wait_for_state(&self, sidecar: usize, machine: &str, state: &str) {
-        wait_until(|| self.state(sidecar, machine) == state);
-    }
-
-    /// Sends commands through all sidecars; the machines that received some.
-    fn machines_receiving(&self) -> Vec<usize> {
-        let counts = || {
-            self.machines
-                .iter()
-                .map(FakeServer::request_count)
-                .collect::<Vec<_>>()
-        };
-        let before = counts();
-        for (n, sidecar) in self.sidecars.iter().enumerate() {
-            for k in 0..20 {
-                let command = with_60_s_deadline(&get_look(&format!("{n}-{k}-{}", before[0])));
-                assert_eq!(sidecar.request(&command).status(), "200");
-            }
-        }
-        counts()
-            .iter()
-            .zip(before)
-            .enumerate()
-            .filter(|(_, (after, before))| *after > before)
-            .map(|(n, _)| n)
-            .collect()
-    }
-}
-
-/// Raises the deadline of a command to just under the time limit of these settings.
-fn with_60_s_deadline(command: &str) -> String {
-    command.replace("Req-Deadline-Ms: 900", "Req-Deadline-Ms: 59900")
-}
-
-fn respond_ok(_: usize, _: &Message, to: &mut TcpStream) -> bool {
-    respond(to, "200 OK", "", b"ok");
-    true
-}
-
 // The main function: a request at any sidecar takes one machine after the other out of use at all
 // sidecars, and back into use.
 #[rstest]
--- a/crates/passroad/tests/harness/mod.rs
+++ b/crates/passroad/tests/harness/mod.rs
@@ -511,6 +511,36 @@
         (sidecar, log_path)
     }
 
+    /// Starts a sidecar with a fleet file that hands over with others through a shared directory; waits until its
+    /// management address answers.
+    pub fn start_with_fleet_and_shared_directory(
+        address: SocketAddr,
+        management: SocketAddr,
+        config: &str,
+        fleet: &str,
+        shared: &std::path::Path,
+    ) -> Sidecar {
+        let (mut command, directory) = sidecar_command(config);
+        let file = directory.join("fleet.toml");
+        std::fs::write(&file, fleet).unwrap();
+        let log = std::fs::File::create(directory.join("log")).unwrap();
+        let child = command
+            .env("LB_FLEET", file)
+            .env("TMPDIR", shared)
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let sidecar = Sidecar {
+            address,
+            child,
+            directory,
+        };
+        wait_until(|| {
+            try_management_request(management, "GET", "/admin/health", "").as_deref() == Some("200")
+        });
+        sidecar
+    }
+
     pub fn thread_names(&self) -> Vec<String> {
         let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
         let name = |task: std::fs::DirEntry| std::fs::read_to_string(task.path().join("comm"));
