An inherited exclusion ends once the whole log shows that the turn is over

What callers saw: nothing where the turn of a machine ended while a sidecar was upgraded and the machine was warm, or its request withdrawn, before the new process read the log: the machine stayed out of use there for good. The other way round a machine at work was used for the time between the answers of two voters, where the first one had missed its latest turn. Cause: the new process ended an inherited exclusion only for an entry that it first read as returning, and it did so, like any end of an exclusion, on a part of the log. Change: exclusions end only once the whole log is known, and an inherited one for every state after the turn. A queued machine stays excluded until its turn, as before: where the log was lost it may be at work.

--- a/crates/passroad-upkeep/src/operation_log.rs
+++ b/crates/passroad-upkeep/src/operation_log.rs
@@ -37,6 +37,11 @@
         )
     }
 
+    /// Whether the machine's turn is over, so that it is in use again.
+    pub fn is_over(self) -> bool {
+        self == MaintenanceState::WarmingUp || self.is_finished()
+    }
+
     /// Whether this is a final state.
     pub fn is_finished(self) -> bool {
         matches!(self, MaintenanceState::Warm | MaintenanceState::Withdrawn)
--- a/crates/passroad-upkeep/src/participant.rs
+++ b/crates/passroad-upkeep/src/participant.rs
@@ -8,13 +8,17 @@
 use std::collections::BTreeSet;
 
 impl MaintenanceManager {
-    /// Excludes machines that are out, and lifts exclusions of those that no longer are.
+    /// Excludes machines that are out, and ends the exclusion of those that no longer are, once the whole log is known:
+    /// a part of it may show an earlier turn of a machine.
     pub(crate) fn apply_exclusions(&mut self, actions: &mut Vec<Action>) {
-        let now: BTreeSet<MachineId> = self
+        let mut now: BTreeSet<MachineId> = self
             .operation_log
             .out()
             .map(|entry| entry.machine)
             .collect();
+        if self.uninformed {
+            now.extend(&self.excluded);
+        }
         for machine in now.difference(&self.excluded) {
             actions.push(Action::SetExcluded {
                 machine: *machine,
@@ -28,14 +32,21 @@
             });
         }
         self.excluded = now;
-        // Also lifts an exclusion that was inherited in a handover, if it ended before this process received the entry.
-        let returning: Vec<Entry> = self
+        if !self.uninformed {
+            self.end_inherited_exclusions(actions);
+        }
+    }
+
+    /// Ends exclusions that were inherited in a handover, if the turn of the machine was over before this process received
+    /// its entry. A queued machine stays excluded until its turn: where the log was lost it may be under maintenance.
+    fn end_inherited_exclusions(&mut self, actions: &mut Vec<Action>) {
+        let returned: Vec<Entry> = self
             .operation_log
             .ordered()
             .into_iter()
-            .filter(|e| e.state == MaintenanceState::WarmingUp)
+            .filter(|entry| entry.state.is_over())
             .collect();
-        for entry in returning {
+        for entry in returned {
             if self.readmitted.insert(entry.machine, entry.position) != Some(entry.position) {
                 actions.push(Action::SetExcluded {
                     machine: entry.machine,
--- a/crates/passroad-upkeep/src/tests.rs
+++ b/crates/passroad-upkeep/src/tests.rs
@@ -489,51 +489,84 @@
     );
 }
 
-// In an upgrade the new process inherits the exclusion and receives the entry only once the machine is back.
-#[rstest]
-fn an_inherited_exclusion_ends_with_the_maintenance() {
-    let mut world = World::new(3);
-    let entry = Entry {
+/// An entry of a machine whose turn has come this far.
+fn entry_in_state(state: MaintenanceState) -> Entry {
+    Entry {
         machine: 3,
         request: 1,
         position: 1,
-        state: MaintenanceState::WarmingUp,
+        state,
         epoch: 1,
         step: 5,
         duration_s: 1,
         ends_at_s: 0,
         auto_return: false,
+    }
+}
+
+fn readmissions(actions: &[Action]) -> usize {
+    let is_readmission = |action: &&Action| {
+        matches!(
+            action,
+            Action::SetExcluded {
+                excluded: false,
+                ..
+            }
+        )
     };
+    actions.iter().filter(is_readmission).count()
+}
+
+// In an upgrade the new process inherits the exclusion and receives the entry only once the machine is back. A turn that
+// was over by then, or withdrawn, left the machine out of use for good.
+#[rstest]
+#[case::returning(MaintenanceState::WarmingUp, [1, 0])]
+#[case::warm(MaintenanceState::Warm, [1, 0])]
+#[case::withdrawn(MaintenanceState::Withdrawn, [1, 0])]
+#[case::queued(MaintenanceState::Queued, [0, 0])]
+#[case::under_maintenance(MaintenanceState::UnderMaintenance, [0, 0])]
+fn an_inherited_exclusion_ends_with_the_maintenance(
+    #[case] state: MaintenanceState,
+    #[case] expected: [usize; 2],
+) {
+    let mut world = World::new(3);
     let update = |step| Message::Update {
         coordinator_epoch: 1,
-        open_entries: 1,
-        entries: vec![Entry { step, ..entry }],
+        open_entries: u16::from(!state.is_finished()).into(),
+        entries: vec![Entry {
+            step,
+            ..entry_in_state(state)
+        }],
     };
-    let readmissions = |actions: Vec<Action>| {
-        actions
-            .iter()
-            .filter(|action| {
-                matches!(
-                    action,
-                    Action::SetExcluded {
-                        excluded: false,
-                        ..
-                    }
-                )
-            })
-            .count()
+    let counts = [5, 6].map(|step| {
+        let actions = world.with(2, |node, context| node.receive(context, 0, update(step)));
+        readmissions(&actions.unwrap())
+    });
+    assert_eq!(counts, expected);
+}
+
+// A voter that has missed the latest turn answers first: a machine at work was used until the others had answered.
+#[rstest]
+fn no_exclusion_ends_before_the_whole_log_is_known() {
+    let mut world = World::new(5);
+    let reply = |state, step| Message::QueryReply {
+        coordinator_epoch: 0,
+        offset: 0,
+        total: 1,
+        uninformed: false,
+        entries: vec![Entry {
+            step,
+            ..entry_in_state(state)
+        }],
     };
-    let counts: Vec<usize> = [5, 6]
-        .iter()
-        .map(|step| {
-            readmissions(
-                world
-                    .with(2, |node, context| node.receive(context, 0, update(*step)))
-                    .unwrap(),
-            )
-        })
-        .collect();
-    assert_eq!(counts, [1, 0]);
+    let mut receive = |from, message| {
+        let actions = world.with(4, |node, context| node.receive(context, from, message));
+        readmissions(&actions.unwrap())
+    };
+    assert_eq!(receive(0, reply(MaintenanceState::Draining, 1)), 0);
+    assert_eq!(receive(0, reply(MaintenanceState::WarmingUp, 2)), 0);
+    assert_eq!(receive(1, reply(MaintenanceState::UnderMaintenance, 9)), 0);
+    assert!(world.nodes[4].as_ref().unwrap().is_informed());
 }
 
 // It learns the exclusions before anything else, from sidecars that know them.
