Maintenance of a machine that left the list ends after an upgrade, too

What callers saw: a machine that wasn't listed while a sidecar was upgraded and its turn ended got nothing from that sidecar ever after. Cause: the new process inherited the exclusion by the machine's id, and learned ids of machines from its list alone: the end of the turn named a machine that it didn't know, and was dropped. Change: the ids of inherited exclusions count as known machines. The fleet of these tests has a discovery server now.

--- a/crates/passroad/src/dispatcher.rs
+++ b/crates/passroad/src/dispatcher.rs
@@ -487,6 +487,10 @@
                 self.decide(&mut state, Event::CordonChanged { endpoint, cordoned });
             }
         }
+        // An operator who repeats a call is to get it confirmed by the other process again.
+        if !effect.reason_changed && change.reason == ExclusionReason::Maintenance {
+            return Vec::new();
+        }
         // Still under the lock: the other process has to learn of changes in their order.
         state.exclusions.notify(change, reported_by)
     }
--- a/crates/passroad/src/fleet/machines.rs
+++ b/crates/passroad/src/fleet/machines.rs
@@ -73,6 +73,10 @@
             });
             self.names.entry(machine).or_insert(entry.id);
         }
+        // Those inherited in a handover may not be listed.
+        for id in self.dispatcher.excluded_ids(ExclusionReason::Maintenance) {
+            self.names.entry(stable_hash(&id)).or_insert(id);
+        }
     }
 
     /// The ids of the machines that match, in the order of the list.
--- a/crates/passroad/tests/exclusions.rs
+++ b/crates/passroad/tests/exclusions.rs
@@ -77,6 +77,13 @@
     }
 }
 
+/// Whether the machine is out of use at the sidecar for this reason.
+fn is_excluded(maintenance: &Maintenance, reason: &str) -> bool {
+    let page = management_page(maintenance.management_addresses[SIDECAR], "/admin/metrics");
+    let excluded = page["excluded"][reason].as_array().unwrap();
+    excluded.iter().any(|id| id == MACHINE)
+}
+
 /// Waits until the sidecar knows the operation log again, as far as there is one.
 fn wait_until_informed(maintenance: &Maintenance) {
     wait_until(|| {
@@ -131,3 +138,20 @@
     maintenance.complete(MACHINE);
     wait_until(|| received(10) > 0);
 }
+
+// The machine was not listed while the sidecar was upgraded and its maintenance ended: it stayed out of use there for good.
+#[rstest]
+fn maintenance_of_a_machine_that_left_the_list_ends_after_an_upgrade() {
+    let mut maintenance = fleet(LONG_WARM_UP);
+    maintenance.take_out(MACHINE);
+    maintenance.publish_without(2, Some(MACHINE_INDEX));
+    let has_left = "(s-1) has left the list";
+    wait_until(|| maintenance.sidecars[SIDECAR].log().contains(has_left));
+    maintenance.upgrade(SIDECAR);
+    wait_until_informed(&maintenance);
+    assert!(is_excluded(&maintenance, "maintenance"));
+    wait_until(|| maintenance.work(0, &["done", MACHINE]).0 == Some(0));
+    wait_until(|| !is_excluded(&maintenance, "maintenance"));
+    maintenance.publish_without(3, None);
+    wait_until(|| maintenance.commands_received(SIDECAR, MACHINE_INDEX, 10) > 0);
+}
--- a/crates/passroad/tests/harness/mod.rs
+++ b/crates/passroad/tests/harness/mod.rs
@@ -541,6 +541,11 @@
         sidecar
     }
 
+    /// The log so far, of a sidecar whose log goes to a file.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.directory.join("log")).unwrap()
+    }
+
     pub fn thread_names(&self) -> Vec<String> {
         let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
         let name = |task: std::fs::DirEntry| std::fs::read_to_string(task.path().join("comm"));
--- a/crates/passroad/tests/maintenance/mod.rs
+++ b/crates/passroad/tests/maintenance/mod.rs
@@ -26,16 +26,18 @@
     management: SocketAddr,
     may_tell: bool,
 ) -> String {
-    peer_config_with_endpoints(index, peers, address, management, may_tell, "")
+    let discovery = unused_address();
+    peer_config_with_endpoints(index, peers, address, management, may_tell, discovery, "")
 }
 
-/// The same, with known endpoints.
+/// The same, with discovery and known endpoints.
 pub fn peer_config_with_endpoints(
     index: usize,
     peers: &[SocketAddr],
     address: SocketAddr,
     management: SocketAddr,
     may_tell: bool,
+    discovery: SocketAddr,
     known: &str,
 ) -> String {
     let settings = SETTINGS.replacen('{', &format!(r#"{{"my_number":{index},"#), 1);
@@ -50,7 +52,7 @@
         list.join(",")
     );
     with_management(
-        &config_json(address, unused_address(), known, &settings).replacen('{', &peer_settings, 1),
+        &config_json(address, discovery, known, &settings).replacen('{', &peer_settings, 1),
         management,
     )
 }
@@ -61,12 +63,25 @@
     pub management_addresses: Vec<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub machines: Vec<FakeServer>,
+    pub discovery: FakeDiscovery,
     shared: SharedDirectory,
     file: String,
 }
 
 pub const MAINTENANCE_FILE: &str = "lease = \"2s\"\nperiod = \"200ms\"\nvoters = 3\n[upkeep]\n";
 
+/// The members of a list that has all machines but one.
+fn list_without(machines: &[FakeServer], left_out: Option<usize>) -> String {
+    let listed = machines
+        .iter()
+        .enumerate()
+        .filter(|(n, _)| Some(*n) != left_out);
+    let members: Vec<String> = listed
+        .map(|(n, machine)| member(&format!("s-{n}"), machine.address, "up"))
+        .collect();
+    members.join(",")
+}
+
 impl Maintenance {
     pub fn new(
         handler: impl Fn(usize, &Message, &mut TcpStream) -> bool + Clone + Send + Sync + 'static,
@@ -87,11 +102,13 @@
             unused_udp_addresses(3),
             (0..3).map(|_| unused_address()).collect(),
         );
+        let machines: Vec<FakeServer> = (0..4).map(machine).collect();
         let mut maintenance = Maintenance {
             sidecars: Vec::new(),
             management_addresses,
             peers,
-            machines: (0..4).map(machine).collect(),
+            discovery: fake_discovery(&list_without(&machines, None)),
+            machines,
             shared: shared_directory(),
             file: file.into(),
         };
@@ -101,16 +118,14 @@
 
     /// The configuration of a sidecar at this address.
     pub fn config(&self, n: usize, address: SocketAddr) -> String {
-        let listed =
-            |(n, machine): (usize, &FakeServer)| member(&format!("s-{n}"), machine.address, "up");
-        let known: Vec<String> = self.machines.iter().enumerate().map(listed).collect();
         let config = peer_config_with_endpoints(
             n,
             &self.peers,
             address,
             self.management_addresses[n],
             true,
-            &known.join(","),
+            self.discovery.server.address,
+            &list_without(&self.machines, None),
         );
         // Held commands must not time out, even on a busy machine. Both processes of an upgrade need descriptors.
         config
@@ -151,6 +166,12 @@
         self.start_successor(n).stop();
     }
 
+    /// Has discovery list all machines but one.
+    pub fn publish_without(&self, revision: u64, left_out: Option<usize>) {
+        self.discovery
+            .publish(revision, list_without(&self.machines, left_out));
+    }
+
     /// Requests maintenance of a machine, and waits until all sidecars have it under maintenance.
     pub fn take_out(&self, machine: &str) {
         wait_until(|| {
