Maintenance waits for what the other process of an upgrade has open

What callers saw: a machine was told to be at work while the old process of an upgraded sidecar still had a command on it, up to 3.7 s after SIGTERM. Cause: a sidecar says that it has nothing on a machine by what its own process has open; during an upgrade there are two, and neither knows of the other's relays. Change: while the link to the other process is up, a sidecar reports no machine as idle. A turn that begins during an upgrade waits for the old process's end. Test: maintenance_waits_for_the_commands_of_the_old_process, red before (at work beside the command), green now; exclusions 17, fleet 21, upgrades 15 pass.

--- a/crates/passroad/src/dispatcher.rs
+++ b/crates/passroad/src/dispatcher.rs
@@ -443,7 +443,12 @@
         .collect()
     }
 
-    /// Whether this sidecar has an open relay or probe on an endpoint.
+    /// Whether the other process of a handover runs, whose open relays are not known here.
+    pub fn has_other_process(&self) -> bool {
+        self.state().exclusions.has_subscribers()
+    }
+
+    /// Whether this process has an open relay or probe on an endpoint.
     pub fn uses(&self, id: &str) -> bool {
         let state = self.state();
         let endpoint = state.endpoints.get(id);
--- a/crates/passroad/src/exclusions.rs
+++ b/crates/passroad/src/exclusions.rs
@@ -117,6 +117,13 @@
         ExclusionSubscription { id, notices }
     }
 
+    /// Whether another process is told of changes.
+    pub fn has_subscribers(&self) -> bool {
+        self.subscribers
+            .iter()
+            .any(|(_, sender)| !sender.is_closed())
+    }
+
     /// Tells all subscribers of a change, but the one that reported it. Each receiver returned is ready once a subscriber's
     /// process has applied the change.
     pub fn notify(
--- a/crates/passroad/src/fleet/machines.rs
+++ b/crates/passroad/src/fleet/machines.rs
@@ -99,11 +99,11 @@
             .collect()
     }
 
-    /// Whether this sidecar has nothing on a machine now. A machine that was never listed here got nothing from here.
+    /// Whether this sidecar has nothing on a machine now. A machine that was never listed here got nothing from here. During
+    /// an upgrade it is not known what the other process has on it.
     pub fn is_idle(&self, machine: MachineId) -> bool {
-        self.names
-            .get(&machine)
-            .is_none_or(|id| !self.dispatcher.uses(id))
+        let uses = |id: &String| self.dispatcher.uses(id);
+        !self.dispatcher.has_other_process() && !self.names.get(&machine).is_some_and(uses)
     }
 
     /// Excludes a machine for maintenance or ends that; an operator's cordon stays as it is. False if the machine was
--- a/crates/passroad/tests/exclusions.rs
+++ b/crates/passroad/tests/exclusions.rs
@@ -6,6 +6,7 @@
 use harness::*;
 use maintenance::*;
 use rstest::rstest;
+use std::io::Write;
 
 /// The sidecar at which operators cordon, and which is upgraded.
 const SIDECAR: usize = 2;
@@ -155,3 +156,48 @@
     maintenance.publish_without(3, None);
     wait_until(|| maintenance.commands_received(SIDECAR, MACHINE_INDEX, 10) > 0);
 }
+
+// The old process of an upgrade still had a command on the machine, and the new one said that the sidecar had none.
+#[rstest]
+fn maintenance_waits_for_the_commands_of_the_old_process() {
+    let gate = Gate::default();
+    let handler_gate = gate.clone();
+    let mut maintenance = Maintenance::with_file(MAINTENANCE_FILE, move |n, message, to| {
+        let is_held = message
+            .header("req-id")
+            .is_some_and(|id| id.starts_with("held"));
+        if n == MACHINE_INDEX && is_held {
+            handler_gate.wait_until_open();
+        }
+        respond_ok(n, message, to)
+    });
+    let mut client = maintenance.sidecars[SIDECAR].connect();
+    let holds = |maintenance: &Maintenance| {
+        let requests = maintenance.machines[MACHINE_INDEX].requests.lock().unwrap();
+        requests.iter().any(|request| request.head.contains("held"))
+    };
+    // Commands are sent until the machine holds one of them.
+    let mut sent = 0;
+    while !holds(&maintenance) {
+        sent += 1;
+        let command = with_60_s_deadline(&get_look(&format!("held-{sent}")));
+        client.get_mut().write_all(command.as_bytes()).unwrap();
+        let is_open = || holds(&maintenance);
+        wait_until(|| is_open() || has_unread_input(&client));
+        if !is_open() {
+            Message::read(&mut client).unwrap();
+        }
+    }
+    let mut old = maintenance.start_successor(SIDECAR);
+    old.sidecar.signal("TERM");
+    wait_until(|| {
+        maintenance
+            .work(0, &["request", MACHINE])
+            .1
+            .contains("taken into the order")
+    });
+    maintenance.wait_for_state(0, MACHINE, "at work");
+    let has_ended = old.sidecar.child.try_wait().unwrap().is_some();
+    assert!(has_ended, "at work beside a command of the old process");
+    gate.open();
+}
