An endpoint that had left the list is called back without a panic

What callers saw: an operator who cordoned an endpoint that had left the list, and called it back after another endpoint had its index, got no answer: the call ended by `index out of bounds`. On the link of an upgrade, or in the fleet's thread, the same panic would have ended that part of the sidecar. Cause: the decision module releases the index that the cordon had given out, and the dispatcher took it for an index of its pools, which only listed endpoints have. Change: releasing an index is one function that needs neither entry nor pool.

--- a/crates/passroad/src/dispatcher.rs
+++ b/crates/passroad/src/dispatcher.rs
@@ -561,14 +561,7 @@
                     state.commands.release(command);
                     state.handles[command] = None;
                 }
-                Action::ReleaseEndpoint { endpoint } => {
-                    if let Some(id) = state.endpoints.name(endpoint).cloned() {
-                        state.removed.note(stable_hash(&id));
-                    }
-                    state.endpoints.release(endpoint);
-                    state.entries.get_mut(endpoint).map(Option::take);
-                    state.pools[endpoint] = None;
-                }
+                Action::ReleaseEndpoint { endpoint } => state.release_endpoint(endpoint),
                 Action::Probe { endpoint } => {
                     let pool = state.pool(endpoint, &self.dialer);
                     self.runtime.spawn(Arc::clone(self).probe(endpoint, pool));
@@ -674,6 +667,16 @@
         self.pools.get(endpoint).cloned().flatten()
     }
 
+    /// Frees the index of an endpoint. One that was cordoned after it had left the list has neither entry nor pool.
+    fn release_endpoint(&mut self, endpoint: EndpointIndex) {
+        if let Some(id) = self.endpoints.name(endpoint).cloned() {
+            self.removed.note(stable_hash(&id));
+        }
+        self.endpoints.release(endpoint);
+        self.entries.get_mut(endpoint).map(Option::take);
+        self.pools.get_mut(endpoint).map(Option::take);
+    }
+
     /// Removes the endpoints that a full list no longer has.
     fn remove_unlisted(&mut self, list: &EndpointList) {
         let stay: Vec<_> = list
--- a/crates/passroad/tests/management.rs
+++ b/crates/passroad/tests/management.rs
@@ -131,6 +131,45 @@
     assert_eq!(endpoints[0].request_count(), before);
 }
 
+// An endpoint that had left, and whose index another one has taken, was called back: the call ended by a panic, and the
+// operator had no answer.
+#[rstest]
+fn id_that_left_the_list_can_be_called_back_after_another_has_its_index() {
+    let endpoints = [ok_endpoint("a"), ok_endpoint("b"), ok_endpoint("c")];
+    let (sidecar, management, discovery) =
+        start_with_endpoints(&[("s-1", &endpoints[0]), ("s-2", &endpoints[1])]);
+    discovery.publish(2, member("s-2", endpoints[1].address, "up"));
+    let both = [("s-2", &endpoints[1]), ("s-3", &endpoints[2])];
+    let members = both.map(|(id, endpoint)| member(id, endpoint.address, "up"));
+    let mut sent = 0;
+    let mut look = || {
+        sent += 1;
+        let command = with_long_deadline(&get_look(&format!("c-{sent}")));
+        assert_eq!(sidecar.request(&command).status(), "200");
+    };
+    let polls = discovery.server.request_count();
+    wait_until(|| {
+        look();
+        discovery.server.request_count() > polls
+    });
+    discovery.publish(3, members.join(","));
+    wait_until(|| {
+        look();
+        endpoints[2].request_count() > 0
+    });
+    for _ in 0..2 {
+        assert_eq!(post_cordon(management, "cordon", "s-1"), "200");
+        look();
+        assert_eq!(post_cordon(management, "uncordon", "s-1"), "200");
+        look();
+    }
+    let before = endpoints[2].request_count();
+    wait_until(|| {
+        look();
+        endpoints[2].request_count() > before
+    });
+}
+
 #[rstest]
 fn with_all_endpoints_cordoned_commands_are_refused_at_once() {
     let endpoint = ok_endpoint("a");
