A process that stops lets in its whole backlog, as places become free

What callers saw: beside a crowd that held all places, commands in the backlog were reset unread when the process was stopped. Cause: 0.5 s after SIGTERM one turn of the runtime let in the backlog; its budget ends after 127 accepts, the backlog counted as empty and the listener was closed. The limits on connections and memory did not hold for what was let in. Change: accept_backlog lets them in as places become free and outside that budget, until the backlog is empty or what is open is answered as out of time.

--- a/crates/passroad/src/listener.rs
+++ b/crates/passroad/src/listener.rs
@@ -21,8 +21,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
+use tokio::task::unconstrained;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 /// Connections that the kernel queues until they are accepted.
@@ -166,6 +167,13 @@
         shortage.map_or(max_open, |shortage| max_open.min(shortage.limit))
     }
 
+    fn record_accept_error(&self, error: &std::io::Error) {
+        match Errno::from_io_error(error) {
+            Some(Errno::MFILE | Errno::NFILE) => self.record_shortage(error),
+            _ => log::warn!("accept: {error}"),
+        }
+    }
+
     /// Lowers the limit for a while after descriptors have run out. Prevents clients from holding them all while discovery,
     /// probes and relays get none.
     fn record_shortage(&self, error: &std::io::Error) {
@@ -253,10 +261,7 @@
             accepted = listener.accept(), if below_limit && accepts => match accepted {
                 Ok((stream, _)) => serve_connection(stream, &router, &connections, accept_times.record(full)),
                 Err(error) => {
-                    match Errno::from_io_error(&error) {
-                        Some(Errno::MFILE | Errno::NFILE) => connections.record_shortage(&error),
-                        _ => log::warn!("accept: {error}"),
-                    }
+                    connections.record_accept_error(&error);
                     sleep(RETRY_DELAY).await;
                 }
             },
@@ -268,9 +273,10 @@
     }
     // After a handover, the backlog belongs to the other process.
     if *accepting.borrow() {
-        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        let serve = |stream| {
             serve_connection(stream, &router, &connections, accept_times.record(full));
-        }
+        };
+        accept_backlog(&listener, &connections, &mut shutdown, serve).await;
     }
     drop(listener);
     // Every open command has its response by the longest time limit.
@@ -294,6 +300,36 @@
     }
 }
 
+/// Accepts what waits in the backlog, as far and as soon as there are slots for it. Prevents commands that clients have sent
+/// from being reset unread while other commands hold all slots of a process that stops.
+async fn accept_backlog(
+    listener: &TcpListener,
+    connections: &Arc<ClientConnections>,
+    shutdown: &mut ShutdownWatch,
+    mut serve: impl FnMut(TcpStream),
+) {
+    while *shutdown.borrow() < ShutdownStage::Expiring {
+        let below_limit = connections.open.load(Relaxed) < connections.limit();
+        if !below_limit || !connections.memory.may_accept() {
+            tokio::select! {
+                () = connections.slot_freed.notified() => {}
+                () = sleep(PRESSURE_INTERVAL) => {}
+                () = stage_reached(shutdown, ShutdownStage::Expiring) => {}
+            }
+            continue;
+        }
+        // Outside the runtime's budget for a task, past which `accept` is never ready.
+        match unconstrained(listener.accept()).now_or_never() {
+            Some(Ok((stream, _))) => serve(stream),
+            Some(Err(error)) => {
+                connections.record_accept_error(&error);
+                sleep(RETRY_DELAY).await;
+            }
+            None => return,
+        }
+    }
+}
+
 /// Counts a connection as open, and holds its memory, until dropped.
 struct OpenSlot {
     connections: Arc<ClientConnections>,
