--- a/crates/passroad/tests/memory_bursts.rs
+++ b/crates/passroad/tests/memory_bursts.rs
@@ -14,7 +14,7 @@
 /// The least memory that deployments name, and the descriptors that go with it.
 const MEMORY_MB: usize = 32;
 const DESCRIPTORS: usize = 1024;
-/// Resident pages of the program's file in a release build; those of a debug build are twice as many.
+/// Resident pages of the program's file in a release build; those of a debug build may be more.
 const PROGRAM_BYTES: usize = 5_500_000;
 const ENDPOINTS: usize = 12;
 const SOUND_CLIENTS: usize = 4;
