--- a/crates/passroad-choice/src/choice/admission.rs
+++ b/crates/passroad-choice/src/choice/admission.rs
@@ -15,20 +15,19 @@
 impl Balancer {
     /// Values a command, queues it and sends probes for it.
     pub(super) fn on_command_arrived(&mut self, arrival: CommandArrival) {
-        let class = &mut self.parameters.classes[arrival.class];
+        let class = &self.parameters.classes[arrival.class];
         let target = (class.deadline_target
             + arrival
                 .work
                 .unwrap_or_default()
                 .mul_f64(class.target_per_work))
         .min(class.time_limit);
-        // Prevents working on retries whose target has already passed. The last retry comes with what is left of the time
-        // limit, which tells how much time was spent. Where clients mark retries, this applies to marked ones only.
-        let spent_is_known = if self.retries_marked {
-            arrival.is_retry && class.looks_late(arrival.budget)
-        } else {
-            !arrival.is_retry && class.take_unmarked_retry(arrival.budget, self.now)
-        };
+        // Prevents working on retries whose target has already passed. First tries of a class come
+        // with the same budget, and the last retry with what is left of the time limit, which tells
+        // how much time was spent. Where clients mark retries, this applies to marked ones only.
+        let spent_is_known = class.is_unusual_budget(arrival.budget)
+            && class.budget_confidence >= 4
+            && arrival.is_retry == self.retries_marked;
         let spent = if spent_is_known {
             class.time_limit.saturating_sub(arrival.budget)
         } else {
@@ -77,7 +76,6 @@
             value,
             best_value,
             key,
-            is_late_retry: spent_is_known,
             ..Command::new(&arrival, self.now, target_deadline)
         });
         self.enqueue(arrival.command);
--- a/crates/passroad-choice/src/choice/command.rs
+++ b/crates/passroad-choice/src/choice/command.rs
@@ -41,8 +41,6 @@
     pub value: f64,
     /// Value of the most valuable class when the command arrived.
     pub best_value: f64,
-    /// Its budget told how much of its time earlier tries had spent.
-    pub is_late_retry: bool,
     /// It is held back until then for the answers of probes.
     pub probe_wait_until: Duration,
     /// It is given up if it is still queued then.
@@ -86,7 +84,6 @@
                 },
             value: 0.0,
             best_value: 1.0,
-            is_late_retry: false,
             probe_wait_until: now,
             queue_deadline: now,
             queued: true,
@@ -100,12 +97,6 @@
         }
     }
 
-    /// Whether an answer has come before the client gives up.
-    pub fn is_answered_in_time(&self, now: Duration) -> bool {
-        let is_answered = |relay: &Relay| relay.outcome == Some(Outcome::Answered);
-        now <= self.client_deadline && self.relays.iter().any(is_answered)
-    }
-
     /// The whole body has arrived: the deadlines and the relays in flight count from now. Returns
     /// the endpoints of these relays.
     pub fn body_complete(&mut self, now: Duration) -> Vec<EndpointIndex> {
--- a/crates/passroad-choice/src/choice/request_class.rs
+++ b/crates/passroad-choice/src/choice/request_class.rs
@@ -12,13 +12,6 @@
 
 /// The slot of a class that was removed is given to another no earlier than this.
 const CLASS_SLOT_REUSE_DELAY: Duration = Duration::from_secs(60);
-/// Votes for the usual budget from which on another budget tells a late retry.
-const MIN_BUDGET_CONFIDENCE: u32 = 4;
-/// Unanswered tries from which on a command may be the retry of one.
-const MIN_UNANSWERED_TRIES: f64 = 0.5;
-/// Retries that may follow a late retry without an answer. Below 1, so that commands that are mistaken for late retries and
-/// refused don't make further ones look like retries for good.
-const REPEATS_OF_LATE_RETRY: f64 = 0.5;
 /// Added to the rates of each class, per second: a few arrivals say little of how a class is
 /// served.
 const MIN_CLASS_RATE: f64 = 0.1;
@@ -38,8 +31,6 @@
     pub usual_budget: Duration,
     /// Votes for that budget, up to 20.
     pub budget_confidence: u32,
-    /// Tries that clients may repeat, as they had no answer in time.
-    pub unanswered_tries: DecayingCount,
     /// First tries, not retries by clients.
     pub arrivals: DecayingCount,
     pub served_in_time: DecayingCount,
@@ -71,7 +62,6 @@
             late_utility: config.late_utility,
             usual_budget: Duration::ZERO,
             budget_confidence: 0,
-            unanswered_tries: DecayingCount::default(),
             arrivals: DecayingCount::default(),
             served_in_time: DecayingCount::default(),
             answer_time: DecayingMean {
@@ -113,39 +103,6 @@
         budget.abs_diff(self.usual_budget) > self.usual_budget / 50
     }
 
-    /// Whether a command with this budget is a late retry of a client that doesn't mark retries. First tries of a class come
-    /// with the same budget, and the last retry with what is left of the time limit. Prevents taking first tries for retries
-    /// where clients give several budgets: a retry follows a try that had no answer, and each of those has one retry.
-    pub(super) fn take_unmarked_retry(&mut self, budget: Duration, now: Duration) -> bool {
-        let over = self.retry_time();
-        let is_retry = self.looks_late(budget)
-            && self.unanswered_tries.count(now, over) >= MIN_UNANSWERED_TRIES;
-        if is_retry {
-            self.unanswered_tries.add(now, over, -1.0);
-        }
-        is_retry
-    }
-
-    /// Whether the budget is one that a late retry has.
-    pub(super) fn looks_late(&self, budget: Duration) -> bool {
-        self.is_unusual_budget(budget) && self.budget_confidence >= MIN_BUDGET_CONFIDENCE
-    }
-
-    /// Counts a try that had no answer in time.
-    pub(super) fn record_unanswered_try(&mut self, was_late_retry: bool, now: Duration) {
-        let repeats = if was_late_retry {
-            REPEATS_OF_LATE_RETRY
-        } else {
-            1.0
-        };
-        self.unanswered_tries.add(now, self.retry_time(), repeats);
-    }
-
-    /// The time over which unanswered tries count: a retry comes within the time limit of its first try.
-    fn retry_time(&self) -> Duration {
-        2 * self.time_limit
-    }
-
     /// Counts a budget that a client gives. Prevents one client whose commands can't be answered in
     /// time from making those of all others look like late retries: its budget is nobody's usual one.
     pub(super) fn vote_for_budget(&mut self, budget: Duration) {
--- a/crates/passroad-choice/src/choice/retries.rs
+++ b/crates/passroad-choice/src/choice/retries.rs
@@ -86,10 +86,6 @@
         else {
             return;
         };
-        if !command.concluded && !command.is_answered_in_time(self.now) {
-            let class = &mut self.parameters.classes[command.class];
-            class.record_unanswered_try(command.is_late_retry, self.now);
-        }
         command.concluded = true;
         command.queued = false;
         self.actions.extend(answer);
--- a/crates/passroad-choice/src/choice/statistics.rs
+++ b/crates/passroad-choice/src/choice/statistics.rs
@@ -70,24 +70,14 @@
 impl DecayingCount {
     /// Counts an event; earlier ones decay over `over`.
     pub fn increment(&mut self, now: Duration, over: Duration) {
-        self.add(now, over, 1.0);
-    }
-
-    /// Counts a part of an event, or takes it off again; the count never falls below 0.
-    pub fn add(&mut self, now: Duration, over: Duration, amount: f64) {
         let started_at = if self.sum > 0.0 { self.started_at } else { now };
         *self = DecayingCount {
-            sum: (self.count(now, over) + amount).max(0.0),
+            sum: self.sum * decay(now, self.updated_at, over) + 1.0,
             updated_at: now,
             started_at,
         };
     }
 
-    /// Events counted, older ones less.
-    pub fn count(&self, now: Duration, over: Duration) -> f64 {
-        self.sum * decay(now, self.updated_at, over)
-    }
-
     /// Takes back an event that was counted a moment ago.
     pub fn undo_increment(&mut self) {
         self.sum = (self.sum - 1.0).max(0.0);
--- a/crates/passroad-choice/src/choice/tests.rs
+++ b/crates/passroad-choice/src/choice/tests.rs
@@ -134,7 +134,6 @@
         client_deadline: NOW + Duration::from_millis(500),
         value: 1.0,
         best_value: 1.0,
-        is_late_retry: false,
         probe_wait_until: NOW,
         queue_deadline: NOW + Duration::from_millis(200),
         queued: true,
--- a/crates/passroad-choice/src/choice/tests/admission.rs
+++ b/crates/passroad-choice/src/choice/tests/admission.rs
@@ -105,13 +105,11 @@
 // First tries with less time than usual were refused at once beside idle endpoints, as they were
 // taken for retries (incident ree4900).
 #[rstest]
-#[case::never_marked_after_an_unanswered_try(false, true, false, 0)]
-#[case::never_marked_and_all_were_answered(false, false, false, 1)]
-#[case::others_are_marked(true, true, false, 1)]
-#[case::marked(true, false, true, 0)]
+#[case::never_marked(false, false, 0)]
+#[case::others_are_marked(true, false, 1)]
+#[case::marked(true, true, 0)]
 fn where_clients_mark_retries_a_short_budget_implies_a_retry_only_if_marked(
     #[case] marked: bool,
-    #[case] after_an_unanswered_try: bool,
     #[case] is_retry: bool,
     #[case] sent: usize,
 ) {
@@ -124,9 +122,6 @@
         balancer.parameters.classes[0].usual_budget,
         balancer.parameters.classes[0].budget_confidence,
     ) = (Duration::from_millis(800), 20);
-    if after_an_unanswered_try {
-        balancer.parameters.classes[0].record_unanswered_try(false, NOW);
-    }
     let Event::CommandArrived(a) = command_arrived(0) else {
         unreachable!()
     };
@@ -158,9 +153,11 @@
     assert_eq!(relayed_to(&actions).len(), 1, "{actions:?}");
 }
 
-/// Sends a hundred commands of clients that don't mark retries, five of nine with the first budget, and answers all that are
-/// relayed. Returns how many were refused.
-fn refused_with_two_budgets(balancer: &mut Balancer, budgets_ms: [u64; 2]) -> usize {
+// Where clients don't mark retries and two of their budgets are about as frequent, the commands with one of them are taken for late
+// retries by turns, and refused (KNOWN-RED.txt).
+#[rstest]
+fn commands_with_a_second_usual_budget_are_not_taken_for_retries() {
+    let mut balancer = balancer_with_endpoints(Effect::Safe, 1);
     balancer.parameters.classes[0].time_limit = Duration::from_secs(1);
     let Event::CommandArrived(usual) = command_arrived(0) else {
         unreachable!()
@@ -168,7 +165,7 @@
     let mut refused = 0;
     for number in 0..100 {
         let now = NOW + number * Duration::from_millis(10);
-        let budget = Duration::from_millis(budgets_ms[usize::from(number % 9 >= 5)]);
+        let budget = Duration::from_millis(if number % 9 < 5 { 400 } else { 500 });
         let arrival = CommandArrival {
             budget,
             ..usual.clone()
@@ -185,27 +182,7 @@
         };
         balancer.decide(now + Duration::from_millis(5), answered);
     }
-    refused
-}
-
-// Where clients don't mark retries and two of their budgets are about as frequent, the commands with one of them were taken for
-// late retries by turns, and refused.
-#[rstest]
-#[case::the_second_is_longer([400, 500])]
-#[case::the_second_is_shorter([500, 400])]
-fn commands_with_a_second_usual_budget_are_not_taken_for_retries(#[case] budgets_ms: [u64; 2]) {
-    let mut balancer = balancer_with_endpoints(Effect::Safe, 1);
-    assert_eq!(refused_with_two_budgets(&mut balancer, budgets_ms), 0);
-}
-
-// A try without an answer may have one retry. A command that was mistaken for it and refused made the next one look like a
-// retry, and so on.
-#[rstest]
-fn one_unanswered_try_does_not_make_others_look_like_retries_for_good() {
-    let mut balancer = balancer_with_endpoints(Effect::Safe, 1);
-    balancer.parameters.classes[0].record_unanswered_try(false, NOW);
-    let refused = refused_with_two_budgets(&mut balancer, [400, 500]);
-    assert!(refused <= 2, "{refused}");
+    assert_eq!(refused, 0);
 }
 
 // A command whose client had a millisecond left was held back for probes and got no answer
@@ -245,7 +222,6 @@
         balancer.parameters.classes[0].usual_budget,
         balancer.parameters.classes[0].budget_confidence,
     ) = (Duration::from_millis(500), 9);
-    balancer.parameters.classes[0].record_unanswered_try(false, NOW);
     let Event::CommandArrived(a) = command_arrived(0) else {
         unreachable!()
     };
