The dispatcher's exclusions, command handle and removed ids in files of their own

Cause: dispatcher.rs had grown to 824 lines with four jobs. Change: dispatcher/exclusion.rs, command_handle.rs and removed_ids.rs; 598 lines stay. No behaviour changes. A new test has a process without an order of work take what was out for it as cordoned, so that it can be called back.

--- a/crates/passroad/src/dispatcher.rs
+++ b/crates/passroad/src/dispatcher.rs
@@ -1,11 +1,14 @@
 //! Owns the decision module, its clock and the interners that turn external names into indices. Events come in here,
 //! and each action goes from here to whatever carries it out: commands, connection pools, discovery, timers.
 
+mod command_handle;
+mod exclusion;
+mod removed_ids;
+
+pub use self::command_handle::CommandHandle;
+use self::removed_ids::RemovedIds;
 use crate::endpoint_list::{DiscoveryRequest, EndpointList, HandoverState, ListEntry};
-use crate::exclusions::{
-    ExclusionChange, ExclusionReason, ExclusionSubscription, Exclusions, SubscriberId,
-};
-use crate::handover::VERSION_WITHOUT_REASONS;
+use crate::exclusions::{ExclusionReason, Exclusions};
 use crate::relay::{Dialer, EndpointPool};
 use crate::{probe, relay};
 use passroad_choice::interner::{Interner, stable_hash};
@@ -14,18 +17,13 @@
     LearnedState, ListUpdateKind, ListedEndpoint, ReportMode,
 };
 use passroad_routes::{RoutedBalancer, RoutesConfig};
-use std::collections::{BTreeSet, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 use tokio::runtime::Handle;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio_util::sync::CancellationToken;
 
-/// Ids of removed endpoints that are remembered, at eight bytes each.
-const MAX_REMOVED_IDS: usize = 16 << 10;
-
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(10);
 /// A heartbeat later than this means that the process was paused; what is read directly after that arrived meanwhile.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(30);
@@ -370,68 +368,6 @@
         inherited.revision
     }
 
-    fn inherit_exclusions(
-        self: &Arc<Self>,
-        version: u32,
-        cordoned: BTreeSet<String>,
-        under_maintenance: BTreeSet<String>,
-        maintained: bool,
-    ) {
-        if maintained && version == VERSION_WITHOUT_REASONS {
-            for id in &cordoned {
-                log::warn!(
-                    id = id.as_str();
-                    "{id} was out of use at the old process, which doesn't say why: it counts as cordoned until /admin/uncordon"
-                );
-            }
-        }
-        // Without the operation log nothing else would end them.
-        let reason_of_maintained = if maintained {
-            ExclusionReason::Maintenance
-        } else {
-            ExclusionReason::Operator
-        };
-        let by_operator = cordoned
-            .into_iter()
-            .map(|id| (id, ExclusionReason::Operator));
-        let by_maintenance = under_maintenance
-            .into_iter()
-            .map(|id| (id, reason_of_maintained));
-        for (id, reason) in by_operator.chain(by_maintenance) {
-            self.exclude(&ExclusionChange {
-                id,
-                reason,
-                excluded: true,
-            });
-        }
-    }
-
-    /// Whether an endpoint of this id is or was listed.
-    pub fn knows(&self, id: &str) -> bool {
-        let state = self.state();
-        state.endpoints.get(id).is_some() || state.removed.has(id)
-    }
-
-    /// Whether an endpoint is out of use, for whichever reason.
-    pub fn is_out_of_use(&self, id: &str) -> bool {
-        self.state().exclusions.is_out_of_use(id)
-    }
-
-    /// The ids of the endpoints that are out of use for a reason.
-    pub fn excluded_ids(&self, reason: ExclusionReason) -> Vec<String> {
-        self.state()
-            .exclusions
-            .ids(reason)
-            .iter()
-            .cloned()
-            .collect()
-    }
-
-    /// Subscribes to the changes of exclusions, for the other process of a handover.
-    pub fn subscribe_to_exclusions(&self) -> ExclusionSubscription {
-        self.state().exclusions.subscribe()
-    }
-
     /// The listed endpoints, each with its utilization, where that is known, and whether it is failing.
     pub fn machines(&self) -> Vec<(ListEntry, Option<f64>, bool)> {
         let state = self.state();
@@ -443,11 +379,6 @@
         .collect()
     }
 
-    /// Whether the other process of a handover runs, whose open relays are not known here.
-    pub fn has_other_process(&self) -> bool {
-        self.state().exclusions.has_subscribers()
-    }
-
     /// Whether this process has an open relay or probe on an endpoint.
     pub fn uses(&self, id: &str) -> bool {
         let state = self.state();
@@ -458,48 +389,6 @@
         pool.is_some_and(|pool| !pool.is_unused())
     }
 
-    /// Applies a change of this process, effective on return, and tells the other process of a handover. Each receiver
-    /// returned is ready once a process has applied it.
-    pub fn exclude(self: &Arc<Self>, change: &ExclusionChange) -> Vec<oneshot::Receiver<()>> {
-        self.apply_exclusion(change, None)
-    }
-
-    /// Applies a change that the other process of a handover has reported.
-    pub fn exclude_as_reported(
-        self: &Arc<Self>,
-        change: &ExclusionChange,
-        reported_by: SubscriberId,
-    ) {
-        self.apply_exclusion(change, Some(reported_by));
-    }
-
-    fn apply_exclusion(
-        self: &Arc<Self>,
-        change: &ExclusionChange,
-        reported_by: Option<SubscriberId>,
-    ) -> Vec<oneshot::Receiver<()>> {
-        let mut state = self.state();
-        let effect = state.exclusions.apply(change);
-        if effect.reason_changed {
-            let endpoint = state.endpoints.intern(&change.id);
-            log::info!(
-                endpoint = endpoint, id = change.id.as_str(), out_of_use = effect.out_of_use;
-                "endpoint {endpoint} ({}) is {}{}", change.id, change.description(),
-                if effect.out_of_use && !change.excluded { ", and out of use still" } else { "" }
-            );
-            if effect.use_changed {
-                let cordoned = effect.out_of_use;
-                self.decide(&mut state, Event::CordonChanged { endpoint, cordoned });
-            }
-        }
-        // An operator who repeats a call is to get it confirmed by the other process again.
-        if !effect.reason_changed && change.reason == ExclusionReason::Maintenance {
-            return Vec::new();
-        }
-        // Still under the lock: the other process has to learn of changes in their order.
-        state.exclusions.notify(change, reported_by)
-    }
-
     /// Applies a new configuration whole or not at all. Returns the module's index of each request class.
     pub fn reconfigure(
         self: &Arc<Self>,
@@ -618,28 +507,6 @@
     }
 }
 
-/// Hashes of ids that have left the list, limited to the latest ones.
-#[derive(Default)]
-struct RemovedIds {
-    hashes: HashSet<u64>,
-    order: VecDeque<u64>,
-}
-
-impl RemovedIds {
-    fn has(&self, id: &str) -> bool {
-        self.hashes.contains(&stable_hash(id))
-    }
-
-    fn note(&mut self, id_hash: u64) {
-        if self.hashes.insert(id_hash) {
-            self.order.push_back(id_hash);
-        }
-        if self.order.len() > MAX_REMOVED_IDS {
-            self.order.pop_front().map(|old| self.hashes.remove(&old));
-        }
-    }
-}
-
 impl State {
     fn pool(&mut self, endpoint: EndpointIndex, dialer: &Dialer) -> Option<EndpointPool> {
         // Prevents connections kept to some endpoints from leaving none for others: once the last one is taken,
@@ -675,7 +542,7 @@
             .iter()
             .filter(|(endpoint, _)| !is_listed(*endpoint))
             .map(|(_, id)| stable_hash(id));
-        self.removed.order.iter().copied().chain(left).collect()
+        self.removed.iter().chain(left).collect()
     }
 
     /// Frees the index of an endpoint. One that was cordoned after it had left the list has neither entry nor pool.
@@ -724,101 +591,3 @@
         self.send_action(command, action);
     }
 }
-
-/// Handle of an admitted command. Dropping it early abandons the command and counts its relays as cancelled.
-pub struct CommandHandle {
-    dispatcher: Arc<Dispatcher>,
-    command: CommandIndex,
-    actions: UnboundedReceiver<CommandAction>,
-    /// Cancelled when the command ends.
-    pub ended: CancellationToken,
-    open_relays: Vec<bool>, // by relay, whether it is still open
-}
-
-impl CommandHandle {
-    /// The next action; none once the module has released the command.
-    pub async fn next_action(&mut self) -> Option<CommandAction> {
-        let action = self.actions.recv().await;
-        if let Some(CommandAction::Relay { .. }) = action {
-            self.open_relays.push(true);
-        }
-        action
-    }
-
-    /// Index of the latest relay.
-    pub fn latest_relay(&self) -> usize {
-        self.open_relays.len() - 1
-    }
-
-    /// Tells the module how the latest relay's exchange goes on. The command is not released before that has ended.
-    pub fn latest_relay_progress(&self) -> relay::Progress {
-        let dispatcher = Arc::clone(&self.dispatcher);
-        let (command, relay) = (self.command, self.latest_relay());
-        relay::Progress::new(move |report| {
-            dispatcher.handle_event(match report {
-                relay::ProgressReport::Begun => Event::AnswerBegun { command, relay },
-                relay::ProgressReport::Paused => Event::AnswerPaused { command, relay },
-            })
-        })
-    }
-
-    pub fn abandon(&self) {
-        self.ended.cancel();
-        self.dispatcher.handle_event(Event::CommandAbandoned {
-            command: self.command,
-        });
-    }
-
-    pub fn body_not_replayable(&self) {
-        self.dispatcher.handle_event(Event::BodyNotReplayable {
-            command: self.command,
-        });
-    }
-
-    pub fn body_complete(&self) {
-        self.dispatcher.handle_event(Event::BodyComplete {
-            command: self.command,
-        });
-    }
-
-    pub fn relay_finished(
-        &mut self,
-        relay: usize,
-        result: &relay::ExchangeResult,
-        elapsed: Duration,
-        concluded: bool,
-    ) {
-        self.open_relays[relay] = false;
-        if concluded {
-            self.ended.cancel();
-        }
-        let (outcome, report) = (result.outcome, result.report);
-        self.dispatcher.handle_event(Event::RelayFinished {
-            command: self.command,
-            relay,
-            outcome,
-            elapsed,
-            concluded,
-            report,
-        });
-    }
-}
-
-impl Drop for CommandHandle {
-    fn drop(&mut self) {
-        if self.actions.is_closed() {
-            return;
-        }
-        self.abandon();
-        while let Ok(action) = self.actions.try_recv() {
-            self.open_relays
-                .extend(matches!(action, CommandAction::Relay { .. }).then_some(true));
-        }
-        let cancelled = relay::ExchangeResult::from(passroad_choice::Outcome::Cancelled);
-        for relay in 0..self.open_relays.len() {
-            if self.open_relays[relay] {
-                self.relay_finished(relay, &cancelled, Duration::ZERO, true);
-            }
-        }
-    }
-}
--- a/crates/passroad/tests/exclusions.rs
+++ b/crates/passroad/tests/exclusions.rs
@@ -208,6 +208,19 @@
     gate.open();
 }
 
+// The new process has no order of work: nothing could have ended what was out for maintenance.
+#[rstest]
+fn without_an_order_of_work_what_was_out_for_it_is_called_back_by_hand() {
+    let mut maintenance = fleet(LONG_WARM_UP);
+    maintenance.take_out(MACHINE);
+    maintenance.file = MAINTENANCE_FILE.replace("[upkeep]\n", "");
+    maintenance.upgrade(SIDECAR);
+    let received = |count| maintenance.commands_received(SIDECAR, MACHINE_INDEX, count);
+    assert_eq!(received(COMMANDS), 0);
+    post(&maintenance, "uncordon");
+    wait_until(|| received(10) > 0);
+}
+
 const DRAWN_SEEDS_IN_CI: u64 = 2;
 const DRAWN_STEPS: usize = 9;
 /// Long enough for some steps while a machine returns, short enough for a next turn.
--- a/crates/passroad/tests/maintenance/mod.rs
+++ b/crates/passroad/tests/maintenance/mod.rs
@@ -66,7 +66,8 @@
     discovery: FakeDiscovery,
     revision: u64, // of the list
     shared: SharedDirectory,
-    file: String,
+    /// The fleet file of processes that start from now on.
+    pub file: String,
 }
 
 pub const MAINTENANCE_FILE: &str = "lease = \"2s\"\nperiod = \"200ms\"\nvoters = 3\n[upkeep]\n";
